--- /dev/null
+++ b/internal/link/fake_test.go
@@ -0,0 +1,109 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/peer"
+	"github.com/celerystep/celerystep/internal/request"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// fakeRunner answers each request with its own messages, or as the hook says.
+type fakeRunner struct {
+	hook  func(ctx context.Context, r *request.Request, a request.Answer) request.Result
+	mu    sync.Mutex
+	ended []request.SessionID
+	// cancelled receives the sessions whose cancellation was asked for.
+	cancelled chan request.SessionID
+}
+
+func (f *fakeRunner) Run(ctx context.Context, r *request.Request, a request.Answer) request.Result {
+	if f.hook != nil {
+		return f.hook(ctx, r, a)
+	}
+	_, _ = a.Write(r.Messages)
+	return request.Result{Outcome: request.OutcomeDone, TxStatus: 'I'}
+}
+
+func (f *fakeRunner) End(_ context.Context, _ upstream.GroupID, s request.SessionID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = append(f.ended, s)
+}
+
+func (f *fakeRunner) Cancel(_ context.Context, _ upstream.GroupID, s request.SessionID) { f.cancelled <- s }
+
+func (f *fakeRunner) endedSessions() []request.SessionID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]request.SessionID(nil), f.ended...)
+}
+
+// testServer is one peer service on loopback.
+type testServer struct {
+	handler *peer.Handler
+	server  *http.Server
+	address string
+}
+
+func newTestServer(t testing.TB, r request.Runner, timing peer.Timing) *testServer {
+	t.Helper()
+	h := peer.NewHandler(peer.Services{Runner: r}, timing)
+	mux := http.NewServeMux()
+	h.Mount(mux)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &testServer{handler: h, server: peer.NewServer(mux, nil, hclog.NewNullLogger()), address: ln.Addr().String()}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.server.Serve(ln)
+	}()
+	t.Cleanup(func() {
+		_ = s.server.Close()
+		<-done
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = h.Drain(ctx)
+	})
+	return s
+}
+
+func newTestClient(t testing.TB, r request.Runner, o Options) *Client {
+	t.Helper()
+	timing := o.withDefaults().Timing
+	c := NewClient("home", newTestServer(t, r, timing).address, o)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func newRequest(session request.SessionID) *request.Request {
+	return &request.Request{
+		Session:  session,
+		Trace:    "0123456789abcdef",
+		Customer: "kestrel",
+		Key:      "dispatch",
+		Route:    "orders",
+		Group:    "g1",
+		Kind:     request.KindRead,
+		Timeout:  5e9,
+		Messages: []byte("Q\x00\x00\x00\x1eSELECT id FROM t WHERE a=1\x00"),
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+type counter struct{ n atomic.Int64 }
+
+func (c *counter) next() int { return int(c.n.Add(1)) }
