--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -89,6 +89,16 @@
 	s.pending = nil
 }
 
+// dropPartial removes the start of a message whose rest will not come, if it was not sent yet.
+func (s *session) dropPartial() {
+	n := s.scanner.Partial()
+	if n == 0 || s.pending == nil || n > len(*s.pending) {
+		return
+	}
+	*s.pending = (*s.pending)[:len(*s.pending)-n]
+	s.scanner.DropPartial()
+}
+
 // ready queues ReadyForQuery.
 func (s *session) ready() {
 	b := s.buffer()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -48,6 +48,7 @@
 	s.scanner.Reset()
 	result := s.server.parts.Runner.Run(s.ctx, r, s)
 	s.count(e, len(messages), result.Outcome)
+	s.dropPartial()
 	if s.broken != nil || !s.scanner.Whole() {
 		s.settle(e, &result, r)
 		return false, errCut
--- a/internal/pgwire/scanner.go
+++ b/internal/pgwire/scanner.go
@@ -10,7 +10,9 @@
 	Parsed, Closed, Errors int
 	// left is the number of bytes missing from the body of the current message; have bytes of its header were seen.
 	left, have int
-	header     [headerBytes]byte
+	// seen is the number of bytes of the current message that were taken in.
+	seen   int
+	header [headerBytes]byte
 }
 
 // Reset prepares the scanner for the next answer.
@@ -19,6 +21,17 @@
 // Whole reports whether the answer ends with a whole message.
 func (s *Scanner) Whole() bool { return s.left == 0 && s.have == 0 }
 
+// Partial returns the number of bytes at the end of the answer that belong to a message that is not whole.
+func (s *Scanner) Partial() int {
+	if s.Whole() {
+		return 0
+	}
+	return s.seen
+}
+
+// DropPartial forgets the message that is not whole.
+func (s *Scanner) DropPartial() { s.left, s.have = 0, 0 }
+
 // Scan takes in the next bytes of the answer.
 func (s *Scanner) Scan(p []byte) {
 	s.Bytes += len(p)
@@ -26,11 +39,13 @@
 		if s.left > 0 {
 			n := min(s.left, len(p))
 			s.left -= n
+			s.seen += n
 			p = p[n:]
 			continue
 		}
 		n := copy(s.header[s.have:], p)
 		s.have += n
+		s.seen = s.have
 		p = p[n:]
 		if s.have == headerBytes {
 			s.begin()
