Bound idle memory and withdrawn sessions; test single calls to peers

Cause: a withdrawn session could keep its connection while its caller takes nothing; Flush after an error waited for Sync; the cost of idle callers and of streams was not measured.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -27,6 +27,9 @@
 
 // message serves one message. It returns true at the end of the exchange.
 func (s *session) message(b *batch, kind byte, body []byte) (bool, error) {
+	if b.skip && kind != 'S' && kind != 'X' {
+		return false, s.skipMessage(b, kind)
+	}
 	switch kind {
 	case 'Q':
 		return true, s.query(b, body)
@@ -49,6 +52,17 @@
 	}
 }
 
+// skipMessage drops a message between an error and the Sync that follows it. Flush makes sure that the caller sees the
+// error before.
+func (s *session) skipMessage(b *batch, kind byte) error {
+	s.reader.Release()
+	if kind != 'H' {
+		return nil
+	}
+	s.reportBatch(b)
+	return s.flush()
+}
+
 // ignoreCopyData drops COPY data that a caller still sends after COPY was refused, as PostgreSQL does.
 func (s *session) ignoreCopyData(b *batch) error {
 	if len(b.operations) > 0 {
@@ -117,7 +131,7 @@
 	if info.Refusal != nil {
 		return &pgwire.Error{Code: info.Refusal.Code, Message: info.Refusal.Message + "; not run", Step: "classify"}
 	}
-	if s.tx != txFailed || info.Ends || info.Count == 0 {
+	if s.tx != txFailed || s.endsLost(info) || info.Count == 0 {
 		return nil
 	}
 	// An upstream knows best what runs in a failed transaction, but it is not asked about local statements, and there is
--- a/internal/entry/extended.go
+++ b/internal/entry/extended.go
@@ -7,15 +7,14 @@
 	"github.com/celerystep/celerystep/internal/pgwire"
 )
 
+// maxStatements bounds the prepared statements, and the portals, that one session keeps.
+const maxStatements = 4096
+
 // syncMessage ends the messages of a request.
 var syncMessage = []byte{'S', 0, 0, 0, 4}
 
 // extended takes one message of the extended protocol into the batch.
 func (s *session) extended(b *batch, kind byte, body []byte) error {
-	if b.skip {
-		s.reader.Release()
-		return nil
-	}
 	o := operation{kind: kind, end: len(s.reader.Exchange())}
 	o.start = o.end - len(body) - 5
 	var err error
@@ -40,6 +39,10 @@
 	if err := m.Decode(body); err != nil {
 		return errors.Wrap(pgwire.ErrMalformed, "Parse")
 	}
+	if len(s.statements) >= maxStatements {
+		b.reject(&pgwire.Error{Code: pgwire.CodeLimitExceeded, Message: "too many prepared statements in the session"})
+		return nil
+	}
 	if m.Name != "" && s.findStatement(b, []byte(m.Name)) != nil {
 		message := "prepared statement \"" + m.Name + "\" already exists"
 		b.reject(&pgwire.Error{Code: pgwire.CodeDuplicateStatement, Message: message})
@@ -142,17 +145,15 @@
 // flushRequest serves Flush. What was sent so far runs as a request of its own, which keeps the meaning of the exchange
 // only while nothing was bound or executed.
 func (s *session) flushRequest(b *batch) error {
-	if !b.skip {
-		if onlyPreparing(b.operations) {
-			if err := s.runBatch(b); err != nil {
-				return err
-			}
-		} else {
-			b.reject(&pgwire.Error{
-				Code:    pgwire.CodeFeatureNotSupported,
-				Message: "Flush is supported only after Parse, Describe and Close of statements; use Sync",
-			})
+	if onlyPreparing(b.operations) {
+		if err := s.runBatch(b); err != nil {
+			return err
 		}
+	} else {
+		b.reject(&pgwire.Error{
+			Code:    pgwire.CodeFeatureNotSupported,
+			Message: "Flush is supported only after Parse, Describe and Close of statements; use Sync",
+		})
 	}
 	s.reportBatch(b)
 	b.restart()
@@ -275,7 +276,7 @@
 		case o.kind == 'P' && parsed > 0:
 			parsed--
 			s.keep(o.statement)
-		case o.kind == 'B' && s.tx != txIdle:
+		case o.kind == 'B' && s.tx != txIdle && len(s.portals) < maxStatements:
 			if s.portals == nil {
 				s.portals = make(map[string]*statement)
 			}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -40,6 +40,9 @@
 	// hook, when set, may answer a request itself by returning true.
 	hook func(ctx context.Context, r *request.Request, a request.Answer) (request.Result, bool)
 
+	// discard leaves the requests out of the record.
+	discard bool
+
 	mu        sync.Mutex
 	status    map[request.SessionID]byte
 	requests  []*request.Request
@@ -56,7 +59,9 @@
 	copied := *r
 	copied.Messages = append([]byte(nil), r.Messages...)
 	f.mu.Lock()
-	f.requests = append(f.requests, &copied)
+	if !f.discard {
+		f.requests = append(f.requests, &copied)
+	}
 	f.mu.Unlock()
 	if f.hook != nil {
 		if result, ok := f.hook(ctx, r, a); ok {
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -16,7 +16,7 @@
 
 // isLocal reports whether the session answers the statement itself.
 func (s *session) isLocal(info *classify.Statement) bool {
-	if s.lost && info.Ends {
+	if s.endsLost(info) {
 		return true
 	}
 	if info.Local == nil {
@@ -80,7 +80,7 @@
 }
 
 func (s *session) local(info *classify.Statement) (tag string, err *pgwire.Error) {
-	if s.lost && info.Ends {
+	if s.endsLost(info) {
 		s.endLost()
 		return "ROLLBACK", nil
 	}
@@ -104,6 +104,11 @@
 	return l.Tag, err
 }
 
+// endsLost reports whether the statement ends a transaction that no upstream holds any more, and does nothing else.
+func (s *session) endsLost(info *classify.Statement) bool {
+	return s.lost && info.Ends && !info.Begins && info.Count == 1
+}
+
 // endLost ends a transaction that no upstream holds any more.
 func (s *session) endLost() {
 	s.tx = txIdle
--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/celerystep/celerystep/internal/pgwire"
 )
 
@@ -118,6 +120,12 @@
 		reported.Peer = string(s.server.settings.Instance)
 	}
 	s.server.metrics.refusals.WithLabelValues(reported.Code).Inc()
+	level := hclog.Debug
+	if reported.Code == pgwire.CodeUnknownOutcome {
+		level = hclog.Warn
+	}
+	s.server.log.Log(level, "request failed", "trace", reported.Trace, "session", s.id, "customer", s.identity.customer,
+		"code", reported.Code, "step", reported.Step, "peer", reported.Peer, "reason", reported.Message)
 	b := s.buffer()
 	*b = reported.Append(*b)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -133,7 +133,7 @@
 func (v *Server) addListener(ln net.Listener) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.draining.Load() || v.ctx.Err() != nil {
+	if v.draining.Load() {
 		_ = ln.Close()
 		return false
 	}
@@ -151,7 +151,7 @@
 func (v *Server) begin(conn net.Conn) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.ctx.Err() != nil {
+	if v.draining.Load() {
 		_ = conn.Close()
 		return
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -41,6 +41,9 @@
 const (
 	// lastLook is how long a session that is ended while it is idle waits for a request that is already on its way.
 	lastLook = 5 * time.Millisecond
+	// endGrace is the time that an ended session gets to tell its caller. It keeps the end of the connection within the 4 s
+	// that a withdrawn key may still be used.
+	endGrace = time.Second
 	// lingerTime bounds the wait for a caller to read the last error before the connection is closed.
 	lingerTime = 2 * time.Second
 	// lingerBytes bounds what is dropped of a message that is too large while the caller still sends.
@@ -208,22 +211,24 @@
 	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// end ends the session at once. A running request is cancelled.
+// end ends the session at once. A running request is cancelled. A session that does not end by itself, because its
+// caller takes nothing or its request does not return, loses its connection after a while.
 func (s *session) end(reason *pgwire.Error) {
 	s.reason.Store(reason)
 	s.cancel(reason)
 	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
+	time.AfterFunc(endGrace, func() { _ = s.conn.Close() })
 }
 
 // close tells the caller why the session ends, rolls an open transaction back and closes the connection.
 func (s *session) close(err error) {
 	s.server.index.remove(s)
-	s.endTransaction()
 	s.cancel(err)
 	s.farewell(err)
 	_ = s.conn.Close()
 	s.reader.Release()
 	s.discardOutput()
+	s.endTransaction()
 }
 
 // farewell sends a last error when the caller can still read it.
--- a/internal/link/bench_test.go
+++ b/internal/link/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"strconv"
 	"testing"
 
@@ -36,3 +37,35 @@
 		})
 	})
 }
+
+// BenchmarkStreamMemory measures the memory of one stream, both ends and their connections together. Run it with
+// -benchtime=1x.
+func BenchmarkStreamMemory(b *testing.B) {
+	const streams = 200
+	for b.Loop() {
+		s := newTestServer(b, &fakeRunner{}, slow.Timing)
+		before := inUse()
+		clients := make([]*Client, streams)
+		for i := range clients {
+			o := slow
+			o.Streams = 1
+			clients[i] = NewClient("home", s.address, o)
+			if res := clients[i].Run(context.Background(), newRequest("s"), discard{}); res.Outcome != request.OutcomeDone {
+				b.Fatal(res)
+			}
+		}
+		b.ReportMetric(float64(inUse()-before)/streams, "B/stream")
+		for _, c := range clients {
+			c.Close()
+		}
+	}
+}
+
+func inUse() int64 {
+	for range 4 {
+		runtime.GC()
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -26,8 +26,8 @@
 
 const (
 	// DefaultStreams is the number of streams to one instance. More than one keeps the large answer of a session from
-	// delaying all others.
-	DefaultStreams = 4
+	// delaying all others; each takes about 80 KB at either end.
+	DefaultStreams = 2
 	// DefaultIdle is the time after which a stream without requests and transactions is closed.
 	DefaultIdle = time.Minute
 	// setupTimeout bounds the time until the first answer on a new stream.
