Report a lost transaction as rolled back

Cause: a statement inside a transaction whose link was just lost got 57P03 or 08007 although its transaction is certainly rolled back. Change: the link and the session report 40000 in these cases; a test runs a session over a link that ends inside a transaction.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +14,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/celerystep/celerystep/internal/certs"
+	"github.com/celerystep/celerystep/internal/certs/certstest"
 	"github.com/celerystep/celerystep/internal/config"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/link"
@@ -78,20 +82,35 @@
 		n := &network{home: "i1"}
 		timeExchanges(b, benchServer(b, NewDispatcher("i1", instantHome{}, n, n, nil, nil)), true)
 	})
-	b.Run("one-hop", func(b *testing.B) {
-		home := peerServer(b)
-		links := link.NewPool(link.Options{})
-		b.Cleanup(links.Close)
-		n := &remoteHome{info: instance.Info{ID: "i2", PeerAddress: home}}
-		timeExchanges(b, benchServer(b, NewDispatcher("i1", instantHome{}, links, n, nil, nil)), true)
-	})
+	for name, store := range map[string]*certs.Store{"one-hop": nil, "one-hop-tls": peerStore(b)} {
+		b.Run(name, func(b *testing.B) {
+			_, n := peerServer(b, instantHome{}, store)
+			links := link.NewPool(link.Options{Store: store})
+			b.Cleanup(links.Close)
+			timeExchanges(b, benchServer(b, NewDispatcher("i1", instantHome{}, links, n, nil, nil)), true)
+		})
+	}
 }
 
 // remoteHome is the same instance for every group.
-type remoteHome struct{ info instance.Info }
+type remoteHome struct {
+	mu   sync.Mutex
+	info instance.Info
+}
+
+func (h *remoteHome) Home(upstream.GroupID) (instance.ID, bool) { return "i2", true }
 
-func (h *remoteHome) Home(upstream.GroupID) (instance.ID, bool) { return h.info.ID, true }
-func (h *remoteHome) Address(instance.ID) (instance.Info, bool) { return h.info, true }
+func (h *remoteHome) Address(instance.ID) (instance.Info, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.info, true
+}
+
+func (h *remoteHome) move(to instance.Info) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.info = to
+}
 
 func benchServer(b *testing.B, r request.Runner) string {
 	f := newFixture(b, Settings{})
@@ -101,18 +120,48 @@
 	return f.serve()
 }
 
-func peerServer(b *testing.B) string {
-	h := peer.NewHandler(peer.Services{Runner: instantHome{}}, peer.DefaultTiming())
+// peerServer serves the runner to peers, as the instance i2 that is the home of every group.
+func peerServer(t testing.TB, r request.Runner, store *certs.Store) (*http.Server, *remoteHome) {
+	t.Helper()
+	h := peer.NewHandler(peer.Services{Runner: r}, peer.DefaultTiming())
 	mux := http.NewServeMux()
 	h.Mount(mux)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
-	s := peer.NewServer(mux, nil, hclog.NewNullLogger())
-	go func() { _ = s.Serve(ln) }()
-	b.Cleanup(func() { _ = s.Close() })
-	return ln.Addr().String()
+	s := peer.NewServer(mux, store, hclog.NewNullLogger())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if store == nil {
+			_ = s.Serve(ln)
+			return
+		}
+		_ = s.ServeTLS(ln, "", "")
+	}()
+	t.Cleanup(func() {
+		_ = s.Close()
+		<-done
+	})
+	return s, &remoteHome{info: instance.Info{ID: "i2", PeerAddress: ln.Addr().String()}}
+}
+
+func peerStore(t testing.TB) *certs.Store {
+	t.Helper()
+	dir := t.TempDir()
+	f := certs.Files{Certificate: dir + "/cert", Key: dir + "/key", Roots: dir + "/roots"}
+	certificate, key, roots := certstest.New(t).Issue(t, certs.PeerName)
+	for file, pem := range map[string][]byte{f.Certificate: certificate, f.Key: key, f.Roots: roots} {
+		if err := os.WriteFile(file, pem, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := certs.Load(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
 }
 
 // directServer answers each exchange with the row, without looking at it.
--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5"
@@ -17,6 +18,8 @@
 	"github.com/celerystep/celerystep/internal/certs"
 	"github.com/celerystep/celerystep/internal/certs/certstest"
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/link"
+	"github.com/celerystep/celerystep/internal/peer"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/request"
 )
@@ -368,3 +371,35 @@
 	is.Equal(f.home.last().ConfigVersion, uint64(2))
 	is.True(!f.home.last().HasFloor)
 }
+
+// TestOverLink guards against a session that does not work, or does not notice a lost transaction, when the home of its
+// group is another instance.
+func TestOverLink(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, Settings{})
+	remote := newFakeHome()
+	server, homes := peerServer(t, remote, nil)
+	links := link.NewPool(link.Options{Timing: peer.Timing{Heartbeat: time.Second, Silence: patience, SlowReader: patience}})
+	t.Cleanup(links.Close)
+	f.server.parts.Runner = NewDispatcher("i1", f.home, links, homes, nil, nil)
+	c, roamed := f.mustConnect("statement_timeout", "200ms"), f.mustConnect()
+	is.Equal(one(t, c, "SELECT $1", "x"), "SELECT $1")
+	exec(t, c, "INSERT INTO t VALUES (1)")
+	is.Equal(c.PgConn().ParameterStatus(parameterToken), "kestrel@g1@1/1")
+	is.NoErr(c.PgConn().CancelRequest(context.Background()))
+	exec(t, c, "BEGIN")
+	is.NoErr(c.PgConn().CancelRequest(context.Background()))
+	is.True(<-remote.cancelled != "")
+	exec(t, c, "UPDATE t SET a = 1")
+	is.NoErr(server.Close())
+	is.Equal(execError(t, c, "UPDATE t SET a = 2"), "40000")
+	is.Equal(execError(t, c, "UPDATE t SET a = 3"), "25P02")
+	exec(t, c, "COMMIT")
+	is.Equal(execError(t, c, "UPDATE t SET a = 4"), "57P03")
+	eventually(t, "transaction rolled back", func() bool { return remote.endedCount() == 1 })
+
+	_, moved := peerServer(t, remote, nil)
+	homes.move(moved.info)
+	exec(t, roamed, "UPDATE t SET a = 5")
+	is.Equal(f.home.count(), 0)
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -54,7 +54,7 @@
 		return false, errCut
 	}
 	if result.Outcome != request.OutcomeDone && s.scanner.Errors == 0 && !s.rolledBack(e, &result) {
-		s.fail(resultError(&result, r.Trace))
+		s.failed(e, &result, r.Trace)
 	}
 	s.settle(e, &result, r)
 	if err := s.ended(); err != nil {
@@ -207,6 +207,18 @@
 	return true
 }
 
+// failed reports a result that is not done. The outcome of a statement inside a transaction block is known even when its
+// link was lost: it did not end the block, so it is rolled back with it.
+func (s *session) failed(e effect, result *request.Result, trace request.TraceID) {
+	reported := resultError(result, trace)
+	inside := s.tx != txIdle && !e.ends && result.TxStatus == 0
+	if inside && reported.Code == pgwire.CodeUnknownOutcome {
+		reported.Code = pgwire.CodeRolledBack
+		reported.Message = "transaction was rolled back: " + result.Message
+	}
+	s.fail(reported)
+}
+
 // resultError describes a result that is not done. The text of a refusal says that nothing was run.
 func resultError(result *request.Result, trace request.TraceID) *pgwire.Error {
 	e := &pgwire.Error{
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -22,6 +22,8 @@
 	stream  *stream
 	id      uint64
 	session request.SessionID
+	// held is true when the session may have been inside a transaction when the call began.
+	held bool
 	// wake has room for one signal that the fields below have changed.
 	wake chan struct{}
 
@@ -39,7 +41,8 @@
 func (st *stream) begin(session request.SessionID) (*call, error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if _, holds := st.open[session]; st.ended || st.leaving && !holds {
+	_, held := st.open[session]
+	if st.ended || st.leaving && !held {
 		return nil, errLeaving
 	}
 	st.nextID++
@@ -47,6 +50,7 @@
 	k.stream = st
 	k.id = st.nextID
 	k.session = session
+	k.held = held
 	st.calls[k.id] = k
 	return k, nil
 }
@@ -157,7 +161,7 @@
 func (k *call) complete(r *request.Request, m *peerv1.RunResult) request.Result {
 	result := peer.DecodeResult(m)
 	st := k.stream
-	st.forget(k, result.HoldsTransaction(st.holds(r.Session), r.Begins))
+	st.forget(k, result.HoldsTransaction(k.held, r.Begins))
 	k.reuse()
 	return result
 }
@@ -174,7 +178,7 @@
 // abort gives up a call whose caller does not want the answer any more.
 func (k *call) abort(r *request.Request, err error) request.Result {
 	st := k.stream
-	st.forget(k, st.holds(r.Session) || r.Begins)
+	st.forget(k, k.held || r.Begins)
 	st.sendCancel(k.id, r.Group, r.Session)
 	return k.unknown(codeQueryCanceled, err)
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -102,6 +102,9 @@
 	}
 	if err := k.stream.sendRun(k, r); err != nil {
 		k.stream.forget(k, false)
+		if k.held {
+			err = errTransactionLost
+		}
 		return c.notRun(err)
 	}
 	return k.wait(ctx, r, a)
--- a/internal/link/slot.go
+++ b/internal/link/slot.go
@@ -58,7 +58,11 @@
 			return nil, err
 		}
 	}
-	return st.begin(r.Session)
+	k, err := st.begin(r.Session)
+	if err != nil {
+		st.awaitEnd()
+	}
+	return k, err
 }
 
 func (s *slot) acquire(id request.SessionID) (*stream, error) {
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -163,6 +163,16 @@
 	}
 }
 
+// awaitEnd waits until a stream that is ending has noted the transactions that went with it.
+func (st *stream) awaitEnd() {
+	st.mu.Lock()
+	ended := st.ended
+	st.mu.Unlock()
+	if ended {
+		<-st.done
+	}
+}
+
 func (st *stream) isReady() bool {
 	select {
 	case <-st.ready:
