--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -107,6 +108,7 @@
 	_, err := f.connect("kestrel.dispatch", f.secret, "orders", "work_mem", "1GB")
 	is.Equal(code(t, err), "0A000")
 	is.True(!strings.Contains(f.log.String(), f.secret))
+	is.True(!strings.Contains(fmt.Sprintf("%+v %s", *f.home.last(), f.home.last().Messages), f.secret))
 	is.True(strings.Contains(f.log.String(), "code=28P01"))
 }
 
--- a/internal/entry/handshake.go
+++ b/internal/entry/handshake.go
@@ -42,6 +42,8 @@
 	if err == nil {
 		_ = conn.SetDeadline(time.Time{})
 		v.metrics.starts.WithLabelValues("00000").Inc()
+		v.log.Debug("session started", "session", s.id, "customer", s.identity.customer, "key", s.identity.key,
+			"database", s.identity.database, "remote", conn.RemoteAddr(), "tls", h.secure)
 		return s
 	}
 	h.refuse(err)
