Refuse requests that do not fit in a frame between instances

Cause: a request whose messages and prepared texts exceed the receiver's limit ended the stream and with it the requests of other sessions. Change: the link refuses such a request as not run (54000); the limit between peers is 48 MB, above a 16 MB exchange with long prepared texts.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -22,8 +22,12 @@
 	codeUnknownOutcome = "08007"
 	codeRolledBack     = "40000"
 	codeQueryCanceled  = "57014"
+	codeLimitExceeded  = "54000"
 )
 
+// frameOverhead is more than what a frame needs besides messages and texts of statements.
+const frameOverhead = 1 << 20
+
 const (
 	// DefaultStreams is the number of streams to one instance. More than one keeps the large answer of a session from
 	// delaying all others; each takes about 80 KB at either end.
@@ -96,6 +100,9 @@
 // Run implements request.Runner. A request whose frame was not written whole is not run. One that was written and has no
 // result when the link ends has an unknown outcome.
 func (c *Client) Run(ctx context.Context, r *request.Request, a request.Answer) request.Result {
+	if tooLarge(r) {
+		return c.notRun(errTooLarge)
+	}
 	k, err := c.slot(r.Session).begin(ctx, r)
 	if err != nil {
 		return c.notRun(err)
@@ -140,8 +147,21 @@
 		Step:    "link",
 		Peer:    string(c.id),
 	}
-	if err == errTransactionLost {
+	switch err {
+	case errTransactionLost:
 		r.Code = codeRolledBack
+	case errTooLarge:
+		r.Code = codeLimitExceeded
 	}
 	return r
 }
+
+// tooLarge reports a request that does not fit in a frame. Sending it would end the stream and with it the requests of
+// other sessions.
+func tooLarge(r *request.Request) bool {
+	size := len(r.Messages) + frameOverhead
+	for i := range r.Prepared {
+		size += len(r.Prepared[i].Query)
+	}
+	return size > peer.MaxMessageBytes
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -119,6 +119,19 @@
 	is.NoErr(near.Close())
 }
 
+// TestTooLarge guards against a request that ends the stream of other sessions because it does not fit in a frame.
+func TestTooLarge(t *testing.T) {
+	is := is.New(t)
+	c := newTestClient(t, &fakeRunner{}, slow)
+	r := newRequest("s")
+	r.Messages = make([]byte, 16<<20)
+	is.Equal(c.Run(context.Background(), r, discard{}), status('I'))
+	r.Prepared = []request.Prepared{{Query: string(make([]byte, 32<<20))}}
+	result := c.Run(context.Background(), r, discard{})
+	is.Equal(result.Outcome, request.OutcomeNotRun)
+	is.Equal(result.Code, codeLimitExceeded)
+}
+
 // TestNotRunWithoutPeer guards against a request that never left and is reported as if it may have run.
 func TestNotRunWithoutPeer(t *testing.T) {
 	is := is.New(t)
--- a/internal/link/slot.go
+++ b/internal/link/slot.go
@@ -14,6 +14,7 @@
 	// errTransactionLost reports a session whose stream ended between two statements of a transaction. The instance at
 	// the other end rolled the transaction back.
 	errTransactionLost = errors.New("the link ended and the transaction was rolled back")
+	errTooLarge        = errors.New("messages and prepared statements are too large for one request")
 	errClosed          = errors.New("link is closed")
 	errNoStream        = errors.New("link could not be set up")
 )
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -50,8 +50,9 @@
 	// SilenceLimit is the longest time without any frame on a stream. With one more heartbeat interval until it is
 	// noticed, a silent link is found within a second.
 	SilenceLimit = 750 * time.Millisecond
-	// MaxMessageBytes bounds a message between peers. It leaves room for a 16 MB message of a caller.
-	MaxMessageBytes = 20 << 20
+	// MaxMessageBytes bounds a message between peers. It leaves room for a 16 MB exchange of a caller that refers to
+	// prepared statements with long texts. A larger message ends the stream, so senders check before.
+	MaxMessageBytes = 48 << 20
 	// slowReaderLimit is how long an answer waits for a receiver that takes nothing before the request is aborted,
 	// because it holds one of the group's few connections.
 	slowReaderLimit = 35 * time.Second
