--- a/internal/standin/group/sqltext/sqltext_test.go
+++ b/internal/standin/group/sqltext/sqltext_test.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// Guards against booleans and bytes that are stored as text when they come as string literals.
+func TestLiterals(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse(`update t set name = 't', ok = 't' where ok = 'false' and id = '7'`)
+	is.NoErr(err)
+	got, err := s.WithLiterals(testSchema)
+	is.NoErr(err)
+	is.Equal(got, `update t set name = 't', ok = 1 where ok = 0 and id = '7'`)
+}
+
 // Guards against result columns that a client would decode as the wrong type, and against SQLite's column names.
 func TestColumns(t *testing.T) {
 	is := is.New(t)
--- a/internal/standin/group/sqltext/statement.go
+++ b/internal/standin/group/sqltext/statement.go
@@ -61,6 +61,8 @@
 	Rows bool
 	// Schema is true when the statement changes the schema.
 	Schema bool
+	// Locks is true for a Write that locks rows without changing them.
+	Locks bool
 	// Params is the highest parameter number.
 	Params int
 	// Mode is set for Begin and SetTransaction.
@@ -74,6 +76,8 @@
 	Args []Argument
 
 	tokens []Token
+	// body holds the tokens that are translated.
+	body []Token
 }
 
 // Argument is an argument of a Call: the parameter of the given number, or a literal when Param is 0.
@@ -150,7 +154,7 @@
 	s.Class, s.Tag, s.Counts, s.Rows = Read, "SELECT", true, true
 	tokens := s.tokens
 	if i := lockingClause(tokens); i >= 0 {
-		s.Class = Write
+		s.Class, s.Locks = Write, true
 		tokens = tokens[:i]
 	}
 	return s.translate(tokens)
--- a/internal/standin/group/sqltext/translate.go
+++ b/internal/standin/group/sqltext/translate.go
@@ -6,6 +6,25 @@
 
 // translate sets the SQLite text from the tokens.
 func (s *Statement) translate(tokens []Token) error {
+	s.body = tokens
+	text, err := s.translated(nil)
+	s.SQLite = text
+	return err
+}
+
+// WithLiterals returns the SQLite text in which string literals that stand for booleans or bytes have the form in which
+// SQLite stores these.
+func (s *Statement) WithLiterals(schema Schema) (string, error) {
+	for _, t := range s.body {
+		if t.Kind == String {
+			return s.translated(schema)
+		}
+	}
+	return s.SQLite, nil
+}
+
+func (s *Statement) translated(schema Schema) (string, error) {
+	tokens := s.body
 	t := translator{tokens: tokens, out: make([]string, len(tokens)), castStart: make(map[int]int)}
 	for i, x := range tokens {
 		t.out[i] = x.Text
@@ -15,9 +34,11 @@
 	}
 	for i, x := range tokens {
 		switch {
+		case x.Kind == String && schema != nil:
+			t.out[i] = literal(x, s.paramType(schema, i))
 		case x.Is("::"):
 			if err := t.cast(i); err != nil {
-				return err
+				return "", err
 			}
 		case x.Is("public") && i+1 < len(tokens) && tokens[i+1].Is("."):
 			t.out[i], t.out[i+1] = "", ""
@@ -25,8 +46,26 @@
 			t.out[i] = "INTEGER"
 		}
 	}
-	s.SQLite = t.text()
-	return nil
+	return t.text(), nil
+}
+
+// literal returns the form of a string literal of the given type.
+func literal(t Token, oid uint32) string {
+	v := t.value()
+	if oid == Bytea && strings.HasPrefix(v, `\x`) {
+		return "X'" + v[2:] + "'"
+	}
+	if oid != Bool {
+		return t.Text
+	}
+	switch strings.ToLower(v) {
+	case "t", "true":
+		return "1"
+	case "f", "false":
+		return "0"
+	default:
+		return t.Text
+	}
 }
 
 // translator holds the text of each token while casts are rewritten.
