--- a/cmd/celerystep-group/settings.go
+++ b/cmd/celerystep-group/settings.go
@@ -31,6 +31,8 @@
 	Schema         []string `json:"schema"`
 	// IdleInTransactionMS is 0 for the default and negative for no limit.
 	IdleInTransactionMS int `json:"idle_in_transaction_ms"`
+	// IdleSessionMS is 0 for no limit.
+	IdleSessionMS int `json:"idle_session_ms"`
 	// StatementLogLimit is 0 for the default and negative for no log.
 	StatementLogLimit int  `json:"statement_log_limit"`
 	FaultFunctions    bool `json:"fault_functions"`
@@ -60,6 +62,7 @@
 		ApplyLag:                 time.Duration(s.ApplyLagMS) * time.Millisecond,
 		Schema:                   s.Schema,
 		IdleInTransactionTimeout: time.Duration(s.IdleInTransactionMS) * time.Millisecond,
+		IdleSessionTimeout:       time.Duration(s.IdleSessionMS) * time.Millisecond,
 		StatementLogLimit:        s.StatementLogLimit,
 		FaultFunctions:           s.FaultFunctions,
 		Logger:                   log.With("group", s.ID),
--- a/internal/standin/group/errors.go
+++ b/internal/standin/group/errors.go
@@ -21,6 +21,7 @@
 	stateFailedTransaction   = "25P02"
 	stateActiveTransaction   = "25001"
 	stateIdleInTransaction   = "25P03"
+	stateIdleSession         = "57P05"
 	stateNoTransaction       = "25P01"
 	stateSyntax              = "42601"
 	stateUndefinedObject     = "42704"
@@ -61,6 +62,11 @@
 	return &sqlError{State: state, Message: fmt.Sprintf(format, args...), Fatal: true}
 }
 
+// errTerminated reports that the member has closed the connection.
+func errTerminated() *sqlError {
+	return fatalf(stateAdminShutdown, "the connection is closed by the member")
+}
+
 // asSQLError gives every error a SQLSTATE.
 func asSQLError(err error) *sqlError {
 	var e *sqlError
--- a/internal/standin/group/execute.go
+++ b/internal/standin/group/execute.go
@@ -226,6 +226,9 @@
 		return 0, err
 	}
 	defer release()
+	if !s.m.frozen.pass(s.done) {
+		return 0, errTerminated()
+	}
 	index, err := s.m.beginStatement(s, t, st.Text, x.Args)
 	if err != nil {
 		return 0, err
@@ -290,7 +293,7 @@
 	case <-s.canceled:
 		return errorf(stateCanceled, "canceling statement due to user request")
 	case <-s.done:
-		return fatalf(stateAdminShutdown, "the connection is closed by the member")
+		return errTerminated()
 	}
 }
 
@@ -312,7 +315,7 @@
 	case <-s.canceled:
 		return errorf(stateCanceled, "canceling statement due to user request")
 	case <-s.done:
-		return fatalf(stateAdminShutdown, "the connection is closed by the member")
+		return errTerminated()
 	}
 }
 
--- a/internal/standin/group/faults.go
+++ b/internal/standin/group/faults.go
@@ -16,7 +16,8 @@
 // term and claim are durable. Open transactions are lost.
 func (g *Group) Kill(id upstream.MemberID) { g.members[id].kill() }
 
-// Restart starts a killed member on its old address. It takes up its old role and term.
+// Restart starts a killed member on its old address. It takes up its old role and term. A frozen one is not frozen any
+// more.
 func (g *Group) Restart(id upstream.MemberID) error {
 	g.mu.Lock()
 	closed := g.closed
@@ -28,6 +29,7 @@
 	if m.isAlive() {
 		return nil
 	}
+	m.frozen.open()
 	return m.start(m.address)
 }
 
--- a/internal/standin/group/member.go
+++ b/internal/standin/group/member.go
@@ -273,7 +273,7 @@
 // mayRunLocked reports whether a session may run a statement now.
 func (m *member) mayRunLocked(s *session) error {
 	if !m.alive || s.terminated {
-		return fatalf(stateAdminShutdown, "the connection is closed by the member")
+		return errTerminated()
 	}
 	if s.claim.Generation != 0 && s.claim.Generation != m.generation {
 		return fatalf(StateStale, "generation %d is superseded by %d", s.claim.Generation, m.generation)
--- a/internal/standin/group/options.go
+++ b/internal/standin/group/options.go
@@ -66,6 +66,8 @@
 	// IdleInTransactionTimeout ends a connection that leaves a transaction idle, so that a client that went silent
 	// does not block writes for good; 0 means DefaultIdleInTransactionTimeout, negative means no limit.
 	IdleInTransactionTimeout time.Duration
+	// IdleSessionTimeout ends a statement connection that is idle outside a transaction; 0 means no limit.
+	IdleSessionTimeout time.Duration
 	// StatementLogLimit bounds the logged statements of a member; 0 means DefaultStatementLogLimit, negative turns
 	// the log off.
 	StatementLogLimit int
--- a/internal/standin/group/protocol_test.go
+++ b/internal/standin/group/protocol_test.go
@@ -245,6 +245,17 @@
 	is.Equal(state(err), "53300") // the status connection counts
 }
 
+// Guards against idle connections that keep their place for good, and against status connections that do not.
+func TestIdleSession(t *testing.T) {
+	is := is.New(t)
+	g := start(t, func(o *group.Options) { o.IdleSessionTimeout = 50 * time.Millisecond })
+	c := connect(t, g, "m1")
+	connect(t, g, "m1", "celerystep.status", "on")
+	waitFor(t, "idle close", func() bool { return g.Connections() == 1 })
+	_, err := c.Exec(t.Context(), "SELECT 1")
+	is.Equal(state(err), "57P05")
+}
+
 // Guards against session state that survives DISCARD ALL or leaks out of a rolled back transaction.
 func TestSessionState(t *testing.T) {
 	is := is.New(t)
--- a/internal/standin/group/replication.go
+++ b/internal/standin/group/replication.go
@@ -142,6 +142,7 @@
 	}
 	m.group.logger.Info("truncating the log", "member", m.id, "term", t, "from", m.log.end(), "to", common)
 	m.log.truncate(common)
+	m.rebuilt = min(m.rebuilt, common)
 	if m.applied > common {
 		m.rebuildLocked()
 	}
--- a/internal/standin/group/session.go
+++ b/internal/standin/group/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -37,9 +38,10 @@
 	// canceled receives a cancel request.
 	canceled chan struct{}
 
-	// status is true for a status connection, claim is the claim of a statement connection.
+	// status is true for a status connection, claim is the claim of a statement connection. Both are written once, under
+	// the member's mu.
 	status bool
-	// counted is true once the connection counts against the limit; it is guarded by the group.s mu.
+	// counted is true once the connection counts against the limit; it is guarded by the group's mu.
 	counted bool
 	claim   upstream.Claim
 	// claimed and terminated are guarded by the member's mu.
@@ -63,6 +65,7 @@
 		conn:     c,
 		done:     make(chan struct{}),
 		canceled: make(chan struct{}, 1),
+		secret:   rand.Uint32(),
 		settings: make(map[string]string),
 		prepared: make(map[string]*prepared),
 		portals:  make(map[string]*portal),
@@ -122,8 +125,7 @@
 	s.m.group.unregister(s)
 }
 
-// flushBeforeRead sends the collected answers when no further message has arrived, and bounds the wait for one inside
-// a transaction.
+// flushBeforeRead sends the collected answers when no further message has arrived, and bounds the wait for one.
 func (s *session) flushBeforeRead() error {
 	if s.in.Buffered() > 0 {
 		return nil
@@ -131,22 +133,36 @@
 	if err := s.flush(); err != nil {
 		return err
 	}
-	timeout := s.m.group.options.IdleInTransactionTimeout
+	timeout := s.idleTimeout()
 	if timeout <= 0 {
-		return nil
+		return s.conn.SetReadDeadline(time.Time{})
 	}
-	if s.tx != nil {
-		return s.conn.SetReadDeadline(time.Now().Add(timeout))
+	return s.conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
+// idleTimeout returns the time that the client may stay silent now, or 0 for no limit.
+func (s *session) idleTimeout() time.Duration {
+	switch {
+	case s.tx != nil:
+		return s.m.group.options.IdleInTransactionTimeout
+	case s.status:
+		return 0
+	default:
+		return s.m.group.options.IdleSessionTimeout
 	}
-	return s.conn.SetReadDeadline(time.Time{})
 }
 
 func (s *session) reportTimeout(err error) {
 	var n net.Error
-	if errors.As(err, &n) && n.Timeout() {
-		s.sendError(fatalf(stateIdleInTransaction, "terminating connection due to idle-in-transaction timeout"))
-		_ = s.flush()
+	if !errors.As(err, &n) || !n.Timeout() {
+		return
+	}
+	e := fatalf(stateIdleSession, "terminating connection due to idle-session timeout")
+	if s.tx != nil {
+		e = fatalf(stateIdleInTransaction, "terminating connection due to idle-in-transaction timeout")
 	}
+	s.sendError(e)
+	_ = s.flush()
 }
 
 // readMessage returns the next message, whose body is valid until the next call.
--- a/internal/standin/group/startup.go
+++ b/internal/standin/group/startup.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"io"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -127,16 +126,14 @@
 
 // admit checks the claim and the connection limits.
 func (s *session) admit(parameters map[string]string) error {
+	var c upstream.Claim
 	if home := parameters[homeParameter]; home != "" {
-		c, err := parseClaim(home)
-		if err != nil {
+		var err error
+		if c, err = parseClaim(home); err != nil {
 			return fatalf(stateInvalidParameter, "%s: %s", homeParameter, err)
 		}
-		s.claim = c
 	}
-	s.status = parameters[statusParameter] != ""
-	s.secret = rand.Uint32()
-	if err := s.m.admit(s); err != nil {
+	if err := s.m.admit(s, c, parameters[statusParameter] != ""); err != nil {
 		return err
 	}
 	return s.m.group.countConnection(s)
@@ -154,20 +151,20 @@
 	return upstream.Claim{Generation: g, Owner: instance.ID(home[:i])}, nil
 }
 
-// admit checks the claim of a new connection and the state of the member.
-func (m *member) admit(s *session) error {
+// admit checks the claim of a new connection against the state of the member and sets the kind of the session.
+func (m *member) admit(s *session, c upstream.Claim, status bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := s.claim
 	switch {
 	case c.Generation != 0 && c.Generation < m.generation,
 		c.Generation == m.generation && c.Generation != 0 && string(c.Owner) != m.owner:
 		return fatalf(StateStale, "generation %d of %q is claimed", m.generation, m.owner)
 	case c.Generation > m.generation:
 		return fatalf(statePrerequisite, "generation %d is not claimed on this member", c.Generation)
-	case m.applied < m.rebuilt && !s.status:
+	case m.applied < m.rebuilt && !status:
 		return fatalf(stateCannotConnect, "the member is rebuilding its database")
 	}
+	s.claim, s.status = c, status
 	return nil
 }
 
--- a/internal/standin/group/transaction.go
+++ b/internal/standin/group/transaction.go
@@ -95,7 +95,7 @@
 	case <-s.canceled:
 		return errorf(stateCanceled, "canceling statement due to user request")
 	case <-s.done:
-		return fatalf(stateAdminShutdown, "the connection is closed by the member")
+		return errTerminated()
 	}
 }
 
@@ -113,6 +113,9 @@
 
 // commitTransaction ends the running transaction and reports the position when it wrote.
 func (s *session) commitTransaction() error {
+	if !s.m.frozen.pass(s.done) {
+		return errTerminated()
+	}
 	t := s.tx
 	s.tx = nil
 	if t.changes == 0 {
--- a/internal/upstream/pgport/link.go
+++ b/internal/upstream/pgport/link.go
@@ -57,19 +57,32 @@
 
 // operate runs a function of the member and returns the status that it answers with.
 func (l *link) operate(ctx context.Context, step string, readOnly bool, sql string) (upstream.MemberStatus, error) {
-	if err := l.takeTurn(ctx, step); err != nil {
+	text, err := l.query(ctx, step, readOnly, sql)
+	if err != nil {
 		return upstream.MemberStatus{}, err
 	}
+	s, err := decodeStatus(text)
+	if err != nil {
+		return upstream.MemberStatus{}, l.fail(upstream.ErrUnreachable, step, err)
+	}
+	return s, nil
+}
+
+// query runs a query on the status connection and returns the value that it answers with.
+func (l *link) query(ctx context.Context, step string, readOnly bool, sql string) (string, error) {
+	if err := l.takeTurn(ctx, step); err != nil {
+		return "", err
+	}
 	defer l.endTurn()
 	c, err := l.connection(ctx, step)
 	if err != nil {
-		return upstream.MemberStatus{}, err
+		return "", err
 	}
-	s, err := c.query(ctx, sql)
+	text, err := c.exchange(ctx, sql)
 	if err != nil {
-		return upstream.MemberStatus{}, l.fail(answerKind(err, readOnly), step, err)
+		return "", l.fail(answerKind(err, readOnly), step, err)
 	}
-	return s, nil
+	return text, nil
 }
 
 // endTurn lets the next operation in and closes the connection when it stays unused.
@@ -287,15 +300,6 @@
 	return nil
 }
 
-// query runs a function that answers with a status.
-func (s *statusConn) query(ctx context.Context, sql string) (upstream.MemberStatus, error) {
-	text, err := s.exchange(ctx, sql)
-	if err != nil {
-		return upstream.MemberStatus{}, err
-	}
-	return decodeStatus(text)
-}
-
 // exchange sends a query and waits for its answer. A connection whose answer is outstanding is closed, because a late
 // answer must not be taken for that of the next operation.
 func (s *statusConn) exchange(ctx context.Context, sql string) (string, error) {
--- a/internal/upstream/pgport/port.go
+++ b/internal/upstream/pgport/port.go
@@ -148,6 +148,13 @@
 	return conn, nil
 }
 
+// Terminate makes the member close a statement connection by its process id, so that one that went silent gives back its
+// place and can commit nothing any more. It is no error when the connection has ended before.
+func (p *Port) Terminate(ctx context.Context, m upstream.Member, pid uint32) error {
+	_, err := p.link(m).query(ctx, "terminate", false, fmt.Sprintf("SELECT pg_terminate_backend(%d)", pid))
+	return err
+}
+
 // connect opens a connection and performs its start. Nothing but the start has been sent when it fails.
 func (p *Port) connect(
 	ctx context.Context, m upstream.Member, step string, parameters map[string]string,
--- a/internal/upstream/pgport/port_test.go
+++ b/internal/upstream/pgport/port_test.go
@@ -24,6 +24,8 @@
 	generous = 20 * time.Second
 	// short bounds a call that is expected to get no answer.
 	short = 200 * time.Millisecond
+	// connections is the limit of the group.
+	connections = 12
 )
 
 type fixture struct {
@@ -40,7 +42,7 @@
 	g, err := group.Start(group.Options{
 		ID:          "g1",
 		Members:     []group.MemberOptions{{ID: "m1"}, {ID: "m2"}, {ID: "m3"}},
-		Connections: 4,
+		Connections: connections,
 		Schema:      []string{"CREATE TABLE t (id bigint PRIMARY KEY)"},
 	})
 	if err != nil {
@@ -133,13 +135,13 @@
 	_, err = f.port.Promote(ctx, f.relayed, 7, "i2")
 	is.Equal(kindOf(err), upstream.ErrRefused) // the member answered that it is not fenced
 	var conns []upstream.Conn
-	for range 3 {
+	for range connections - 1 {
 		c, err := f.port.Dial(ctx, f.relayed, two)
 		is.NoErr(err)
 		conns = append(conns, c)
 	}
 	_, err = f.port.Dial(ctx, f.relayed, two)
-	is.Equal(kindOf(err), upstream.ErrLimit) // three and one status connection
+	is.Equal(kindOf(err), upstream.ErrLimit) // the status connection counts
 	for _, c := range conns {
 		is.NoErr(c.Close())
 	}
@@ -292,6 +294,9 @@
 		_, err = c.Receive()
 	}
 	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	is.Equal(f.group.Connections(), 2)
+	is.NoErr(f.port.Terminate(ctx, f.members[0], c.(*pgport.Conn).ProcessID()))
+	waitFor(t, "terminated", func() bool { return f.group.Connections() == 1 })
 	log, _ := f.group.StatementLog("m1")
 	is.Equal(log[0].Owner, claim.Owner)
 	is.Equal(log[0].Customer, "a")
