--- a/internal/standin/group/execute.go
+++ b/internal/standin/group/execute.go
@@ -239,14 +239,12 @@
 	} else {
 		n, err = s.m.database().Run(x, row)
 	}
-	state := ""
 	if err != nil {
-		state = asSQLError(err).State
-	} else {
-		t.recordStatement(st, x, n)
+		s.m.statements.setResult(index, false, asSQLError(err).State)
+		return n, err
 	}
-	s.m.statements.setResult(index, err == nil && st.Class == sqltext.Write && !st.Locks, state)
-	return n, err
+	s.m.statements.setResult(index, t.recordStatement(st, x, n), "")
+	return n, nil
 }
 
 // prepareRun takes the slot, the service time and, for a write, the writer. A write waits for the writer without a
--- a/internal/standin/group/transaction.go
+++ b/internal/standin/group/transaction.go
@@ -169,13 +169,14 @@
 	}
 }
 
-// recordStatement remembers a statement for the replay.
-func (t *transaction) recordStatement(st *sqltext.Statement, x sqldb.Statement, rows int64) {
+// recordStatement remembers a statement for the replay and reports whether it changed anything.
+func (t *transaction) recordStatement(st *sqltext.Statement, x sqldb.Statement, rows int64) bool {
 	if st.Class != sqltext.Write || st.Locks || rows == 0 && !st.Schema {
-		return
+		return false
 	}
 	t.statements = append(t.statements, x)
 	t.changes++
+	return true
 }
 
 // replayed returns the form in which members repeat a statement.
--- a/internal/upstream/pgport/port_test.go
+++ b/internal/upstream/pgport/port_test.go
@@ -267,26 +267,13 @@
 	defer func() { _ = c.Close() }()
 	is.NoErr(c.SetDeadline(time.Now().Add(generous)))
 	is.NoErr(c.Send(query(t, "SET celerystep.customer = 'a'", "INSERT INTO t (id) VALUES (1)", "SELECT id FROM t")))
-	var kinds []byte
-	for ready := 0; ready < 3; {
-		p, err := c.Receive()
-		is.NoErr(err)
-		kinds = append(kinds, p[0])
-		if p[0] == 'Z' {
-			ready++
-		}
-	}
-	is.Equal(string(kinds), "CZSCZTDCZ")
+	kinds := receiveUntil(t, c, 'Z') + receiveUntil(t, c, 'Z') + receiveUntil(t, c, 'Z')
+	is.Equal(kinds, "CZSCZTDCZ")
 
 	is.NoErr(c.Send(query(t, "SELECT pg_sleep(3600)")))
 	waitFor(t, "sleep", func() bool { log, _ := f.group.StatementLog("m1"); return len(log) == 3 })
 	is.NoErr(c.(*pgport.Conn).Cancel(ctx))
-	p, err := c.Receive()
-	is.NoErr(err)
-	is.Equal(p[0], byte('T'))
-	p, err = c.Receive()
-	is.NoErr(err)
-	is.Equal(p[0], byte('E'))
+	is.Equal(receiveUntil(t, c, 'Z'), "TEZ")
 
 	is.NoErr(c.SetDeadline(time.Now().Add(short)))
 	is.NoErr(c.Send(query(t, "SELECT pg_sleep(3600)")))
@@ -302,12 +289,60 @@
 	is.Equal(log[0].Customer, "a")
 }
 
+// Guards against an implicit transaction of the extended protocol that commits on a member fenced before its Sync.
+func TestFencedBeforeSync(t *testing.T) {
+	is := is.New(t)
+	f := start(t, pgport.Options{})
+	ctx := within(t, generous)
+	claim := upstream.Claim{Generation: 1, Owner: "i1"}
+	_, err := f.port.Claim(ctx, f.members[0], claim)
+	is.NoErr(err)
+	c, err := f.port.Dial(ctx, f.members[0], claim)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	is.NoErr(c.SetDeadline(time.Now().Add(generous)))
+	is.NoErr(c.Send(encode(t, &pgproto3.Parse{Query: "INSERT INTO t (id) VALUES (1)"}, &pgproto3.Bind{},
+		&pgproto3.Execute{}, &pgproto3.Flush{})))
+	is.Equal(receiveUntil(t, c, 'C'), "12C")
+	_, err = f.port.Fence(ctx, f.members[0], 2, "i1")
+	is.NoErr(err)
+	is.NoErr(c.Send(encode(t, &pgproto3.Sync{})))
+	is.Equal(receiveUntil(t, c, 'Z'), "EZ")
+	rows, err := f.group.Read("m1", "SELECT * FROM t")
+	is.NoErr(err)
+	is.Equal(len(rows), 0)
+}
+
+// receiveUntil returns the types of the messages up to the first one of the given type.
+func receiveUntil(t *testing.T, c upstream.Conn, last byte) string {
+	t.Helper()
+	var kinds []byte
+	for {
+		p, err := c.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if kinds = append(kinds, p[0]); p[0] == last {
+			return string(kinds)
+		}
+	}
+}
+
 func query(t *testing.T, statements ...string) []byte {
+	t.Helper()
+	messages := make([]pgproto3.FrontendMessage, len(statements))
+	for i, s := range statements {
+		messages[i] = &pgproto3.Query{String: s}
+	}
+	return encode(t, messages...)
+}
+
+func encode(t *testing.T, messages ...pgproto3.FrontendMessage) []byte {
 	t.Helper()
 	var out []byte
-	for _, s := range statements {
+	for _, m := range messages {
 		var err error
-		if out, err = (&pgproto3.Query{String: s}).Encode(out); err != nil {
+		if out, err = m.Encode(out); err != nil {
 			t.Fatal(err)
 		}
 	}
