--- /dev/null
+++ b/internal/failover/explain.go
@@ -0,0 +1,89 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Cause says why the machine acted.
+type Cause string
+
+// Causes of actions.
+const (
+	CauseStart          Cause = "start"
+	CauseNoPrimary      Cause = "no_primary"
+	CausePrimaryRefused Cause = "primary_refused_connection"
+	CausePrimarySilent  Cause = "primary_silent"
+	CausePrimaryHeard   Cause = "primary_heard_again"
+	CauseHomeCutOff     Cause = "home_cut_off_from_primary"
+	CauseNoMajority     Cause = "no_majority_reachable"
+	CauseClaimLost      Cause = "claim_lost"
+	CauseStaleTerm      Cause = "stale_term"
+	CauseStepTimeout    Cause = "step_timed_out"
+	CauseOtherPromoter  Cause = "other_promoter"
+	CauseMemberReturned Cause = "member_returned"
+	CauseMemberFenced   Cause = "member_fenced_beyond_primary"
+	CauseOperator       Cause = "operator"
+	CauseDomainOut      Cause = "failure_domain_out"
+	CauseMemberLeaving  Cause = "member_leaving"
+	CauseNotCaughtUp    Cause = "replica_not_caught_up"
+	CauseNoTarget       Cause = "no_eligible_replica"
+	CauseSuperseded     Cause = "superseded_by_failover"
+	CauseAuthorityLost  Cause = "authority_lost"
+	CauseConfigChanged  Cause = "configuration_changed"
+)
+
+// Step names the point of the state machine at which an explanation arose.
+type Step string
+
+// Steps of the state machine.
+const (
+	StepClaim      Step = "claim"
+	StepLearn      Step = "learn"
+	StepDetect     Step = "detect"
+	StepHold       Step = "hold"
+	StepFence      Step = "fence"
+	StepChoose     Step = "choose"
+	StepPromote    Step = "promote"
+	StepFollow     Step = "follow"
+	StepAnnounce   Step = "announce"
+	StepBackoff    Step = "backoff"
+	StepRelease    Step = "release"
+	StepSwitchover Step = "switchover"
+)
+
+// MemberInput is what the machine knew of a member when it acted.
+type MemberInput struct {
+	Member         upstream.MemberID `json:"member"`
+	Known          bool              `json:"known"`
+	Role           upstream.Role     `json:"role,omitempty"`
+	Term           position.Term     `json:"term,omitempty"`
+	LogEnd         position.Position `json:"log_end"`
+	Applied        position.LSN      `json:"applied,omitempty"`
+	PrimarySilence time.Duration     `json:"primary_silence_ns,omitempty"`
+	// StatusAge is the time since the member's last status.
+	StatusAge time.Duration `json:"status_age_ns,omitempty"`
+	// Unreachable is true while the home's stream to the member is broken or silent.
+	Unreachable bool `json:"unreachable,omitempty"`
+	Leaving     bool `json:"leaving,omitempty"`
+	DomainOut   bool `json:"domain_out,omitempty"`
+}
+
+// Explanation is the audit content of one decision of the machine.
+type Explanation struct {
+	Time  time.Time        `json:"time"`
+	Group upstream.GroupID `json:"group"`
+	Step  Step             `json:"step"`
+	Cause Cause            `json:"cause"`
+	// Term is the term that the step works in; 0 when none.
+	Term       position.Term     `json:"term,omitempty"`
+	Generation uint64            `json:"generation,omitempty"`
+	Member     upstream.MemberID `json:"member,omitempty"`
+	// Operator is who asked for a switchover.
+	Operator string `json:"operator,omitempty"`
+	// Text says in one sentence what was decided and why.
+	Text   string        `json:"text"`
+	Inputs []MemberInput `json:"inputs,omitempty"`
+}
