Track acknowledgement, read index, authority and data age

Cause: commits, replica reads and the home's authority need one place that knows what a majority of the members reported. Change: quorum.Tracker.

--- a/internal/quorum/round.go
+++ b/internal/quorum/round.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -14,9 +15,32 @@
 // RoundInterval is the time between two periodic status rounds.
 const RoundInterval = 100 * time.Millisecond
 
+// MaxOpenRounds bounds the rounds that still collect answers.
+const MaxOpenRounds = 16
+
 // RoundID numbers the status rounds of a tracker from 1.
 type RoundID uint64
 
+// round is a status request to all members and their answers.
+type round struct {
+	id      RoundID
+	sent    time.Time
+	answers []answer
+	count   int
+	// confirmed and sampled are set once, by the answer that completes a majority.
+	confirmed bool
+	sampled   bool
+}
+
+// answer is the part of a member's status that rounds evaluate.
+type answer struct {
+	given   bool
+	end     position.Position
+	term    position.Term
+	primary bool
+	claim   upstream.Claim
+}
+
 // RoundResult says what an answer completed.
 type RoundResult struct {
 	// IndexReady is true for exactly one answer of a round: the one that completed a majority.
@@ -34,32 +58,154 @@
 
 // NextRound returns the id of the next round to be started. A request that arrives now must wait for the read index of
 // this round or a later one, because rounds in flight were sent before it arrived.
-func (t *Tracker) NextRound() RoundID { return 0 }
+func (t *Tracker) NextRound() RoundID { return t.lastRound + 1 }
 
 // StartRound opens a status round and returns its id. now must be read before the first status request is sent. The
 // oldest of MaxOpenRounds rounds is dropped.
-func (t *Tracker) StartRound(now time.Time) RoundID { return 0 }
+func (t *Tracker) StartRound(now time.Time) RoundID {
+	t.lastRound++
+	r := t.slot(t.lastRound)
+	clear(r.answers)
+	*r = round{id: t.lastRound, sent: now, answers: r.answers}
+	return r.id
+}
+
+func (t *Tracker) slot(id RoundID) *round { return &t.rounds[id%MaxOpenRounds] }
 
 // Answer records a member's answer to a round, which arrived at now. The answer of a Claim counts as a status. Answers
-// to unknown or dropped rounds count as streamed statuses only.
+// to unknown or dropped rounds count as streamed statuses only. The tracker keeps s, which must not change afterwards.
 func (t *Tracker) Answer(id RoundID, s *upstream.MemberStatus, now time.Time) RoundResult {
-	return RoundResult{}
+	i := find(t.members, s.Member)
+	if i == noMember {
+		return RoundResult{Change: Change{Unknown: true}}
+	}
+	res := RoundResult{Change: t.observe(i, s, now)}
+	r := t.slot(id)
+	if id == 0 || r.id != id || r.answers[i].given {
+		return res
+	}
+	r.answers[i] = answerOf(s)
+	r.count++
+	if r.count == t.majority() {
+		res.IndexReady = true
+		res.Index = r.index()
+	}
+	res.Authority = t.confirm(r)
+	res.Sampled = t.sample(r)
+	return res
 }
 
-// MaxOpenRounds bounds the rounds that still collect answers.
-const MaxOpenRounds = 16
+func answerOf(s *upstream.MemberStatus) answer {
+	return answer{
+		given:   true,
+		end:     s.LogEnd(),
+		term:    s.Term,
+		primary: s.Role == upstream.RolePrimary,
+		claim:   upstream.Claim{Generation: s.Generation, Owner: instance.ID(s.Owner)},
+	}
+}
+
+// index returns the highest log end among the answers.
+func (r *round) index() position.Position {
+	var p position.Position
+	for i := range r.answers {
+		p = position.Max(p, r.answers[i].end)
+	}
+	return p
+}
+
+// confirm extends the home's authority when a majority of the round's answers carry its claim.
+func (t *Tracker) confirm(r *round) bool {
+	if r.confirmed || t.claimLost || t.claim == (upstream.Claim{}) {
+		return false
+	}
+	claimed := 0
+	for i := range r.answers {
+		if r.answers[i].claim == t.claim {
+			claimed++
+		}
+	}
+	if claimed < t.majority() {
+		return false
+	}
+	r.confirmed = true
+	until := r.sent.Add(AuthorityWindow)
+	if until.After(t.authorityUntil) {
+		t.authorityUntil = until
+	}
+	return true
+}
+
+// sample takes the primary's log end as a sample when a majority answered in the primary's term: then no other primary
+// can have acknowledged anything before the round was sent.
+func (t *Tracker) sample(r *round) bool {
+	if r.sampled {
+		return false
+	}
+	p := r.primaryAnswer()
+	if p == noMember || r.inTerm(r.answers[p].term) < t.majority() {
+		return false
+	}
+	r.sampled = true
+	if !t.samples.add(t.members, r.sent, r.answers[p].end) {
+		return false
+	}
+	for i := range t.members {
+		t.samples.advance(&t.members[i])
+	}
+	t.members[p].freshAsOf = r.sent
+	return true
+}
+
+// primaryAnswer returns the index of the answering primary of the highest term, or noMember.
+func (r *round) primaryAnswer() int {
+	p := noMember
+	for i := range r.answers {
+		a := &r.answers[i]
+		if !a.primary {
+			continue
+		}
+		if p == noMember || a.term > r.answers[p].term {
+			p = i
+		}
+	}
+	return p
+}
+
+// inTerm counts the answers given in the term.
+func (r *round) inTerm(term position.Term) int {
+	n := 0
+	for i := range r.answers {
+		if r.answers[i].given && r.answers[i].term == term {
+			n++
+		}
+	}
+	return n
+}
 
 // AuthorityUntil returns the end of the home's confirmed authority: AuthorityWindow after the send time of the latest
 // round in which a majority confirmed the claim. It is the zero time without authority.
-func (t *Tracker) AuthorityUntil() time.Time { return time.Time{} }
+func (t *Tracker) AuthorityUntil() time.Time { return t.authorityUntil }
 
 // HasAuthority reports whether the claim is confirmed at now.
-func (t *Tracker) HasAuthority(now time.Time) bool { return false }
+func (t *Tracker) HasAuthority(now time.Time) bool { return now.Before(t.authorityUntil) }
 
 // FreshAsOf returns the latest moment as of which the member is known to hold all data, and false when there is none.
 // For a replica it is the send time of the latest sampled round whose primary log end the replica has applied; for the
 // primary it is the send time of the latest sampled round.
-func (t *Tracker) FreshAsOf(m upstream.MemberID) (time.Time, bool) { return time.Time{}, false }
+func (t *Tracker) FreshAsOf(m upstream.MemberID) (time.Time, bool) {
+	i := find(t.members, m)
+	if i == noMember || t.members[i].freshAsOf.IsZero() {
+		return time.Time{}, false
+	}
+	return t.members[i].freshAsOf, true
+}
 
 // Age returns the age of the member's data at now, and false when it is not known.
-func (t *Tracker) Age(m upstream.MemberID, now time.Time) (time.Duration, bool) { return 0, false }
+func (t *Tracker) Age(m upstream.MemberID, now time.Time) (time.Duration, bool) {
+	fresh, ok := t.FreshAsOf(m)
+	if !ok {
+		return 0, false
+	}
+	return now.Sub(fresh), true
+}
