--- a/internal/session/floor.go
+++ b/internal/session/floor.go
@@ -3,6 +3,8 @@
 package session
 
 import (
+	"fmt"
+
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -22,6 +24,20 @@
 	OriginToken
 )
 
+// String returns the name used in logs and audit records.
+func (o Origin) String() string {
+	switch o {
+	case OriginReadIndex:
+		return "read_index"
+	case OriginCommit:
+		return "commit"
+	case OriginToken:
+		return "token"
+	default:
+		return "none"
+	}
+}
+
 // Floor is the position that a read must see.
 type Floor struct {
 	Position position.Position
@@ -31,30 +47,86 @@
 // Known reports whether there is a floor.
 func (f Floor) Known() bool { return f.Origin != OriginNone }
 
+// acknowledged reports whether a majority is known to have received the position.
+func (f Floor) acknowledged() bool { return f.Origin == OriginCommit || f.Origin == OriginToken }
+
 // Fault reports an acknowledged position that lies beyond the end of its term, so that an acknowledged record is
 // missing from the group's log.
 type Fault struct {
-	Group  upstream.GroupID
-	Floor  Floor
+	Group upstream.GroupID
+	Floor Floor
+	// EndLSN is the last LSN of the log that belongs to the floor's term.
 	EndLSN position.LSN
 }
 
 // Error names the group, the position and the end of its term.
-func (f *Fault) Error() string { return "" }
+func (f *Fault) Error() string {
+	return fmt.Sprintf("group=%s: %s floor %s lies beyond the end of its term at %d; an acknowledged record is missing",
+		f.Group, f.Floor.Origin, f.Floor.Position, f.EndLSN)
+}
 
 // Floors holds the floor of one session in each group. The zero value is ready for use. It is not safe for concurrent
 // use.
-type Floors struct{}
+type Floors struct {
+	// entries is a list because a session uses one group, seldom two.
+	entries []entry
+}
+
+type entry struct {
+	group upstream.GroupID
+	floor Floor
+}
 
 // Get returns the floor in the group.
-func (f *Floors) Get(g upstream.GroupID) Floor { return Floor{} }
+func (f *Floors) Get(g upstream.GroupID) Floor {
+	for i := range f.entries {
+		if f.entries[i].group == g {
+			return f.entries[i].floor
+		}
+	}
+	return Floor{}
+}
 
 // Raise raises the floor in the group to p, and reports whether it did. Floors are kept across terms and never go back.
-func (f *Floors) Raise(g upstream.GroupID, p position.Position, o Origin) bool { return false }
+// The order of position.Less is right here: a log that contains an acknowledged position of a later term contains all
+// acknowledged positions of earlier ones.
+func (f *Floors) Raise(g upstream.GroupID, p position.Position, o Origin) bool {
+	if o == OriginNone {
+		return false
+	}
+	for i := range f.entries {
+		e := &f.entries[i]
+		if e.group != g {
+			continue
+		}
+		return e.floor.raise(Floor{Position: p, Origin: o})
+	}
+	f.entries = append(f.entries, entry{group: g, floor: Floor{Position: p, Origin: o}})
+	return true
+}
+
+func (f *Floor) raise(n Floor) bool {
+	if f.Position.Less(n.Position) {
+		*f = n
+		return true
+	}
+	// A commit at the position that a read index named makes the floor an acknowledged one.
+	if f.Position == n.Position && n.acknowledged() {
+		f.Origin = n.Origin
+	}
+	return false
+}
 
 // Resolve applies the clamping rule to a floor: a floor from a read index beyond the start of the next term is cut to
 // that start. An acknowledged floor beyond it is a fault: it is returned unchanged with a *Fault, and the session must
 // be served by the primary.
 func Resolve(g upstream.GroupID, f Floor, h position.History) (position.Position, *Fault) {
-	return f.Position, nil
+	if f.Position.Term >= h.LastTerm() {
+		return f.Position, nil
+	}
+	p, beyond := h.Clamp(f.Position)
+	if beyond && f.acknowledged() {
+		return f.Position, &Fault{Group: g, Floor: f, EndLSN: p.LSN}
+	}
+	return p, nil
 }
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,169 @@
+package session
+
+import (
+	"bytes"
+	"encoding/base64"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+func pos(t position.Term, l position.LSN) position.Position {
+	return position.Position{Term: t, LSN: l}
+}
+
+func secret(b byte) []byte { return bytes.Repeat([]byte{b}, MinKeyBytes) }
+
+func keyring(t *testing.T, active KeyID, keys ...Key) *Keyring {
+	t.Helper()
+	k, err := NewKeyring(active, keys)
+	is.New(t).NoErr(err)
+	return k
+}
+
+// Guards against a floor that goes back, is lost at a change of term, or leaks to another group.
+func TestFloorsOnlyRise(t *testing.T) {
+	is := is.New(t)
+	var f Floors
+	is.True(!f.Get("g").Known())
+	is.True(f.Raise("g", pos(1, 10), OriginReadIndex))
+	is.True(!f.Raise("g", pos(1, 9), OriginCommit))
+	is.Equal(f.Get("g"), Floor{pos(1, 10), OriginReadIndex})
+	is.True(!f.Raise("g", pos(1, 10), OriginCommit)) // the position stays, the origin becomes the stronger one
+	is.Equal(f.Get("g"), Floor{pos(1, 10), OriginCommit})
+	is.True(f.Raise("g", pos(2, 5), OriginCommit))
+	is.True(!f.Raise("g", pos(1, 99), OriginReadIndex))
+	is.Equal(f.Get("g"), Floor{pos(2, 5), OriginCommit})
+	is.True(!f.Get("h").Known())
+}
+
+// Guards against serving a read below an acknowledged floor by clamping it, and against waiting for ever for a position
+// that was never acknowledged.
+func TestResolve(t *testing.T) {
+	h := position.History{{Term: 1, Start: 0}, {Term: 3, Start: 10}}
+	for _, c := range []struct {
+		floor Floor
+		want  position.Position
+		fault bool
+	}{
+		{Floor{pos(1, 10), OriginToken}, pos(1, 10), false},
+		{Floor{pos(1, 11), OriginReadIndex}, pos(1, 10), false},
+		{Floor{pos(1, 11), OriginToken}, pos(1, 11), true},
+		{Floor{pos(1, 11), OriginCommit}, pos(1, 11), true},
+		{Floor{pos(2, 12), OriginReadIndex}, pos(2, 10), false}, // a term that left nothing in the log
+		{Floor{pos(3, 99), OriginToken}, pos(3, 99), false},     // the present term has no end yet
+		{Floor{pos(4, 99), OriginToken}, pos(4, 99), false},     // a term that this log has not reached
+	} {
+		is := is.New(t)
+		got, fault := Resolve("g", c.floor, h)
+		is.Equal(got, c.want)
+		is.Equal(fault != nil, c.fault)
+		if fault != nil {
+			is.Equal(fault.EndLSN, position.LSN(10))
+			is.True(strings.Contains(fault.Error(), "1/11"))
+		}
+	}
+}
+
+// Guards against a token that does not survive the round trip or exceeds its bound.
+func TestTokenRoundTrip(t *testing.T) {
+	k := keyring(t, 7, Key{7, secret(1)})
+	name := rapid.StringN(0, MaxNameBytes, MaxNameBytes)
+	rapid.Check(t, func(t *rapid.T) {
+		want := Token{
+			Group:    upstream.GroupID(name.Draw(t, "group")),
+			Customer: name.Draw(t, "customer"),
+			Position: pos(position.Term(rapid.Uint64().Draw(t, "term")), position.LSN(rapid.Uint64().Draw(t, "lsn"))),
+		}
+		text, err := k.Encode(want)
+		if err != nil || len(text) > MaxTokenBytes {
+			t.Fatalf("%d bytes, error %v", len(text), err)
+		}
+		got, err := k.Decode(text, want.Customer, want.Group)
+		if err != nil || got != want {
+			t.Fatalf("got %+v, %v, want %+v", got, err, want)
+		}
+	})
+}
+
+// Guards against accepting a token that was changed in any byte, cut, extended or is arbitrary.
+func TestTokenForged(t *testing.T) {
+	is := is.New(t)
+	k := keyring(t, 7, Key{7, secret(1)}, Key{6, secret(3)})
+	text, err := k.Encode(Token{Group: "g", Customer: "c", Position: pos(3, 300)})
+	is.NoErr(err)
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	is.NoErr(err)
+	for i := range raw {
+		for bit := range 8 {
+			forged := bytes.Clone(raw)
+			forged[i] ^= 1 << bit
+			_, err := k.Decode(base64.RawURLEncoding.EncodeToString(forged), "c", "g")
+			is.True(err != nil)
+		}
+		_, err := k.Decode(base64.RawURLEncoding.EncodeToString(raw[:i]), "c", "g")
+		is.True(err != nil)
+	}
+	_, err = k.Decode(text+"AAAA", "c", "g")
+	is.True(err != nil)
+	_, err = k.Decode(strings.Repeat("A", MaxTokenBytes+1), "c", "g")
+	is.True(errors.Is(err, ErrTokenMalformed))
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := k.Decode(rapid.String().Draw(t, "text"), "c", "g"); err == nil {
+			t.Fatal("accepted arbitrary text")
+		}
+	})
+}
+
+// Guards against a token that works for another customer or group, or that stops working in the middle of a rotation.
+func TestTokenScopeAndRotation(t *testing.T) {
+	is := is.New(t)
+	k1, k2 := Key{1, secret(1)}, Key{2, secret(2)}
+	before, during, after := keyring(t, 1, k1), keyring(t, 2, k1, k2), keyring(t, 2, k2)
+	text, err := before.Encode(Token{Group: "g", Customer: "c", Position: pos(1, 1)})
+	is.NoErr(err)
+	_, err = during.Decode(text, "c", "g")
+	is.NoErr(err)
+	_, err = after.Decode(text, "c", "g")
+	is.True(errors.Is(err, ErrTokenKey))
+	_, err = during.Decode(text, "d", "g")
+	is.True(errors.Is(err, ErrTokenCustomer))
+	_, err = during.Decode(text, "c", "h")
+	is.True(errors.Is(err, ErrTokenGroup))
+	_, err = keyring(t, 1, Key{1, secret(9)}).Decode(text, "c", "g")
+	is.True(errors.Is(err, ErrTokenSignature))
+	_, err = before.Encode(Token{Group: "g", Customer: strings.Repeat("c", MaxNameBytes+1)})
+	is.True(err != nil)
+}
+
+// Guards against a fleet key that is too short, given twice or missing.
+func TestKeyringChecksKeys(t *testing.T) {
+	is := is.New(t)
+	for _, keys := range [][]Key{{}, {{1, secret(1)[1:]}}, {{1, secret(1)}, {1, secret(2)}}, {{2, secret(1)}}} {
+		_, err := NewKeyring(1, keys)
+		is.True(err != nil)
+	}
+}
+
+func BenchmarkTokenEncode(b *testing.B) {
+	k, _ := NewKeyring(1, []Key{{1, secret(1)}})
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = k.Encode(Token{Group: "dispatch", Customer: "furnaces", Position: pos(3, 1<<40)})
+	}
+}
+
+func BenchmarkTokenDecode(b *testing.B) {
+	k, _ := NewKeyring(1, []Key{{1, secret(1)}})
+	text, _ := k.Encode(Token{Group: "dispatch", Customer: "furnaces", Position: pos(3, 1<<40)})
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = k.Decode(text, "furnaces", "dispatch")
+	}
+}
--- a/internal/session/token.go
+++ b/internal/session/token.go
@@ -1,6 +1,12 @@
 package session
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"slices"
+
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/position"
@@ -17,6 +23,9 @@
 	MinKeyBytes = 32
 )
 
+// tokenVersion is the first byte of a token.
+const tokenVersion = 1
+
 // Errors of Keyring.Decode.
 var (
 	// ErrTokenMalformed reports a text that is no token: too long, not base64url, truncated or with trailing bytes.
@@ -50,17 +59,143 @@
 }
 
 // Keyring signs and checks tokens. It is immutable and safe for concurrent use.
-type Keyring struct{}
+type Keyring struct {
+	active Key
+	keys   []Key
+}
 
 // NewKeyring returns a keyring that signs with the active key and accepts tokens of all keys. A rotation adds the new
 // key everywhere, then makes it active, then removes the old key.
-func NewKeyring(active KeyID, keys []Key) (*Keyring, error) { return &Keyring{}, nil }
+func NewKeyring(active KeyID, keys []Key) (*Keyring, error) {
+	k := &Keyring{}
+	for _, key := range keys {
+		if len(key.Secret) < MinKeyBytes {
+			return nil, errors.Errorf("fleet key %d: secret has %d bytes, want at least %d", key.ID, len(key.Secret), MinKeyBytes)
+		}
+		if _, ok := k.key(key.ID); ok {
+			return nil, errors.Errorf("fleet key %d: given twice", key.ID)
+		}
+		k.keys = append(k.keys, Key{ID: key.ID, Secret: slices.Clone(key.Secret)})
+	}
+	var ok bool
+	k.active, ok = k.key(active)
+	if !ok {
+		return nil, errors.Errorf("fleet key %d: the active key is not in the list", active)
+	}
+	return k, nil
+}
+
+func (k *Keyring) key(id KeyID) (Key, bool) {
+	for _, key := range k.keys {
+		if key.ID == id {
+			return key, true
+		}
+	}
+	return Key{}, false
+}
 
 // Encode returns the signed text of the token, at most MaxTokenBytes long. It returns an error for names longer than
 // MaxNameBytes.
-func (k *Keyring) Encode(t Token) (string, error) { return "", nil }
+//
+// The text is base64url without padding of: version (1 byte), key id, term and LSN (unsigned varints), group and customer
+// (each with a length byte), HMAC-SHA-256 of all before it (32 bytes).
+func (k *Keyring) Encode(t Token) (string, error) {
+	if len(t.Group) > MaxNameBytes || len(t.Customer) > MaxNameBytes {
+		return "", errors.Errorf("token: a name is longer than %d bytes", MaxNameBytes)
+	}
+	var buf [MaxTokenBytes]byte
+	b := append(buf[:0], tokenVersion)
+	b = binary.AppendUvarint(b, uint64(k.active.ID))
+	b = binary.AppendUvarint(b, uint64(t.Position.Term))
+	b = binary.AppendUvarint(b, uint64(t.Position.LSN))
+	b = appendName(b, string(t.Group))
+	b = appendName(b, t.Customer)
+	b = append(b, sign(k.active, b)...)
+	return base64.RawURLEncoding.EncodeToString(b), nil
+}
 
-// Decode checks the text and returns the token, which must belong to the customer and the group.
+func appendName(b []byte, name string) []byte {
+	b = append(b, byte(len(name)))
+	return append(b, name...)
+}
+
+func sign(k Key, body []byte) []byte {
+	mac := hmac.New(sha256.New, k.Secret)
+	mac.Write(body)
+	return mac.Sum(nil)
+}
+
+// Decode checks the text and returns the token, which must belong to the customer and the group. Nothing of the text is
+// trusted before its signature has been compared in constant time.
 func (k *Keyring) Decode(text, customer string, g upstream.GroupID) (Token, error) {
-	return Token{}, nil
+	if len(text) > MaxTokenBytes {
+		return Token{}, ErrTokenMalformed
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(raw) < 1+sha256.Size {
+		return Token{}, ErrTokenMalformed
+	}
+	if raw[0] != tokenVersion {
+		return Token{}, ErrTokenVersion
+	}
+	body, mac := raw[:len(raw)-sha256.Size], raw[len(raw)-sha256.Size:]
+	r := reader{rest: body[1:]}
+	id := r.uvarint()
+	if r.failed || id > uint64(^KeyID(0)) {
+		return Token{}, ErrTokenMalformed
+	}
+	key, ok := k.key(KeyID(id))
+	if !ok {
+		return Token{}, ErrTokenKey
+	}
+	if !hmac.Equal(mac, sign(key, body)) {
+		return Token{}, ErrTokenSignature
+	}
+	t, ok := r.token()
+	switch {
+	case !ok:
+		return Token{}, ErrTokenMalformed
+	case t.Customer != customer:
+		return Token{}, ErrTokenCustomer
+	case t.Group != g:
+		return Token{}, ErrTokenGroup
+	}
+	return t, nil
+}
+
+// reader reads the fields of a token; failed is set at the first field that is cut off.
+type reader struct {
+	rest   []byte
+	failed bool
+}
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.rest)
+	if n <= 0 {
+		r.failed = true
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return v
+}
+
+func (r *reader) name() string {
+	if len(r.rest) == 0 || len(r.rest)-1 < int(r.rest[0]) {
+		r.failed = true
+		return ""
+	}
+	n := int(r.rest[0])
+	name := string(r.rest[1 : 1+n])
+	r.rest = r.rest[1+n:]
+	return name
+}
+
+// token reads the fields after the key id and reports whether they use up the rest exactly.
+func (r *reader) token() (Token, bool) {
+	var t Token
+	t.Position.Term = position.Term(r.uvarint())
+	t.Position.LSN = position.LSN(r.uvarint())
+	t.Group = upstream.GroupID(r.name())
+	t.Customer = r.name()
+	return t, !r.failed && len(r.rest) == 0
 }
