--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,7 +2,6 @@
 package router
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/celerystep/celerystep/internal/position"
@@ -107,9 +106,14 @@
 	ReasonWrite
 	// ReasonPreferPrimary: the request prefers or requires the primary.
 	ReasonPreferPrimary
+	// ReasonRamp: the only eligible replica has just returned, and the primary takes the share beyond its ramp.
+	ReasonRamp
 	// ReasonNoReplica: no replica was eligible, so the primary serves.
 	ReasonNoReplica
-	// ReasonReplicasBusy: all eligible replicas are at their slots and the primary has slots to spare.
+	// ReasonFencedReplica: no primary can serve, and a fenced replica whose log contains the floor does.
+	ReasonFencedReplica
+	// ReasonReplicasBusy: all eligible replicas are at their slots. The primary serves when it has slots to spare;
+	// otherwise the read waits for a slot.
 	ReasonReplicasBusy
 	// ReasonFloorUnknown: wait for a read index.
 	ReasonFloorUnknown
@@ -123,31 +127,41 @@
 	ReasonNoMember
 )
 
-// String returns the name used in logs and audit records.
-func (r Reason) String() string { return "" }
-
 // Verdict says why a candidate was or was not eligible.
 type Verdict uint8
 
 // Verdicts on a candidate.
 const (
+	// VerdictNone: the candidate was not looked at.
 	VerdictNone Verdict = iota
+	// VerdictEligible: the member may serve the request now.
 	VerdictEligible
+	// VerdictUnreachable: the home cannot use the member.
 	VerdictUnreachable
+	// VerdictNoStatus: the member has not reported its log.
 	VerdictNoStatus
+	// VerdictLeaving: operators are removing the member.
 	VerdictLeaving
+	// VerdictDomainOut: the member's failure domain is taken out.
 	VerdictDomainOut
+	// VerdictFenced: the member follows no primary.
 	VerdictFenced
+	// VerdictReplaced: the member believes to lead, but is not the known primary.
+	VerdictReplaced
+	// VerdictBehindFloor: the applied log does not contain the floor.
 	VerdictBehindFloor
+	// VerdictAgeUnknown: the read states an age and the age of the member's data is not known.
 	VerdictAgeUnknown
+	// VerdictTooOld: the member's data is older than the read accepts.
 	VerdictTooOld
+	// VerdictBusy: the member would be eligible but has all slots in use.
 	VerdictBusy
+	// VerdictNotPrimary: the request needs the primary.
 	VerdictNotPrimary
+	// VerdictRamping: the member returned lately and sat out this choice.
+	VerdictRamping
 )
 
-// String returns the name used in logs and audit records.
-func (v Verdict) String() string { return "" }
-
 // Decision is the result of a choice with its explanation.
 type Decision struct {
 	Outcome Outcome
@@ -159,46 +173,3 @@
 	// Verdicts holds the verdict on each candidate, by index.
 	Verdicts [MaxCandidates]Verdict
 }
-
-// Explain formats the decision as key=value pairs for logs and the audit trail.
-func (d *Decision) Explain(c []Candidate) string { return "" }
-
-// Policy bounds the router's choices.
-type Policy struct {
-	// ReplicaWait is how long a read waits for a replica to reach its floor before it goes to the primary.
-	ReplicaWait time.Duration
-	// PrimaryReserve is the number of the primary's slots that reads never take while a replica is merely busy.
-	PrimaryReserve int
-	// ExplorePercent is the share of choices that pick an eligible replica at random.
-	ExplorePercent int
-}
-
-// DefaultPolicy returns the policy of docs/decisions/0002-session-consistency.md.
-func DefaultPolicy() Policy { return Policy{} }
-
-// Router chooses members. It is not safe for concurrent use, because it owns its random source.
-type Router struct{}
-
-// New returns a router that draws random numbers from src only, so that equal seeds give equal choices.
-func New(p Policy, src rand.Source) *Router { return &Router{} }
-
-// Choose returns the member for the request. It reads at most MaxCandidates candidates and does not keep them.
-func (r *Router) Choose(q *Request, c []Candidate, now time.Time) Decision { return Decision{} }
-
-// RampDuration is the time over which a returning member's weight grows from RampFloor to 100 percent.
-const RampDuration = 10 * time.Second
-
-// RampFloor is the weight in percent with which a returning member starts.
-const RampFloor = 10
-
-// RampPercent returns the weight of a member that returned the given time ago.
-func RampPercent(since time.Duration) int { return 100 }
-
-// LatencyAverage is an exponential moving average of statement latencies. The zero value is ready for use.
-type LatencyAverage struct{}
-
-// Add records one latency.
-func (a *LatencyAverage) Add(d time.Duration) {}
-
-// Value returns the average, or 0 before the first Add.
-func (a *LatencyAverage) Value() time.Duration { return 0 }
