--- /dev/null
+++ b/internal/admission/expire.go
@@ -0,0 +1,147 @@
+package admission
+
+import "time"
+
+// Cause says why an item was dropped.
+type Cause uint8
+
+// Causes of a drop.
+const (
+	// CauseDeadline means that no slot became free in time.
+	CauseDeadline Cause = iota + 1
+	// CauseRate means that the customer had no token in time.
+	CauseRate
+	// CauseRemoved means that the customer was removed from the queue.
+	CauseRemoved
+)
+
+// String returns the name used in logs and audit records.
+func (c Cause) String() string {
+	switch c {
+	case CauseDeadline:
+		return "queue_deadline"
+	case CauseRate:
+		return "rate"
+	case CauseRemoved:
+		return "customer_removed"
+	default:
+		return "unknown"
+	}
+}
+
+// Dropped is an item that left the queue without a slot. It has not run.
+type Dropped[T any] struct {
+	Value  T
+	Cause  Cause
+	Waited time.Duration
+}
+
+// Remove takes a waiting item out, for example because its caller has gone. It returns false when the item is no longer
+// waiting.
+func (q *Queue[T]) Remove(h Handle, now time.Time) bool {
+	if h.generation == 0 || int(h.id) >= len(q.nodes) {
+		return false
+	}
+	n := q.nodes[h.id]
+	if !n.waiting || n.generation != h.generation {
+		return false
+	}
+	q.takeOut(&n.itemBase)
+	return true
+}
+
+// Expire returns the items dropped since the last call and those whose deadline has passed at now. The slice is valid
+// until the next call of a method.
+func (q *Queue[T]) Expire(now time.Time) []Dropped[T] {
+	if q.returned {
+		clear(q.dropped)
+		q.dropped = q.dropped[:0]
+	}
+	q.returned = false
+	q.dropDue(now, q.nanos(now))
+	q.returned = true
+	return q.dropped
+}
+
+// Wake returns the next time at which Pop or Expire may find something new without another call: a token or a deadline.
+func (q *Queue[T]) Wake() (time.Time, bool) {
+	next := int64(noDeadline)
+	if !q.throttled.empty() {
+		next = q.throttled.top().wake
+	}
+	if !q.expiring.empty() {
+		next = min(next, q.expiring.top().expiry)
+	}
+	if next == noDeadline {
+		return time.Time{}, false
+	}
+	return q.epoch.Add(time.Duration(next)), true
+}
+
+// dropDue drops the items whose deadline has passed.
+func (q *Queue[T]) dropDue(now time.Time, t int64) {
+	for !q.expiring.empty() {
+		it := q.expiring.top().itemBase
+		if it.expiry > t {
+			return
+		}
+		lacksToken := !it.hasToken(now)
+		switch {
+		case lacksToken:
+			q.drop(it, CauseRate, t)
+		case it.deadline <= t:
+			q.drop(it, CauseDeadline, t)
+		default:
+			it.expiry = it.deadline
+			q.rekey(it)
+		}
+	}
+}
+
+// rekey moves an item in the heap of deadlines after its expiry changed.
+func (s *scheduler) rekey(it item) {
+	if it.expiry == noDeadline {
+		s.expiring.remove(expiringItem{it})
+		return
+	}
+	s.expiring.fix(expiringItem{it})
+}
+
+// hasToken reports whether the customer has tokens for the item now.
+func (it *itemBase) hasToken(now time.Time) bool {
+	if it.lane == lanePrepaid {
+		return true
+	}
+	at, known := it.flow.account.source.Next(it.tokens, now)
+	return known && !at.After(now)
+}
+
+func (q *Queue[T]) drop(it item, cause Cause, t int64) {
+	if q.returned {
+		clear(q.dropped)
+		q.dropped = q.dropped[:0]
+		q.returned = false
+	}
+	value := q.takeOut(it)
+	q.dropped = append(q.dropped, Dropped[T]{Value: value, Cause: cause, Waited: time.Duration(t - it.pushed)})
+}
+
+// takeOut removes a waiting item without serving it and returns its value.
+func (q *Queue[T]) takeOut(it item) T {
+	f := it.flow
+	wasHead := f.head() == it
+	q.forget(it)
+	n := q.release(it)
+	value := n.value
+	var none T
+	n.value = none
+	f.account.dropUnusable()
+	switch {
+	case f.head() == nil:
+		q.detach(f)
+	case wasHead && f.state != flowReady:
+		// The next item may need fewer tokens, or none.
+		q.makeReady(f)
+	}
+	return value
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,7 +18,7 @@
 var (
 	// ErrUnknownCustomer reports a customer that SetCustomer has not named.
 	ErrUnknownCustomer = errors.New("unknown customer")
-	// ErrQueueFull reports that the customer has MaxWaiting items waiting.
+	// ErrQueueFull reports that the customer has as many items waiting as the queue allows.
 	ErrQueueFull = errors.New("queue of the customer is full")
 	// ErrExpired reports an item whose deadline has passed.
 	ErrExpired = errors.New("deadline has passed")
@@ -29,25 +30,26 @@
 type Item[T any] struct {
 	Customer string
 	Class    Class
-	// First puts the item ahead of its customer's other work in the class: statements of open transactions, and
-	// statements that come back for another attempt. Items with First keep their order among each other.
+	// First puts the item ahead of its customer's other work in the class and leaves tokens to it in all classes: it is
+	// set for statements of open transactions. Items with First keep their order among each other.
 	First bool
-	// Prepaid items take no token, because theirs was taken before.
+	// Prepaid items take no token, because theirs was taken before: statements that come back for another attempt. They
+	// go ahead of all other work of their customer in the class.
 	Prepaid bool
 	// Tokens is the number of tokens that the item takes; 0 counts as 1.
 	Tokens int
-	// Cost is the expected time in a slot; 0 means the customer's measured average.
+	// Cost is the expected time in a slot; 0 means the customer's measured average in the class.
 	Cost time.Duration
-	// Deadline is when the item is dropped if it is still waiting.
+	// Deadline is when the item is dropped if it is still waiting; the zero time means never.
 	Deadline time.Time
-	// TokenDeadline, unless zero, is when the item is dropped if it is then still without a token.
+	// TokenDeadline, unless zero, is when the item is dropped if its customer then has no token for it.
 	TokenDeadline time.Time
 	// Value belongs to the caller.
 	Value T
 }
 
 // Handle identifies a waiting item. The zero Handle identifies none.
-type Handle struct{}
+type Handle struct{ id, generation uint32 }
 
 // Popped is an item that leaves the queue for a slot.
 type Popped[T any] struct {
@@ -58,75 +60,242 @@
 }
 
 // Ticket identifies dispatched work until Done. The zero Ticket identifies none.
-type Ticket struct{}
-
-// Cause says why an item was dropped.
-type Cause uint8
-
-// Causes of a drop.
-const (
-	// CauseDeadline means that no slot became free in time.
-	CauseDeadline Cause = iota + 1
-	// CauseRate means that the customer had no token in time.
-	CauseRate
-	// CauseRemoved means that the customer was removed from the queue.
-	CauseRemoved
-)
-
-// Dropped is an item that left the queue without a slot. It has not run.
-type Dropped[T any] struct {
-	Value  T
-	Cause  Cause
-	Waited time.Duration
+type Ticket struct {
+	flow   *flow
+	charge uint64
 }
 
 // DefaultMaxWaiting bounds the items that wait for one customer.
 const DefaultMaxWaiting = 1000
 
+// noDeadline is the deadline of an item that has none.
+const noDeadline = math.MaxInt64
+
 // Queue is the fair queue of one group: start-time fair queueing by customer within each class. Push, Pop, Remove and
-// Done take O(log n) time in the number of customers and waiting items.
-type Queue[T any] struct{}
+// Done take O(log n) time in the number of customers and waiting items; there is no scan over customers.
+type Queue[T any] struct {
+	scheduler
+	maxWaiting int
+	accounts   map[string]*account
+	nodes      []*node[T]
+	free       []*node[T]
+	dropped    []Dropped[T]
+	// returned is true when Expire has handed out dropped.
+	returned bool
+}
+
+// node is a waiting item with the caller's value.
+type node[T any] struct {
+	itemBase
+	value T
+}
 
 // NewQueue returns a queue with the given number of classes, at most MaxClasses. maxWaiting bounds the items that wait
 // for one customer; 0 means DefaultMaxWaiting.
-func NewQueue[T any](classes, maxWaiting int) *Queue[T] { return &Queue[T]{} }
+func NewQueue[T any](classes, maxWaiting int) *Queue[T] {
+	if maxWaiting <= 0 {
+		maxWaiting = DefaultMaxWaiting
+	}
+	q := &Queue[T]{maxWaiting: maxWaiting, accounts: make(map[string]*account)}
+	q.classes = make([]class, min(max(classes, 1), MaxClasses))
+	return q
+}
 
 // SetCustomer adds the customer or changes its share and source. A share below 1 counts as 1. The change applies to
 // waiting work at once.
-func (q *Queue[T]) SetCustomer(name string, share int, src Source, now time.Time) {}
+func (q *Queue[T]) SetCustomer(name string, share int, src Source, now time.Time) {
+	a := q.accounts[name]
+	if a == nil {
+		a = &account{name: name, flows: make([]flow, len(q.classes))}
+		for c := range a.flows {
+			a.flows[c] = flow{account: a, class: Class(c), index: notPlaced}
+		}
+		q.accounts[name] = a
+	}
+	a.share = uint64(max(share, 1))
+	a.source = src
+	a.grants, _ = src.(*Grants)
+	q.Refresh(name, now)
+}
 
 // RemoveCustomer drops the customer and its waiting items, which the next Expire returns.
-func (q *Queue[T]) RemoveCustomer(name string, now time.Time) {}
+func (q *Queue[T]) RemoveCustomer(name string, now time.Time) {
+	a := q.accounts[name]
+	if a == nil {
+		return
+	}
+	delete(q.accounts, name)
+	for i := range a.flows {
+		for it := a.flows[i].head(); it != nil; it = a.flows[i].head() {
+			q.drop(it, CauseRemoved, q.nanos(now))
+		}
+	}
+}
 
-// Push adds an item.
-func (q *Queue[T]) Push(it Item[T], now time.Time) (Handle, error) { return Handle{}, nil }
+// Push adds an item. The limit of waiting items does not apply to items with First or Prepaid: their number is bounded
+// by the group's connections, and a transaction must not fail because its customer has other work.
+func (q *Queue[T]) Push(it Item[T], now time.Time) (Handle, error) {
+	a := q.accounts[it.Customer]
+	if a == nil {
+		return Handle{}, ErrUnknownCustomer
+	}
+	if int(it.Class) >= len(q.classes) {
+		return Handle{}, ErrClass
+	}
+	if a.waiting >= q.maxWaiting && !it.First && !it.Prepaid {
+		return Handle{}, ErrQueueFull
+	}
+	pushed := q.nanos(now)
+	deadline := q.deadline(it.Deadline)
+	if deadline <= pushed {
+		return Handle{}, ErrExpired
+	}
+	n := q.allocate()
+	n.value = it.Value
+	n.flow = &a.flows[it.Class]
+	n.lane = laneOf(it.First, it.Prepaid)
+	n.tokens = max(it.Tokens, 1)
+	n.cost = it.Cost
+	n.pushed = pushed
+	n.deadline = deadline
+	n.tokenDeadline = q.deadline(it.TokenDeadline)
+	q.enter(&n.itemBase)
+	return Handle{id: n.id, generation: n.generation}, nil
+}
 
-// Pop takes the next item of the class whose customer has a token, and takes the token. Items whose deadline has passed
-// are dropped first; the next Expire returns them. It returns false when no item may leave now.
-func (q *Queue[T]) Pop(c Class, now time.Time) (Popped[T], bool) { return Popped[T]{}, false }
+func laneOf(first, prepaid bool) lane {
+	switch {
+	case prepaid:
+		return lanePrepaid
+	case first:
+		return laneFirst
+	default:
+		return laneRest
+	}
+}
 
-// Remove takes a waiting item out, for example because its caller has gone. It returns false when the item is no longer
-// waiting.
-func (q *Queue[T]) Remove(h Handle, now time.Time) bool { return false }
+func (q *Queue[T]) deadline(t time.Time) int64 {
+	if t.IsZero() {
+		return noDeadline
+	}
+	return q.nanos(t)
+}
+
+// allocate returns a free node.
+func (q *Queue[T]) allocate() *node[T] {
+	if n := len(q.free); n > 0 {
+		got := q.free[n-1]
+		q.free = q.free[:n-1]
+		return got
+	}
+	n := &node[T]{}
+	n.id = uint32(len(q.nodes))
+	n.generation = 1
+	n.index = notPlaced
+	q.nodes = append(q.nodes, n)
+	return n
+}
+
+// release makes the node of a forgotten item free again.
+func (q *Queue[T]) release(it item) *node[T] {
+	n := q.nodes[it.id]
+	q.free = append(q.free, n)
+	return n
+}
 
-// Expire returns the items dropped since the last call and those whose deadline has passed at now. The slice is valid
-// until the next call.
-func (q *Queue[T]) Expire(now time.Time) []Dropped[T] { return nil }
+// enter links a new item into its flow.
+func (s *scheduler) enter(it item) {
+	f := it.flow
+	it.waiting = true
+	f.account.waiting++
+	if it.lane != lanePrepaid {
+		f.account.tokens += it.tokens
+	}
+	s.length++
+	f.append(it)
+	it.expiry = it.deadline
+	if it.lane != lanePrepaid {
+		it.expiry = min(it.deadline, it.tokenDeadline)
+	}
+	if it.expiry != noDeadline {
+		s.expiring.push(expiringItem{it})
+	}
+	// A flow without tokens is looked at again only when the new item became its head.
+	if f.state == flowIdle || f.state != flowReady && f.head() == it {
+		s.makeReady(f)
+	}
+}
+
+// Pop takes the next item of the class whose customer has a token, and takes the token. Items whose deadline has passed
+// are dropped first; the next Expire returns them. It returns false when no item may leave now.
+func (q *Queue[T]) Pop(c Class, now time.Time) (Popped[T], bool) {
+	if int(c) >= len(q.classes) {
+		return Popped[T]{}, false
+	}
+	t := q.nanos(now)
+	q.dropDue(now, t)
+	q.wakeDue(t)
+	ready := &q.classes[c].ready
+	for !ready.empty() {
+		f := ready.top().flow
+		head := f.head()
+		if !q.takeToken(f, head, now) {
+			continue
+		}
+		charge := q.serve(f, head)
+		n := q.release(head)
+		p := Popped[T]{Value: n.value, Ticket: Ticket{flow: f, charge: charge}, Waited: time.Duration(t - head.pushed)}
+		var none T
+		n.value = none
+		return p, true
+	}
+	return Popped[T]{}, false
+}
 
 // Done reports the time that dispatched work held its slot. The customer is charged the difference to what was expected.
-func (q *Queue[T]) Done(t Ticket, cost time.Duration, now time.Time) {}
+func (q *Queue[T]) Done(t Ticket, cost time.Duration, _ time.Time) {
+	if t.flow == nil {
+		return
+	}
+	q.correct(t.flow, t.charge, t.flow.charge(cost))
+	t.flow.measure(cost)
+}
 
-// Refresh reads the customer's source again after it changed other than by time: tokens granted, or contract changed.
-func (q *Queue[T]) Refresh(name string, now time.Time) {}
+// Refresh reads the customer's source again after it changed other than by time: tokens granted, or contract changed. It
+// drops granted tokens that no waiting item can use.
+func (q *Queue[T]) Refresh(name string, _ time.Time) {
+	a := q.accounts[name]
+	if a == nil {
+		return
+	}
+	a.dropUnusable()
+	q.refresh(a, nil)
+}
 
-// Wake returns the next time at which Pop or Expire may find something new without another call: a token or a deadline.
-func (q *Queue[T]) Wake() (time.Time, bool) { return time.Time{}, false }
+// dropUnusable drops granted tokens that no waiting item can use.
+func (a *account) dropUnusable() {
+	if a.grants != nil {
+		a.grants.Drop(a.tokens)
+	}
+}
 
-// Ready reports whether Pop(c, now) may return an item, by customers known to have tokens.
-func (q *Queue[T]) Ready(c Class, now time.Time) bool { return false }
+// Ready reports whether Pop(c, now) may return an item.
+func (q *Queue[T]) Ready(c Class, now time.Time) bool {
+	if int(c) >= len(q.classes) {
+		return false
+	}
+	q.wakeDue(q.nanos(now))
+	return !q.classes[c].ready.empty()
+}
 
 // Waiting returns the number of the customer's waiting items, and how many tokens the not prepaid ones need.
-func (q *Queue[T]) Waiting(name string) (items, tokens int) { return 0, 0 }
+func (q *Queue[T]) Waiting(name string) (items, tokens int) {
+	a := q.accounts[name]
+	if a == nil {
+		return 0, 0
+	}
+	return a.waiting, a.tokens
+}
 
 // Len returns the number of waiting items.
-func (q *Queue[T]) Len() int { return 0 }
+func (q *Queue[T]) Len() int { return q.length }
