--- a/internal/failover/actions.go
+++ b/internal/failover/actions.go
@@ -13,7 +13,7 @@
 type OperationID uint64
 
 // Action is something that the machine asks the home to do. The concrete types are Probe, Claim, Fence, Promote, Follow,
-// Announce, Claimed, ReleaseHome, HoldWrites, ReleaseWrites and Record.
+// Announce, Claimed, ReleaseHome, HoldWrites, ReleaseWrites, SwitchoverFailed and Record.
 type Action interface{ action() }
 
 // Probe asks for Port.Status with the timeout. The result goes to Machine.ProbeDone.
@@ -82,20 +82,24 @@
 	Deadline time.Time
 }
 
+// SwitchoverFailed reports that a planned move ended without the new primary; an Announce does not follow from it.
+type SwitchoverFailed struct{ Cause Cause }
+
 // ReleaseWrites ends HoldWrites.
 type ReleaseWrites struct{}
 
 // Record asks for an audit record.
 type Record struct{ Explanation Explanation }
 
-func (Probe) action()         {}
-func (Claim) action()         {}
-func (Fence) action()         {}
-func (Promote) action()       {}
-func (Follow) action()        {}
-func (Claimed) action()       {}
-func (Announce) action()      {}
-func (ReleaseHome) action()   {}
-func (HoldWrites) action()    {}
-func (ReleaseWrites) action() {}
-func (Record) action()        {}
+func (Probe) action()            {}
+func (Claim) action()            {}
+func (Fence) action()            {}
+func (Promote) action()          {}
+func (Follow) action()           {}
+func (Claimed) action()          {}
+func (Announce) action()         {}
+func (ReleaseHome) action()      {}
+func (HoldWrites) action()       {}
+func (ReleaseWrites) action()    {}
+func (SwitchoverFailed) action() {}
+func (Record) action()           {}
