--- /dev/null
+++ b/internal/retry/codes.go
@@ -0,0 +1,33 @@
+// Package retry decides what becomes of a failed request: its outcome, its SQLSTATE, and whether it may run again.
+// It has no goroutines and reads no clock; time and random numbers come in as arguments.
+package retry
+
+// SQLSTATE codes that celerystep itself answers with. The codes of an upstream's own errors pass through unchanged.
+const (
+	// CodeQueueDeadline refuses a request whose deadline passed in the queue (not run).
+	CodeQueueDeadline = "57P05"
+	// CodeRate refuses a request that got no token before its deadline, or that found its queue full (not run).
+	CodeRate = "53400"
+	// CodeUnavailable refuses a request that no home or member could take (not run).
+	CodeUnavailable = "57P03"
+	// CodeUnknown reports that the request may have taken effect.
+	CodeUnknown = "08007"
+	// CodeReadFailed reports a read whose answer was lost. A read has no effect, so repeating it is safe.
+	CodeReadFailed = "08006"
+	// CodeCanceled reports a request that its caller cancelled.
+	CodeCanceled = "57014"
+	// CodeShutdown ends a session between requests on a planned stop.
+	CodeShutdown = "57P01"
+	// CodeAuthentication refuses an unknown customer or a withdrawn key (not run).
+	CodeAuthentication = "28000"
+	// CodeNotAllowed refuses a customer on a route or group that is not open to it (not run).
+	CodeNotAllowed = "42501"
+	// CodeFeature refuses a session feature that needs a dedicated connection (not run).
+	CodeFeature = "0A000"
+	// CodeTransactionLost refuses statements of a transaction whose connection was lost (not run).
+	CodeTransactionLost = "25P02"
+	// CodeProtocol refuses malformed frontend messages (not run).
+	CodeProtocol = "08P01"
+	// CodeAnswerTooLarge reports an answer after a possible commit that exceeds the buffer it is held back in.
+	CodeAnswerTooLarge = "54000"
+)
--- /dev/null
+++ b/internal/retry/decision.go
@@ -0,0 +1,105 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/request"
+)
+
+const (
+	// backoffBase bounds the delay before the first retry.
+	backoffBase = 10 * time.Millisecond
+	// backoffMax bounds the delay before any retry.
+	backoffMax = 500 * time.Millisecond
+)
+
+// Reason says why a request is or is not retried.
+type Reason string
+
+// Reasons of a decision.
+const (
+	ReasonRetry       Reason = "retry"
+	ReasonAnswerBegun Reason = "answer_begun"
+	ReasonTransaction Reason = "in_transaction"
+	ReasonCanceled    Reason = "canceled"
+	ReasonMayHaveRun  Reason = "may_have_run"
+	ReasonDeadline    Reason = "deadline"
+	ReasonBudget      Reason = "budget"
+)
+
+// Context describes a failed attempt.
+type Context struct {
+	Kind request.Kind
+	// Idempotent is the caller's declaration that the request may run more than once.
+	Idempotent bool
+	// InTransaction is true when the request belongs to an open transaction, which ended with its connection.
+	InTransaction bool
+	// Sent is true once a byte of the statement may have reached an upstream.
+	Sent bool
+	// AnswerBegun is true once a byte of the answer was passed on.
+	AnswerBegun bool
+	Canceled    bool
+	// Attempt counts the attempts that failed, from 1.
+	Attempt int
+	// Remaining is the time left until the request's deadline.
+	Remaining time.Duration
+}
+
+// Decision is the answer to a failed attempt.
+type Decision struct {
+	Retry bool
+	// After is the delay before the next attempt.
+	After  time.Duration
+	Reason Reason
+}
+
+// Policy decides on retries for one group. It is not safe for concurrent use.
+type Policy struct {
+	Budget
+	random *rand.Rand
+}
+
+// NewPolicy returns a policy whose jitter comes from random.
+func NewPolicy(random *rand.Rand) *Policy { return &Policy{random: random} }
+
+// May decides whether the failed request runs again; a retry that it allows counts against the budget.
+func (p *Policy) May(c Context, now time.Time) Decision {
+	if reason := forbidden(c); reason != "" {
+		return Decision{Reason: reason}
+	}
+	delay := p.Delay(c.Attempt)
+	if delay >= c.Remaining {
+		return Decision{Reason: ReasonDeadline}
+	}
+	if !p.Take(now) {
+		return Decision{Reason: ReasonBudget}
+	}
+	return Decision{Retry: true, After: delay, Reason: ReasonRetry}
+}
+
+// forbidden returns the reason why the request must not run again whatever the budget, or "".
+func forbidden(c Context) Reason {
+	switch {
+	case c.AnswerBegun:
+		return ReasonAnswerBegun
+	case c.InTransaction:
+		return ReasonTransaction
+	case c.Canceled:
+		return ReasonCanceled
+	case c.Sent && c.Kind != request.KindRead && !c.Idempotent:
+		return ReasonMayHaveRun
+	default:
+		return ""
+	}
+}
+
+// Delay returns the time to wait after the given number of failed attempts, from 1: full jitter over an exponentially
+// growing bound, so that requests that failed together do not return together.
+func (p *Policy) Delay(attempt int) time.Duration {
+	bound := backoffMax
+	if shift := attempt - 1; shift < 6 {
+		bound = min(backoffMax, backoffBase<<max(shift, 0))
+	}
+	return time.Duration(p.random.Int64N(int64(bound)))
+}
