Add pool: bookkeeping of a group's connections

Cause: about 20 connections serve a group, so each must be where it is needed, and none may mix transactions. Change: pure package pool with states, slots, the primary's reserve, rebalancing, drain, keep-alive and open backoff.

--- /dev/null
+++ b/internal/pool/transitions.go
@@ -0,0 +1,183 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Acquire takes an idle connection and a slot of the member for a request that is not in a transaction. It prefers a
+// connection that served the same affinity last. When there is a free slot but no idle connection, it records the
+// demand for Plan and returns false.
+func (p *Pool) Acquire(id upstream.MemberID, affinity string) (ConnID, bool) {
+	m, ok := p.members[id]
+	if !ok || !p.takesNewWork(m) || m.busy >= p.slots {
+		return 0, false
+	}
+	if len(m.idle) == 0 {
+		m.wanted++
+		return 0, false
+	}
+	c := m.pick(affinity)
+	m.removeIdle(c)
+	c.state = StateBusy
+	c.affinity = affinity
+	m.busy++
+	return c.id, true
+}
+
+func (m *member) pick(affinity string) *conn {
+	for i := len(m.idle) - 1; i >= 0; i-- {
+		if m.idle[i].affinity == affinity {
+			return m.idle[i]
+		}
+	}
+	return m.idle[len(m.idle)-1]
+}
+
+// Resume takes a slot for the next statement of a transaction. It returns false while the member has no free slot or
+// when the connection is not in a transaction.
+func (p *Pool) Resume(id ConnID) bool {
+	c, ok := p.conns[id]
+	if !ok || c.state != StateTransaction || c.member.busy >= p.slots {
+		return false
+	}
+	c.state = StateBusy
+	c.member.busy++
+	return true
+}
+
+// Park ends a statement that left a transaction open: the slot is free, the connection stays with its session.
+func (p *Pool) Park(id ConnID) {
+	c, ok := p.conns[id]
+	if !ok || c.state != StateBusy {
+		return
+	}
+	c.state = StateTransaction
+	c.member.busy--
+}
+
+// Reset marks a connection that is being verified before reuse. A slot that it held is free.
+func (p *Pool) Reset(id ConnID) {
+	c, ok := p.conns[id]
+	if !ok {
+		return
+	}
+	p.leaveSlot(c)
+	c.state = StateResetting
+}
+
+// Release makes a connection idle after a statement or a verified reset. It returns false when the connection must
+// be closed and reported with Remove instead, because its member drains or it was dropped.
+func (p *Pool) Release(id ConnID, now time.Time) bool {
+	c, ok := p.conns[id]
+	if !ok {
+		return false
+	}
+	p.leaveSlot(c)
+	if c.doomed || !p.takesNewWork(c.member) || len(p.conns) > p.limit {
+		c.state = StateClosing
+		return false
+	}
+	p.makeIdle(c, now)
+	return true
+}
+
+func (p *Pool) makeIdle(c *conn, now time.Time) {
+	c.state = StateIdle
+	c.idleSince = now
+	c.probeDue = now.Add(keepAliveInterval)
+	c.member.idle = append(c.member.idle, c)
+}
+
+func (p *Pool) leaveSlot(c *conn) {
+	if c.state == StateBusy {
+		c.member.busy--
+	}
+}
+
+// Opened ends a successful open. It returns false when the connection is no longer wanted and must be closed and
+// reported with Remove.
+func (p *Pool) Opened(id ConnID, now time.Time) bool {
+	c, ok := p.conns[id]
+	if !ok || c.state != StateOpening {
+		return false
+	}
+	c.member.opening--
+	c.member.failures = 0
+	c.state = StateResetting
+	return p.Release(id, now)
+}
+
+// OpenFailed ends a failed open and starts the member's open backoff.
+func (p *Pool) OpenFailed(id ConnID, now time.Time) {
+	c, ok := p.conns[id]
+	if !ok || c.state != StateOpening {
+		return
+	}
+	m := c.member
+	m.failures++
+	m.openAfter = now.Add(p.openBackoff(m.failures))
+	p.Remove(id)
+}
+
+// openBackoff grows with the failures in a row; half of it is jitter, so that homes do not return in lockstep to a
+// member that comes back.
+func (p *Pool) openBackoff(failures int) time.Duration {
+	bound := openBackoffMax
+	if shift := failures - 1; shift < 6 {
+		bound = min(openBackoffMax, openBackoffBase<<max(shift, 0))
+	}
+	half := bound / 2
+	return half + time.Duration(p.random.Int64N(int64(half)))
+}
+
+// Remove forgets a connection that was closed, in whatever state it was.
+func (p *Pool) Remove(id ConnID) {
+	c, ok := p.conns[id]
+	if !ok {
+		return
+	}
+	switch c.state {
+	case StateBusy:
+		c.member.busy--
+	case StateIdle:
+		c.member.removeIdle(c)
+	case StateOpening:
+		c.member.opening--
+	}
+	c.member.total--
+	delete(p.conns, id)
+}
+
+// State returns the state of the connection, or 0 when it is not known.
+func (p *Pool) State(id ConnID) State {
+	c, ok := p.conns[id]
+	if !ok {
+		return 0
+	}
+	return c.state
+}
+
+// Member returns the member of the connection, or "" when it is not known.
+func (p *Pool) Member(id ConnID) upstream.MemberID {
+	c, ok := p.conns[id]
+	if !ok {
+		return ""
+	}
+	return c.member.id
+}
+
+// Count returns the number of connections in the state.
+func (p *Pool) Count(s State) int {
+	n := 0
+	for _, c := range p.conns {
+		if c.state == s {
+			n++
+		}
+	}
+	return n
+}
+
+// Open returns the number of connections in any state.
+func (p *Pool) Open() int { return len(p.conns) }
