Add exchange: translate a session's messages for a pooled connection

Cause: a session's prepared statements, settings and customer tag must work on whichever connection runs its request, and a commit's answer must wait for its acknowledgement.

--- /dev/null
+++ b/internal/exchange/state.go
@@ -0,0 +1,126 @@
+// Package exchange translates one exchange of a caller's session to what one pooled connection needs, and the answer
+// back. It rewrites the names of prepared statements, prepares what the connection lacks, applies session settings,
+// removes the answers to what it added, and holds back the part of an answer that must wait for a commit's
+// acknowledgement. It does no I/O.
+package exchange
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// CustomerSetting is the connection setting that names the customer whose work runs, for the upstream's logs.
+const CustomerSetting = "celerystep.customer"
+
+// Setting is a session setting.
+type Setting struct {
+	Name  string
+	Value string
+	// Reset is true when the setting returns to its default; Value is then empty.
+	Reset bool
+}
+
+// State is what celerystep knows about one pooled connection between exchanges.
+type State struct {
+	statements statements
+	settings   map[string]string
+	// touched is true when the session state of the connection is no longer known and must be discarded.
+	touched bool
+}
+
+// Touched reports whether the connection needs DISCARD ALL before another session may use it.
+func (s *State) Touched() bool { return s.touched }
+
+// Touch marks the session state of the connection as unknown.
+func (s *State) Touch() { s.touched = true }
+
+// Discarded records that DISCARD ALL succeeded.
+func (s *State) Discarded() { *s = State{} }
+
+// Changes returns the settings that must change on the connection for a session of the customer, ordered by name.
+// Settings of an earlier session that are not wanted return to their defaults.
+func (s *State) Changes(customer string, wanted map[string]string) []Setting {
+	var changes []Setting
+	if s.settings[CustomerSetting] != customer {
+		changes = append(changes, Setting{Name: CustomerSetting, Value: customer})
+	}
+	if len(wanted) == 0 && len(s.settings) <= 1 {
+		return changes
+	}
+	for name := range s.settings {
+		if _, keep := wanted[name]; !keep && name != CustomerSetting {
+			changes = append(changes, Setting{Name: name, Reset: true})
+		}
+	}
+	for name, value := range wanted {
+		if have, ok := s.settings[name]; (!ok || have != value) && name != CustomerSetting {
+			changes = append(changes, Setting{Name: name, Value: value})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Setting) int { return strings.Compare(a.Name, b.Name) })
+	return changes
+}
+
+// applied records a setting whose change succeeded.
+func (s *State) applied(c Setting) {
+	if c.Reset {
+		delete(s.settings, c.Name)
+		return
+	}
+	if s.settings == nil {
+		s.settings = make(map[string]string)
+	}
+	s.settings[c.Name] = c.Value
+}
+
+// statement returns the SQL text that makes the change.
+func (c Setting) statement() (string, error) {
+	if !validName(c.Name) {
+		return "", errors.Errorf("setting %q: not a parameter name", c.Name)
+	}
+	if c.Reset {
+		return "RESET " + c.Name, nil
+	}
+	if strings.ContainsRune(c.Value, 0) {
+		return "", errors.Errorf("setting %q: value contains a zero byte", c.Name)
+	}
+	return "SET " + c.Name + " = " + quote(c.Value), nil
+}
+
+// quote returns v as a string literal. The escape form is used when v contains a backslash, so that the result does
+// not depend on standard_conforming_strings.
+func quote(v string) string {
+	quoted := "'" + strings.ReplaceAll(v, "'", "''") + "'"
+	if strings.ContainsRune(v, '\\') {
+		return "E" + strings.ReplaceAll(quoted, `\`, `\\`)
+	}
+	return quoted
+}
+
+// validName accepts the names of parameters; anything else could smuggle SQL into a SET.
+func validName(name string) bool {
+	if name == "" {
+		return false
+	}
+	for i := range len(name) {
+		c := name[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_'
+		other := c >= '0' && c <= '9' || c == '.'
+		if !letter && !(other && i > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// appendSetting appends the encoded query that makes the change.
+func appendSetting(dst []byte, c Setting) ([]byte, error) {
+	text, err := c.statement()
+	if err != nil {
+		return dst, err
+	}
+	return (&pgproto3.Query{String: text}).Encode(dst)
+}
