Begin home: options, members, rounds, failover actions and admission

Cause: the runtime of a group's home. Change: first part of internal/home; request.InTransaction; answers to the end of a lost transaction.

--- /dev/null
+++ b/internal/home/actions.go
@@ -0,0 +1,226 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/failover"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// act carries out the actions of the failover state machine. Operations on members run in their own goroutines and
+// report back. The group must be locked.
+func (g *Group) act(actions []failover.Action) {
+	// The machine reuses the slice, and some actions call the machine again.
+	own := append([]failover.Action(nil), actions...)
+	for _, a := range own {
+		g.actOn(a)
+	}
+}
+
+func (g *Group) actOn(action failover.Action) {
+	switch a := action.(type) {
+	case failover.Probe:
+		g.probe(a)
+	case failover.Claim:
+		g.operate(a.Op, a.Member, a.Timeout, func(ctx context.Context, m upstream.Member) (upstream.MemberStatus, error) {
+			return g.port.Claim(ctx, m, a.Claim)
+		})
+	case failover.Fence:
+		g.operate(a.Op, a.Member, a.Timeout, func(ctx context.Context, m upstream.Member) (upstream.MemberStatus, error) {
+			return g.port.Fence(ctx, m, a.Term, a.Owner)
+		})
+	case failover.Promote:
+		g.operate(a.Op, a.Member, a.Timeout, func(ctx context.Context, m upstream.Member) (upstream.MemberStatus, error) {
+			return g.port.Promote(ctx, m, a.Term, a.Owner)
+		})
+	case failover.Follow:
+		g.follow(a)
+	case failover.Claimed:
+		g.claimed(a)
+	case failover.Announce:
+		g.announce(a)
+	case failover.ReleaseHome:
+		g.lose(a.Cause)
+	case failover.HoldWrites:
+		g.holdWrites(a)
+	case failover.ReleaseWrites:
+		g.writesHeld = false
+		g.holdDrain = false
+		g.dispatch(g.now())
+	case failover.Record:
+		g.recordExplanation(a.Explanation)
+	}
+}
+
+func (g *Group) probe(a failover.Probe) {
+	m := g.member(a.Member)
+	if m == nil {
+		return
+	}
+	spec := m.spec
+	g.task(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, a.Timeout)
+		defer cancel()
+		s, err := g.port.Status(ctx, spec)
+		g.report(&s, err, a.Member, "probe", func(s *upstream.MemberStatus, e *upstream.MemberError, now time.Time) []failover.Action {
+			return g.machine.ProbeDone(a.Member, s, e, now)
+		})
+	})
+}
+
+type operation func(context.Context, upstream.Member) (upstream.MemberStatus, error)
+
+func (g *Group) operate(op failover.OperationID, id upstream.MemberID, timeout time.Duration, run operation) {
+	m := g.member(id)
+	if m == nil {
+		return
+	}
+	spec := m.spec
+	g.task(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, timeout)
+		defer cancel()
+		s, err := run(ctx, spec)
+		g.report(&s, err, id, "operation", func(s *upstream.MemberStatus, e *upstream.MemberError, now time.Time) []failover.Action {
+			return g.machine.OperationDone(op, s, e, now)
+		})
+	})
+}
+
+func (g *Group) follow(a failover.Follow) {
+	p := g.member(a.Primary)
+	if p == nil {
+		return
+	}
+	primary := p.spec
+	g.operate(a.Op, a.Member, a.Timeout, func(ctx context.Context, m upstream.Member) (upstream.MemberStatus, error) {
+		return g.port.Follow(ctx, m, a.Term, a.Owner, primary)
+	})
+}
+
+type reporter func(*upstream.MemberStatus, *upstream.MemberError, time.Time) []failover.Action
+
+// report gives the result of an operation to the state machine. A status in the answer is news like any other.
+func (g *Group) report(s *upstream.MemberStatus, err error, id upstream.MemberID, step string, to reporter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.phase == phaseClosed {
+		return
+	}
+	now := g.now()
+	if err != nil {
+		g.act(to(nil, memberError(err, id, step), now))
+		return
+	}
+	change := g.tracker.Observe(s, now)
+	g.act(to(s, nil, now))
+	if g.phase != phaseClosed {
+		g.changed(change, now)
+	}
+}
+
+// memberError returns err as a *MemberError. The port returns nothing else; an unexpected error counts as an answer
+// that did not arrive.
+func memberError(err error, id upstream.MemberID, step string) *upstream.MemberError {
+	var e *upstream.MemberError
+	if errors.As(err, &e) {
+		return e
+	}
+	return &upstream.MemberError{Kind: upstream.ErrUnreachable, Step: step, Member: id, Err: err}
+}
+
+// task runs f in a goroutine of the group.
+func (g *Group) task(f func()) { g.tasks.Go(f) }
+
+// claimed starts serving. The buckets of an unplanned takeover refill only when the authority of the old home must
+// have ended, counted from now, because the old home's last confirmation came before this majority accepted the claim.
+func (g *Group) claimed(a failover.Claimed) {
+	if g.phase != phaseClaiming {
+		g.claim = a.Claim
+		g.tracker.SetClaim(a.Claim)
+		g.startRound(g.now())
+		return
+	}
+	now := g.now()
+	g.claim = a.Claim
+	g.phase = phaseServing
+	g.tracker.SetClaim(a.Claim)
+	g.startBuckets(now)
+	g.startRound(now)
+	g.record(Event{Kind: EventClaim, Cause: string(failover.CauseStart), Text: g.claimText()})
+	close(g.claimedOrLost)
+	g.wakeLoop()
+}
+
+func (g *Group) claimText() string {
+	if g.handoverValid() {
+		return "A majority accepted the claim after a handover; buckets continue at their levels."
+	}
+	return "A majority accepted the claim; buckets start empty."
+}
+
+// announce makes the primary the target of writes.
+func (g *Group) announce(a failover.Announce) {
+	now := g.now()
+	old := g.primary
+	if g.primary == a.Primary && g.term == a.Term {
+		return
+	}
+	g.primary = a.Primary
+	g.term = a.Term
+	g.pool.SetPrimary(a.Primary)
+	if old != "" && old != a.Primary {
+		g.metrics.announced(now.Sub(g.gapSince))
+		g.dropWriters(old)
+	}
+	g.settleCommits()
+	g.log.Info("primary announced", "primary", a.Primary, "term", a.Term, "previous", old)
+	g.answerSwitchovers()
+	if f := g.o.OnChange; f != nil {
+		o := g.ownership()
+		g.task(func() { f(o) })
+	}
+	g.dispatch(now)
+	g.wakeLoop()
+}
+
+// dropWriters closes the connections on which the replaced primary runs a write or holds a write transaction. Nothing
+// that it still accepts can be acknowledged, so waiting for its answers would only delay the callers.
+func (g *Group) dropWriters(old upstream.MemberID) {
+	for _, cn := range g.conns {
+		if cn.member == old && cn.writing {
+			cn.close()
+		}
+	}
+}
+
+// holdWrites keeps new writes in the queue during a switchover.
+func (g *Group) holdWrites(a failover.HoldWrites) {
+	g.writesHeld = true
+	g.holdDrain = a.Drain
+	g.holdDeadline = a.Deadline
+	g.checkHold(g.now())
+}
+
+// checkHold reports to the state machine once no write runs any more, and rolls back idle transactions that would
+// outlast the hold.
+func (g *Group) checkHold(now time.Time) {
+	if !g.holdDrain {
+		return
+	}
+	if g.writers == 0 {
+		g.holdDrain = false
+		g.act(g.machine.WritesDrained(now))
+		return
+	}
+	if now.Before(g.holdDeadline) {
+		return
+	}
+	for _, s := range g.sessions {
+		if s.call == nil && s.conn != nil && s.conn.writing {
+			g.rollBackIdle(s, "switchover")
+		}
+	}
+}
--- /dev/null
+++ b/internal/home/configure.go
@@ -0,0 +1,117 @@
+package home
+
+import (
+	"time"
+
+	"github.com/celerystep/celerystep/internal/admission"
+	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/failover"
+	"github.com/celerystep/celerystep/internal/quorum"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// firstMemberClass is the queue class of the first member's open transactions; the classes before it are for new work.
+const firstMemberClass = 2
+
+// memberClasses is the number of members that can have a class of their own.
+const memberClasses = admission.MaxClasses - firstMemberClass
+
+// refreshConfig applies the configuration in force if it changed. The group must be locked.
+func (g *Group) refreshConfig(now time.Time) {
+	latest := g.o.Snapshot()
+	if latest == g.snapshot || latest == nil {
+		return
+	}
+	old := g.snapshot
+	g.snapshot = latest
+	if spec, ok := latest.Group(g.id); ok {
+		g.applyGroup(*spec, now)
+	}
+	g.applyCustomers(old, now)
+	g.refuseInvalid()
+	g.dispatch(now)
+	g.wakeLoop()
+}
+
+// applyGroup applies members, limits and failure domains.
+func (g *Group) applyGroup(spec upstream.Group, now time.Time) {
+	g.spec = spec
+	old := g.members
+	g.members = nil
+	for _, ms := range spec.Members {
+		g.members = append(g.members, g.keepOrAdd(old, ms))
+	}
+	for _, m := range old {
+		if g.member(m.spec.ID) != m {
+			m.stop()
+			g.closeMember(m.spec.ID)
+		}
+	}
+	g.applyMembers(now)
+}
+
+// keepOrAdd returns the runtime of the member, a new one when it is new or its address changed.
+func (g *Group) keepOrAdd(old []*member, spec upstream.Member) *member {
+	for _, m := range old {
+		if m.spec.ID == spec.ID && m.spec.Address == spec.Address {
+			m.spec = spec
+			m.out = g.snapshot.DomainOut(spec.FailureDomain)
+			return m
+		}
+	}
+	m := g.addMember(spec, g.freeClass(old))
+	m.out = g.snapshot.DomainOut(spec.FailureDomain)
+	return m
+}
+
+// freeClass returns a queue class that no member uses.
+func (g *Group) freeClass(old []*member) admission.Class {
+	used := make(map[admission.Class]bool)
+	for _, m := range append(old[:len(old):len(old)], g.members...) {
+		used[m.class] = true
+	}
+	for c := admission.Class(firstMemberClass); c < admission.MaxClasses; c++ {
+		if !used[c] {
+			return c
+		}
+	}
+	return admission.MaxClasses - 1
+}
+
+func (g *Group) applyMembers(now time.Time) {
+	ids := make([]upstream.MemberID, 0, len(g.members))
+	intents := make([]failover.Member, 0, len(g.members))
+	for _, m := range g.members {
+		ids = append(ids, m.spec.ID)
+		intents = append(intents, failover.Member{
+			ID:        m.spec.ID,
+			Leaving:   m.spec.State == upstream.MemberLeaving,
+			DomainOut: m.out,
+		})
+	}
+	g.tracker.SetMembers(ids)
+	g.pool.Configure(g.poolConfig(), now)
+	g.rounds.open = quorum.RoundID(0)
+	g.act(g.machine.Configure(intents, now))
+}
+
+// closeMember closes the connections to a member that left the group.
+func (g *Group) closeMember(id upstream.MemberID) {
+	for _, cn := range g.conns {
+		if cn.member == id {
+			cn.close()
+		}
+	}
+}
+
+// applyCustomers puts contracts and main groups in force.
+func (g *Group) applyCustomers(old *config.Snapshot, now time.Time) {
+	for _, c := range old.Cluster().Customers {
+		if _, ok := g.snapshot.Customer(c.Name); !ok {
+			g.removeCustomer(c.Name, now)
+		}
+	}
+	for _, c := range g.snapshot.Cluster().Customers {
+		g.applyCustomer(c.Name, now)
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -48,6 +48,9 @@
 	Idempotent bool
 	// Begins is true when the messages may open a transaction block.
 	Begins bool
+	// InTransaction is true when the session is in a transaction block that an earlier request opened. A home that
+	// does not hold that transaction refuses the request instead of running it by itself.
+	InTransaction bool
 	// Floor is the position that a read must see; HasFloor is false until the session knows one.
 	Floor    position.Position
 	HasFloor bool
