--- a/internal/home/actions.go
+++ b/internal/home/actions.go
@@ -172,7 +172,8 @@
 	g.term = a.Term
 	g.pool.SetPrimary(a.Primary)
 	if old != "" && old != a.Primary {
-		g.metrics.announced(now.Sub(g.gapSince))
+		g.noteGap(now)
+		g.metrics.announced(g.gapUntil(now))
 		g.dropWriters(old)
 	}
 	g.settleCommits()
@@ -186,6 +187,14 @@
 	g.wakeLoop()
 }
 
+// gapUntil returns how long the group has been without a primary that takes writes.
+func (g *Group) gapUntil(now time.Time) time.Duration {
+	if g.gapSince.IsZero() {
+		return 0
+	}
+	return now.Sub(g.gapSince)
+}
+
 // dropWriters closes the connections on which the replaced primary runs a write or holds a write transaction. Nothing
 // that it still accepts can be acknowledged, so waiting for its answers would only delay the callers.
 func (g *Group) dropWriters(old upstream.MemberID) {
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -12,6 +12,7 @@
 
 	"github.com/celerystep/celerystep/internal/admission"
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/exchange"
 	"github.com/celerystep/celerystep/internal/failover"
 	"github.com/celerystep/celerystep/internal/pool"
 	"github.com/celerystep/celerystep/internal/position"
@@ -67,10 +68,10 @@
 	drained chan struct{}
 
 	// mu guards everything below. It is held for microseconds and never during I/O.
-	mu       sync.Mutex
-	phase    phase
-	lossSent bool
-	loss     failover.Cause
+	mu    sync.Mutex
+	phase phase
+	// published is true once the manager sends requests here.
+	published bool
 
 	snapshot *config.Snapshot
 	spec     upstream.Group
@@ -86,8 +87,10 @@
 	claim   upstream.Claim
 	primary upstream.MemberID
 	term    position.Term
-	// writableSince and gapSince measure the time without a primary that takes writes.
+	// gapSince is when the group was last seen to lose its primary; zero while the primary takes writes.
 	gapSince time.Time
+	// nextPass is when the loop runs again at the latest.
+	nextPass time.Time
 	// writesHeld is true while a switchover keeps new writes in the queue; drain asks for a report when none runs.
 	writesHeld   bool
 	holdDrain    bool
@@ -96,13 +99,13 @@
 	writers int
 
 	rounds     rounds
-	sessions   map[request.SessionID]*session
+	sessions   map[request.SessionID]*sessionState
 	conns      map[pool.ConnID]*conn
 	customers  map[string]*customer
 	remote     []*customer
 	handover   *Handover
 	refillFrom time.Time
-	accepted   map[setting]bool
+	accepted   map[exchange.Setting]bool
 	commits    []*commitWaiter
 	parked     []*call
 	candidates []router.Candidate
@@ -133,10 +136,10 @@
 		snapshot:      snapshot,
 		spec:          spec,
 		handover:      h,
-		sessions:      make(map[request.SessionID]*session),
+		sessions:      make(map[request.SessionID]*sessionState),
 		conns:         make(map[pool.ConnID]*conn),
 		customers:     make(map[string]*customer),
-		accepted:      make(map[setting]bool),
+		accepted:      make(map[exchange.Setting]bool),
 		gapSince:      now,
 	}
 	g.addDecisions(m.nextSeed())
@@ -225,8 +228,20 @@
 	g.expire(now)
 	g.dispatch(now)
 	g.planPool(now)
+	g.noteGap(now)
 	g.metrics.pool(g.pool)
-	return g.untilNextPass(now)
+	wait := g.untilNextPass(now)
+	g.nextPass = now.Add(wait)
+	return wait
+}
+
+// noteGap follows whether the group has a primary that takes writes.
+func (g *Group) noteGap(now time.Time) {
+	if g.primaryServes(now) {
+		g.gapSince = time.Time{}
+	} else if g.gapSince.IsZero() {
+		g.gapSince = now
+	}
 }
 
 func (g *Group) untilNextPass(now time.Time) time.Duration {
@@ -240,6 +255,7 @@
 	earlier(g.queue.Wake())
 	earlier(g.rounds.due, true)
 	earlier(g.parkedWake())
+	earlier(g.askWake())
 	return wait
 }
 
@@ -253,11 +269,11 @@
 		close(g.claimedOrLost)
 	}
 	g.phase = phaseClosed
-	g.loss = cause
+	g.log.Info("home role ended", "cause", cause, "generation", g.claim.Generation)
 	g.authority.Store(0)
 	g.machine.Stop(g.now())
 	g.refuseWaiting(errNotHome)
-	g.failCommits(func(*commitWaiter) bool { return true })
+	g.failCommits()
 	g.failRounds()
 	for _, cn := range g.conns {
 		cn.close()
@@ -276,14 +292,13 @@
 
 // lose ends the home role because the claim is gone or the machine gave it up.
 func (g *Group) lose(cause failover.Cause) {
-	claimed := g.phase != phaseClaiming
 	if !g.end(cause) {
 		return
 	}
 	g.record(Event{Kind: EventLoss, Cause: string(cause), Text: "The home role ended without a planned release."})
 	loss := Loss{Group: g.id, Generation: g.claim.Generation, Cause: cause}
 	// The group's own tasks must not wait for themselves, so the manager finishes in its own goroutine.
-	g.manager.lost(g, loss, claimed)
+	g.manager.lost(g, loss)
 }
 
 // ownership describes the role. The group must be locked.
--- a/internal/home/rounds.go
+++ b/internal/home/rounds.go
@@ -25,7 +25,6 @@
 // indexWaiter waits for the read index of the round with the id, or of a later one.
 type indexWaiter struct {
 	id    quorum.RoundID
-	call  *call
 	index position.Position
 	// ok is false when the group was closed before a round completed.
 	ok   bool
@@ -33,8 +32,8 @@
 }
 
 // joinRound adds a waiter to the next round that has not been sent and sends it unless another one is under way.
-func (g *Group) joinRound(c *call, now time.Time) *indexWaiter {
-	w := &indexWaiter{id: g.tracker.NextRound(), call: c, done: make(chan struct{})}
+func (g *Group) joinRound(now time.Time) *indexWaiter {
+	w := &indexWaiter{id: g.tracker.NextRound(), done: make(chan struct{})}
 	g.rounds.waiters = append(g.rounds.waiters, w)
 	if g.rounds.open == 0 || now.Sub(g.rounds.sent) >= roundPatience {
 		g.startRound(now)
--- a/internal/pool/transitions.go
+++ b/internal/pool/transitions.go
@@ -6,6 +6,13 @@
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
+// Want records that a request waits for a connection to the member, which Plan then opens if the limits allow it.
+func (p *Pool) Want(id upstream.MemberID) {
+	if m, ok := p.members[id]; ok {
+		m.wanted++
+	}
+}
+
 // Acquire takes an idle connection and a slot of the member for a request that is not in a transaction. It prefers a
 // connection that served the same affinity last. When there is a free slot but no idle connection, it records the
 // demand for Plan and returns false.
