Add tests of the home on a simulated clock

Cause: the home's behaviour under faults needs tests. Change: fake port in memory and tests with testing/synctest.

--- a/internal/home/configure.go
+++ b/internal/home/configure.go
@@ -13,9 +13,6 @@
 // firstMemberClass is the queue class of the first member's open transactions; the classes before it are for new work.
 const firstMemberClass = 2
 
-// memberClasses is the number of members that can have a class of their own.
-const memberClasses = admission.MaxClasses - firstMemberClass
-
 // refreshConfig applies the configuration in force if it changed. The group must be locked.
 func (g *Group) refreshConfig(now time.Time) {
 	latest := g.o.Snapshot()
--- /dev/null
+++ b/internal/home/fake_test.go
@@ -0,0 +1,502 @@
+package home
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// fakeGroup is a replicated group in memory: a log of committed statements that replicas receive 1 ms later.
+type fakeGroup struct {
+	mu      sync.Mutex
+	members map[upstream.MemberID]*fakeMember
+	// ran lists the statements that ran, for all members.
+	ran []fakeStatement
+	// dials counts opened connections, open those that are not closed.
+	dials, open, maxOpen int
+}
+
+type fakeStatement struct {
+	member upstream.MemberID
+	conn   int
+	tag    string
+	text   string
+}
+
+type fakeMember struct {
+	g       *fakeGroup
+	id      upstream.MemberID
+	role    upstream.Role
+	term    position.Term
+	fenced  string
+	follows upstream.MemberID
+	log     position.LSN
+	applied position.LSN
+	history position.History
+	claim   upstream.Claim
+	heard   time.Time
+	// down refuses connections, cut keeps everything silent.
+	down, cut bool
+	// lag delays applying.
+	lag   time.Duration
+	conns map[*fakeConn]bool
+	// rows is the number of rows of 1 KiB that a SELECT returns; 0 means one short row.
+	rows int
+	// fault, when set, decides on a statement before it runs.
+	fault func(text string) fakeFault
+}
+
+// fakeFault is what happens to a statement.
+type fakeFault uint8
+
+const (
+	faultNone fakeFault = iota
+	// faultBefore breaks the connection before the statement runs, faultAfter once it ran.
+	faultBefore
+	faultAfter
+	// faultMidway breaks the connection after the first 64 KiB of the answer.
+	faultMidway
+	// faultSilent runs the statement and never answers.
+	faultSilent
+)
+
+var errBroken = errors.New("connection reset")
+
+func newFakeGroup(ids ...upstream.MemberID) *fakeGroup {
+	g := &fakeGroup{members: make(map[upstream.MemberID]*fakeMember)}
+	for _, id := range ids {
+		g.members[id] = &fakeMember{g: g, id: id, role: upstream.RoleReplica, term: 1, follows: ids[0],
+			history: position.History{{Term: 1}}, conns: make(map[*fakeConn]bool), heard: time.Now()}
+	}
+	g.members[ids[0]].role = upstream.RolePrimary
+	return g
+}
+
+// set changes the group under its lock.
+func (g *fakeGroup) set(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f()
+}
+
+func (g *fakeGroup) count(text string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, s := range g.ran {
+		if s.text == text {
+			n++
+		}
+	}
+	return n
+}
+
+// crash ends a member's connections and refuses new ones.
+func (m *fakeMember) crash() {
+	m.down = true
+	for c := range m.conns {
+		c.breakLocked()
+	}
+}
+
+func (m *fakeMember) status() upstream.MemberStatus {
+	s := upstream.MemberStatus{Member: m.id, Role: m.role, Term: m.term, FenceOwner: m.fenced, Received: m.log,
+		Applied: m.applied, History: append(position.History(nil), m.history...), Generation: m.claim.Generation, Owner: string(m.claim.Owner)}
+	if m.role == upstream.RolePrimary {
+		return s
+	}
+	p := m.g.members[m.follows]
+	if p != nil && !p.down && !p.cut && !m.cut && p.role == upstream.RolePrimary {
+		m.heard = time.Now()
+	}
+	s.PrimarySilence = time.Since(m.heard)
+	if p != nil && p.down {
+		s.PrimarySilence = time.Hour
+	}
+	return s
+}
+
+// commit appends to the log and replicates it.
+func (m *fakeMember) commit() position.Position {
+	m.log++
+	m.applied = m.log
+	lsn, term := m.log, m.term
+	for _, r := range m.g.members {
+		if r.follows != m.id || r.role != upstream.RoleReplica {
+			continue
+		}
+		time.AfterFunc(time.Millisecond, func() { r.receive(m, lsn, term) })
+	}
+	return position.Position{Term: term, LSN: lsn}
+}
+
+func (m *fakeMember) receive(from *fakeMember, lsn position.LSN, term position.Term) {
+	m.g.mu.Lock()
+	defer m.g.mu.Unlock()
+	if m.cut || from.cut || m.down || m.term != term || m.role != upstream.RoleReplica || lsn <= m.log {
+		return
+	}
+	m.log = lsn
+	time.AfterFunc(m.lag, func() {
+		m.g.set(func() { m.applied = max(m.applied, min(lsn, m.log)) })
+	})
+}
+
+// fakePort is one home's view of the group.
+type fakePort struct {
+	g *fakeGroup
+	// paused blocks all I/O of the home, as if its process had been stopped.
+	mu     sync.Mutex
+	paused chan struct{}
+	// cutFrom lists members that this home cannot reach.
+	cutFrom map[upstream.MemberID]bool
+}
+
+func (p *fakePort) pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paused = make(chan struct{})
+}
+
+func (p *fakePort) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.paused)
+	p.paused = nil
+}
+
+func (p *fakePort) gate() {
+	p.mu.Lock()
+	wait := p.paused
+	p.mu.Unlock()
+	if wait != nil {
+		<-wait
+	}
+}
+
+// call runs f on the member after a short delay, or fails as the member's state demands.
+func (p *fakePort) call(ctx context.Context, id upstream.MemberID, f func(*fakeMember) bool) (upstream.MemberStatus, error) {
+	fail := func(k upstream.ErrorKind) error {
+		return &upstream.MemberError{Kind: k, Step: "fake", Member: id, Err: errBroken}
+	}
+	p.gate()
+	time.Sleep(200 * time.Microsecond)
+	p.g.mu.Lock()
+	m := p.g.members[id]
+	if m.cut || p.cutFrom[id] {
+		p.g.mu.Unlock()
+		<-ctx.Done()
+		return upstream.MemberStatus{}, fail(upstream.ErrUnreachable)
+	}
+	defer p.g.mu.Unlock()
+	if m.down {
+		return upstream.MemberStatus{}, fail(upstream.ErrRefused)
+	}
+	if !f(m) {
+		return upstream.MemberStatus{}, fail(upstream.ErrStale)
+	}
+	return m.status(), nil
+}
+
+func (p *fakePort) Watch(ctx context.Context, spec upstream.Member, f func(upstream.MemberStatus)) error {
+	m := p.g.members[spec.ID]
+	var last upstream.MemberStatus
+	var sent time.Time
+	for ctx.Err() == nil {
+		p.gate()
+		p.g.mu.Lock()
+		silent, down := m.cut || p.cutFrom[m.id], m.down
+		s := m.status()
+		p.g.mu.Unlock()
+		if down {
+			return &upstream.MemberError{Kind: upstream.ErrRefused, Step: "watch", Member: m.id, Err: errBroken}
+		}
+		changed := s.Received != last.Received || s.Applied != last.Applied || s.Role != last.Role || s.Term != last.Term || s.Generation != last.Generation
+		if !silent && (changed || time.Since(sent) >= 100*time.Millisecond) {
+			last, sent = s, time.Now()
+			f(s)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+func (p *fakePort) Status(ctx context.Context, m upstream.Member) (upstream.MemberStatus, error) {
+	return p.call(ctx, m.ID, func(*fakeMember) bool { return true })
+}
+
+func (p *fakePort) Claim(ctx context.Context, m upstream.Member, c upstream.Claim) (upstream.MemberStatus, error) {
+	return p.call(ctx, m.ID, func(m *fakeMember) bool {
+		if c.Generation < m.claim.Generation || c.Generation == m.claim.Generation && c.Owner != m.claim.Owner {
+			return false
+		}
+		m.claim = c
+		for conn := range m.conns {
+			if conn.generation < c.Generation {
+				conn.breakLocked()
+			}
+		}
+		return true
+	})
+}
+
+func (p *fakePort) Fence(ctx context.Context, m upstream.Member, t position.Term, owner instance.ID) (upstream.MemberStatus, error) {
+	return p.call(ctx, m.ID, func(m *fakeMember) bool {
+		if t < m.term || t == m.term && m.fenced != string(owner) {
+			return false
+		}
+		if t > m.term {
+			m.term, m.fenced, m.role = t, string(owner), upstream.RoleFenced
+			for conn := range m.conns {
+				conn.breakLocked()
+			}
+		}
+		return true
+	})
+}
+
+func (p *fakePort) Promote(ctx context.Context, m upstream.Member, t position.Term, owner instance.ID) (upstream.MemberStatus, error) {
+	return p.call(ctx, m.ID, func(m *fakeMember) bool {
+		if t != m.term || m.fenced != string(owner) {
+			return false
+		}
+		if m.role != upstream.RolePrimary {
+			m.role = upstream.RolePrimary
+			m.history = append(m.history, position.TermStart{Term: t, Start: m.log})
+			m.log++
+			m.applied = m.log
+		}
+		return true
+	})
+}
+
+func (p *fakePort) Follow(ctx context.Context, m upstream.Member, t position.Term, owner instance.ID, primary upstream.Member) (upstream.MemberStatus, error) {
+	return p.call(ctx, m.ID, func(m *fakeMember) bool {
+		lead := p.g.members[primary.ID]
+		if t < m.term || lead.role != upstream.RolePrimary || lead.term != t {
+			return false
+		}
+		m.term, m.role, m.follows = t, upstream.RoleReplica, primary.ID
+		m.history = append(position.History(nil), lead.history...)
+		m.log, m.applied, m.heard = lead.log, lead.log, time.Now()
+		return true
+	})
+}
+
+func (p *fakePort) Dial(ctx context.Context, spec upstream.Member, c upstream.Claim) (upstream.Conn, error) {
+	time.Sleep(10 * time.Millisecond)
+	var conn *fakeConn
+	_, err := p.call(ctx, spec.ID, func(m *fakeMember) bool {
+		if m.claim != c {
+			return false
+		}
+		m.g.dials++
+		m.g.open++
+		m.g.maxOpen = max(m.g.maxOpen, m.g.open)
+		conn = &fakeConn{port: p, m: m, id: m.g.dials, generation: c.Generation, tx: 'I', wake: make(chan struct{}, 1), broken: make(chan struct{})}
+		m.conns[conn] = true
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+// fakeConn answers simple queries.
+type fakeConn struct {
+	port       *fakePort
+	m          *fakeMember
+	id         int
+	generation uint64
+	tx         byte
+	wrote      bool
+	tag        string
+	answers    [][]byte
+	wake       chan struct{}
+	broken     chan struct{}
+	gone       bool
+	// silent drops everything without a reset.
+	silent   bool
+	deadline time.Time
+}
+
+func (c *fakeConn) breakLocked() {
+	if !c.gone {
+		c.gone = true
+		c.m.g.open--
+		delete(c.m.conns, c)
+		close(c.broken)
+	}
+}
+
+func (c *fakeConn) Close() error {
+	c.m.g.set(c.breakLocked)
+	return nil
+}
+
+func (c *fakeConn) SetDeadline(t time.Time) error {
+	c.m.g.set(func() { c.deadline = t })
+	return nil
+}
+
+func (c *fakeConn) Send(p []byte) error {
+	c.port.gate()
+	c.m.g.mu.Lock()
+	defer c.m.g.mu.Unlock()
+	if c.gone {
+		return errBroken
+	}
+	if c.silent || c.m.cut || c.port.cutFrom[c.m.id] {
+		return nil
+	}
+	for len(p) > 0 {
+		n := int(p[1])<<24 | int(p[2])<<16 | int(p[3])<<8 | int(p[4]) + 1
+		body := string(p[5:n])
+		if p[0] == 'S' {
+			c.push(&pgproto3.ReadyForQuery{TxStatus: c.tx})
+		} else {
+			c.query(strings.TrimSuffix(body, "\x00"))
+		}
+		p = p[n:]
+	}
+	return nil
+}
+
+func (c *fakeConn) push(messages ...pgproto3.Message) {
+	for _, m := range messages {
+		p, _ := m.Encode(nil)
+		c.answers = append(c.answers, p)
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// query runs the statement as the member's fault demands.
+func (c *fakeConn) query(text string) {
+	fault := faultNone
+	if c.m.fault != nil {
+		fault = c.m.fault(text)
+	}
+	if fault == faultBefore {
+		c.breakLocked()
+		return
+	}
+	before := len(c.answers)
+	c.run(text)
+	switch fault {
+	case faultAfter:
+		c.breakLocked()
+	case faultMidway:
+		c.answers = c.answers[:before]
+		c.push(&pgproto3.DataRow{Values: [][]byte{make([]byte, 64<<10)}})
+		c.breakAfterAnswers()
+	case faultSilent:
+		c.answers = c.answers[:before]
+		c.silent = true
+	}
+}
+
+func (c *fakeConn) breakAfterAnswers() {
+	time.AfterFunc(time.Millisecond, func() { c.m.g.set(c.breakLocked) })
+}
+
+func (c *fakeConn) run(text string) {
+	verb, rest, _ := strings.Cut(text, " ")
+	if verb == "SET" {
+		fmt.Sscanf(rest, "celerystep.customer = '%s", &c.tag)
+		c.tag = strings.TrimSuffix(c.tag, "'")
+	} else {
+		c.m.g.ran = append(c.m.g.ran, fakeStatement{member: c.m.id, conn: c.id, tag: c.tag, text: text})
+	}
+	done := func() { c.push(&pgproto3.ReadyForQuery{TxStatus: c.tx}) }
+	complete := func(tag string) { c.push(&pgproto3.CommandComplete{CommandTag: []byte(tag)}) }
+	switch verb {
+	case "BEGIN":
+		c.tx, c.wrote = 'T', false
+	case "COMMIT":
+		c.tx = 'I'
+		complete("COMMIT")
+		c.committed()
+		done()
+		return
+	case "ROLLBACK":
+		c.tx = 'I'
+	case "DISCARD":
+		text, verb = "", "DISCARD ALL"
+	case "INSERT":
+		c.wrote = true
+		complete("INSERT 0 1")
+		if c.tx == 'I' {
+			c.committed()
+		}
+		done()
+		return
+	case "SLEEP":
+		d, _ := time.ParseDuration(rest)
+		time.AfterFunc(d, func() { c.m.g.set(func() { complete("SLEEP"); done() }) })
+		return
+	case "SELECT":
+		for range c.m.rows {
+			c.push(&pgproto3.DataRow{Values: [][]byte{make([]byte, 1024)}})
+		}
+		if c.m.rows > 0 {
+			verb = "SELECT 1"
+			break
+		}
+		c.push(&pgproto3.DataRow{Values: [][]byte{[]byte(fmt.Sprint(c.m.applied))}})
+		verb = "SELECT 1"
+	}
+	complete(verb)
+	done()
+}
+
+func (c *fakeConn) committed() {
+	if c.wrote {
+		p := c.m.commit()
+		c.push(&pgproto3.ParameterStatus{Name: "group_position", Value: p.String()})
+	}
+	c.wrote = false
+}
+
+type timeoutError struct{}
+
+func (timeoutError) Error() string { return "i/o timeout" }
+func (timeoutError) Timeout() bool { return true }
+
+func (c *fakeConn) Receive() ([]byte, error) {
+	c.port.gate()
+	for {
+		c.m.g.mu.Lock()
+		if len(c.answers) > 0 && !c.m.cut && !c.silent {
+			p := c.answers[0]
+			c.answers = c.answers[1:]
+			c.m.g.mu.Unlock()
+			return p, nil
+		}
+		gone, deadline := c.gone, c.deadline
+		c.m.g.mu.Unlock()
+		if gone {
+			return nil, errBroken
+		}
+		timer := time.NewTimer(time.Until(deadline))
+		select {
+		case <-c.wake:
+		case <-c.broken:
+		case <-timer.C:
+			return nil, timeoutError{}
+		}
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/home/transaction_test.go
@@ -0,0 +1,205 @@
+package home
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/request"
+	"github.com/celerystep/celerystep/internal/retry"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Guards against statements of different transactions or customers on one connection (G3, G4), against more connections
+// than the group allows, and against requests that are never served under load.
+func TestTransactionsOwnTheirConnections(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		each(60, func(i int) {
+			session := name(i)
+			for n := range 5 {
+				steps := []string{"BEGIN", "INSERT " + session, "INSERT " + session, "COMMIT"}
+				if (i+n)%3 == 0 {
+					steps = []string{"SELECT " + session}
+				}
+				for _, text := range steps {
+					r := query(session, text)
+					r.Customer = fmt.Sprintf("c%d", i%2+1)
+					r.Timeout = 20 * time.Second
+					res, _ := run(m, r)
+					if res.Outcome != request.OutcomeDone {
+						w.t.Errorf("%s %s: %+v", session, text, res)
+					}
+				}
+			}
+		})
+		w.is.True(w.g.maxOpen <= 17)
+		owner := make(map[int]string)
+		for _, s := range w.g.ran {
+			switch {
+			case s.text == "BEGIN":
+				w.is.Equal(owner[s.conn], "")
+				owner[s.conn] = "?"
+			case s.text == "COMMIT":
+				delete(owner, s.conn)
+			case s.text[:6] == "INSERT":
+				if owner[s.conn] == "?" {
+					owner[s.conn] = s.text
+				}
+				w.is.Equal(owner[s.conn], s.text)
+				w.is.Equal(s.member, upstream.MemberID("a"))
+			}
+			var i int
+			if _, err := fmt.Sscanf(s.text[6:], " s%d", &i); err == nil && len(s.text) > 7 {
+				w.is.Equal(s.tag, fmt.Sprintf("c%d", i%2+1))
+			}
+		}
+	})
+}
+
+// Guards against a transaction that holds its connection while its customer is over the rate.
+func TestTransactionWaitsAtMostOneSecondForAToken(t *testing.T) {
+	simulate(t, func(c *config.Cluster) {
+		c.Customers[0].Contracts = map[config.Preset]config.Contract{config.PresetOrdinary: {RatePerSecond: 0.5, Burst: 2, Share: 1}}
+	}, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		time.Sleep(10 * time.Second)
+		run(m, query("s", "BEGIN"))
+		run(m, query("s", "INSERT"))
+		start := time.Now()
+		res, _ := run(m, query("s", "INSERT"))
+		w.is.Equal(res.Outcome, request.OutcomeNotRun)
+		w.is.Equal(res.Code, retry.CodeRate)
+		w.is.Equal(res.TxStatus, byte('E'))
+		w.is.Equal(time.Since(start), tokenLimit)
+		time.Sleep(10 * time.Millisecond)
+		w.is.Equal(w.g.count("ROLLBACK"), 1)
+		res, _ = run(m, query("s", "COMMIT"))
+		w.is.Equal(res.TxStatus, byte('I'))
+		w.is.Equal(w.g.count("COMMIT"), 0)
+	})
+}
+
+// Guards against a request that meets a connection which went silent while it was idle.
+func TestSilentIdleConnectionIsReplaced(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		w.g.set(func() {
+			for _, member := range w.g.members {
+				for c := range member.conns {
+					c.silent = true
+				}
+			}
+		})
+		time.Sleep(7 * time.Second)
+		w.is.Equal(w.audit.count(EventSilentConnection), 10)
+		start := time.Now()
+		res, _ := run(m, query("s", "INSERT"))
+		w.is.Equal(res.Outcome, request.OutcomeDone)
+		w.is.True(time.Since(start) < 100*time.Millisecond)
+	})
+}
+
+// Guards against a cancelled request that runs on, and against an outcome that promises too much.
+func TestCancel(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		ctx := context.Background()
+		running := make(chan request.Result, 4)
+		for i := range 4 { // three run, one is queued
+			go func() { res, _ := run(m, query(name(i), "SLEEP 3s")); running <- res }()
+			time.Sleep(time.Millisecond)
+		}
+		start := time.Now()
+		m.Cancel(ctx, "g1", "s3")
+		res := <-running
+		w.is.Equal(res.Outcome, request.OutcomeNotRun)
+		w.is.Equal(res.Code, retry.CodeCanceled)
+		m.Cancel(ctx, "g1", "s0")
+		res = <-running
+		w.is.Equal(res.Outcome, request.OutcomeUnknown)
+		w.is.Equal(res.Code, retry.CodeCanceled)
+		w.is.Equal(time.Since(start), cancelGrace)
+		m.End(ctx, "g1", "s1") // its entry instance is gone
+		<-running
+		w.is.Equal(time.Since(start), 2*cancelGrace)
+		res = <-running
+		w.is.Equal(res.Outcome, request.OutcomeDone)
+		m.Cancel(ctx, "g1", "s2") // too late
+		res, _ = run(m, query("s2", "INSERT"))
+		w.is.Equal(res.Outcome, request.OutcomeDone)
+	})
+}
+
+// Guards against a transaction that outlives its session, and against its statements run by themselves elsewhere.
+func TestEndRollsBack(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		run(m, query("s", "BEGIN"))
+		run(m, query("s", "INSERT"))
+		m.End(context.Background(), "g1", "s")
+		time.Sleep(10 * time.Millisecond)
+		w.is.Equal(w.g.count("ROLLBACK"), 1)
+		r := query("s", "INSERT late")
+		r.InTransaction = true
+		res, _ := run(m, r)
+		w.is.Equal(res.Code, retry.CodeTransactionLost)
+		w.is.Equal(w.g.count("INSERT late"), 0)
+		w.is.Equal(len(m.find("g1").sessions), 1)
+		m.End(context.Background(), "g1", "s")
+		w.is.Equal(len(m.find("g1").sessions), 0)
+	})
+}
+
+// Guards against new work on a member of a failure domain that is out, or on a leaving member (G8, G12), and against a
+// statement refused while the primary moves away.
+func TestDomainOutGetsNoNewWork(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		w.configure(func(c *config.Cluster) {
+			c.FailureDomains[0].Out = true
+			c.Groups[0].Members[1].State = upstream.MemberLeaving
+		})
+		start := time.Now()
+		each(60, func(i int) {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			text := []string{"INSERT", "SELECT 1"}[i%2]
+			res, _ := run(m, query(name(i), text))
+			if res.Outcome != request.OutcomeDone {
+				w.t.Errorf("%s after %v: %+v", text, time.Since(start), res)
+			}
+			if time.Since(start) > 4*time.Second && res.Member != "c" {
+				w.t.Errorf("%s after %v on %s", text, time.Since(start), res.Member)
+			}
+		})
+		res, _ := run(m, query("last", "SELECT 1"))
+		w.is.Equal(res.Member, upstream.MemberID("c"))
+		w.is.Equal(m.Owned()[0].Primary, upstream.MemberID("c"))
+	})
+}
+
+// Guards against a slow caller or a large answer that loses bytes or order (G9).
+func TestLargeAnswerToASlowCaller(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		w.g.set(func() {
+			for _, member := range w.g.members {
+				member.rows = 500
+			}
+		})
+		a := recorder{delay: 10 * time.Millisecond}
+		res := m.Run(context.Background(), query("s", "SELECT 1"), &a)
+		w.is.Equal(res.Outcome, request.OutcomeDone)
+		w.is.Equal(len(a.types()), 501)
+		w.is.Equal(a.types()[500], byte('C'))
+	})
+}
