Ask other homes only for tokens not granted yet; send writes to a steady primary only

Cause: repeated calls while a slot is awaited would hoard tokens; writes sent to a suspect primary end as unknown. Change: subtract granted tokens; check the phase of the failover state machine.

--- a/internal/home/admit.go
+++ b/internal/home/admit.go
@@ -212,8 +212,8 @@
 		return
 	}
 	for _, c := range g.remote {
-		_, need := g.queue.Waiting(c.name)
-		if need == 0 || c.asking || now.Before(c.askAfter) {
+		need := g.missing(c)
+		if need <= 0 || c.asking || now.Before(c.askAfter) {
 			continue
 		}
 		c.asking = true
@@ -222,6 +222,12 @@
 	}
 }
 
+// missing returns the number of tokens that the customer's waiting work needs beyond those granted.
+func (g *Group) missing(c *customer) int {
+	_, need := g.queue.Waiting(c.name)
+	return need - c.grants.Available()
+}
+
 // ask makes one call for a customer's tokens. Its answer counts only within admitValidity of its sending, because a
 // later home of the main group starts its bucket on that assumption.
 func (g *Group) ask(c *customer, main upstream.GroupID, grants *admission.Grants, need int) {
@@ -257,7 +263,7 @@
 func (g *Group) askWake() (time.Time, bool) {
 	var wake time.Time
 	for _, c := range g.remote {
-		if _, need := g.queue.Waiting(c.name); need == 0 || c.asking {
+		if c.asking || g.missing(c) <= 0 {
 			continue
 		}
 		if wake.IsZero() || c.askAfter.Before(wake) {
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/admission"
+	"github.com/celerystep/celerystep/internal/failover"
 	"github.com/celerystep/celerystep/internal/pool"
 	"github.com/celerystep/celerystep/internal/request"
 	"github.com/celerystep/celerystep/internal/retry"
@@ -72,13 +73,16 @@
 	}
 }
 
-// primaryServes reports whether new work may go to the primary: it is announced, no majority reports a higher term, and
-// its status is fresh.
+// primaryServes reports whether new work may go to the primary: it is announced, no majority reports a higher term, its
+// status is fresh, and it is not suspect. What a suspect primary is sent ends as outcome unknown.
 func (g *Group) primaryServes(now time.Time) bool {
 	id, term, ok := g.tracker.Primary()
 	if !ok || id != g.primary || term != g.term {
 		return false
 	}
+	if p := g.machine.View().Phase; p != failover.PhaseSteady && p != failover.PhaseHolding {
+		return false
+	}
 	m := g.member(id)
 	return m != nil && m.usable(now)
 }
