Wake the loop for connections only when more are needed

Cause: waiting work made the loop run without pause while a connection was being opened. Change: pool.Want reports whether more opens are needed; a pass does not wake itself.

--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -112,7 +112,12 @@
 // want asks the pool for a connection when work waits for one.
 func (g *Group) want(load pool.Load, class admission.Class, now time.Time) {
 	if load.FreeSlots > 0 && g.queue.Ready(class, now) {
-		g.pool.Want(load.Member)
+		g.wantConn(load.Member)
+	}
+}
+
+func (g *Group) wantConn(id upstream.MemberID) {
+	if g.pool.Want(id) && !g.inPass {
 		g.wakeLoop()
 	}
 }
@@ -172,8 +177,7 @@
 	case router.OutcomeReplica, router.OutcomePrimary:
 		m := g.members[d.Index]
 		if g.pool.Load(m.spec.ID).Free == 0 {
-			g.pool.Want(m.spec.ID)
-			g.wakeLoop()
+			g.wantConn(m.spec.ID)
 			return false
 		}
 		g.acquire(c, m.spec.ID, now)
--- a/internal/home/fake_test.go
+++ b/internal/home/fake_test.go
@@ -397,6 +397,7 @@
 	c.run(text)
 	switch fault {
 	case faultAfter:
+		c.answers = c.answers[:before]
 		c.breakLocked()
 	case faultMidway:
 		c.answers = c.answers[:before]
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -112,6 +112,8 @@
 	// active counts the requests inside Run.
 	active   int
 	authHeld bool
+	// inPass is true while the loop's pass runs, which plans the pool itself.
+	inPass bool
 	// switchovers are the operators' orders that wait for an announcement.
 	switchovers []chan Ownership
 }
@@ -220,6 +222,8 @@
 		return loopInterval
 	}
 	now := g.now()
+	g.inPass = true
+	defer func() { g.inPass = false }()
 	g.refreshConfig(now)
 	g.updateAuthority(now)
 	g.startDueRound(now)
--- a/internal/pool/transitions.go
+++ b/internal/pool/transitions.go
@@ -6,11 +6,15 @@
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
-// Want records that a request waits for a connection to the member, which Plan then opens if the limits allow it.
-func (p *Pool) Want(id upstream.MemberID) {
-	if m, ok := p.members[id]; ok {
-		m.wanted++
+// Want records that a request waits for a connection to the member, which Plan then opens if the limits allow it. It
+// returns false when enough connections are being opened already.
+func (p *Pool) Want(id upstream.MemberID) bool {
+	m, ok := p.members[id]
+	if !ok {
+		return false
 	}
+	m.wanted++
+	return min(m.wanted, p.slots-m.busy) > m.opening
 }
 
 // Acquire takes an idle connection and a slot of the member for a request that is not in a transaction. It prefers a
