--- /dev/null
+++ b/internal/membership/record.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"cmp"
+
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Member is the record of one instance.
+type Member struct {
+	ID instance.ID
+	// State and Incarnation form one register: the higher incarnation wins, then the later state in the order of
+	// instance.State. Only the instance itself raises its incarnation.
+	State       instance.State
+	Incarnation uint64
+	// Info is where the instance can be reached, as it announced with InfoIncarnation. It is the zero value with
+	// InfoIncarnation 0 when it is not known: news of a suspicion or a death omits it.
+	Info            instance.Info
+	InfoIncarnation uint64
+}
+
+// Merge returns the join of two records of the same instance.
+func (m Member) Merge(o Member) Member {
+	if o.Incarnation > m.Incarnation || (o.Incarnation == m.Incarnation && o.State > m.State) {
+		m.Incarnation, m.State = o.Incarnation, o.State
+	}
+	if o.InfoIncarnation > m.InfoIncarnation || (o.InfoIncarnation == m.InfoIncarnation && infoLess(m.Info, o.Info)) {
+		m.InfoIncarnation, m.Info = o.InfoIncarnation, o.Info
+	}
+	return m
+}
+
+// Reachable reports whether the record says where the instance can be reached.
+func (m Member) Reachable() bool { return m.InfoIncarnation > 0 }
+
+// news returns the record as it is spread: without the info when that was announced with an earlier change.
+func (m Member) news() Member {
+	if m.State == instance.StateLive && m.InfoIncarnation == m.Incarnation {
+		return m
+	}
+	return Member{ID: m.ID, State: m.State, Incarnation: m.Incarnation}
+}
+
+// infoLess orders infos of the same incarnation, so that the merge has one result in any order of delivery.
+func infoLess(a, b instance.Info) bool {
+	return cmp.Or(
+		cmp.Compare(a.FailureDomain, b.FailureDomain),
+		cmp.Compare(a.PeerAddress, b.PeerAddress),
+		cmp.Compare(a.CallerAddress, b.CallerAddress),
+	) < 0
+}
+
+// Home is the record of the home of a group. Its generation was accepted by a majority of the group's members, so two
+// owners with the same generation do not occur; if they did, the greater owner would win everywhere.
+type Home struct {
+	Group      upstream.GroupID
+	Owner      instance.ID
+	Generation uint64
+	// Primary and Term are what the home knows of the group's primary; the higher term wins.
+	Primary upstream.MemberID
+	Term    position.Term
+	// Released is true once the owner gave the group up; it stays true for this generation.
+	Released bool
+}
+
+// Merge returns the join of two records of the same group.
+func (h Home) Merge(o Home) Home {
+	switch cmp.Or(cmp.Compare(h.Generation, o.Generation), cmp.Compare(h.Owner, o.Owner)) {
+	case -1:
+		return o
+	case 1:
+		return h
+	}
+	h.Released = h.Released || o.Released
+	if cmp.Or(cmp.Compare(h.Term, o.Term), cmp.Compare(h.Primary, o.Primary)) < 0 {
+		h.Term, h.Primary = o.Term, o.Primary
+	}
+	return h
+}
+
+// ConfigVersion announces a version of the operators' configuration.
+type ConfigVersion struct {
+	Version     uint64
+	OperationID string
+	// Root holds the encoded root of the configuration, opaque to this package.
+	Root string
+}
+
+// Merge returns the higher version. Two operations with the same version occur only after the key-value service lost
+// a write; the greater operation id wins everywhere.
+func (c ConfigVersion) Merge(o ConfigVersion) ConfigVersion {
+	if cmp.Or(
+		cmp.Compare(c.Version, o.Version),
+		cmp.Compare(c.OperationID, o.OperationID),
+		cmp.Compare(c.Root, o.Root),
+	) < 0 {
+		return o
+	}
+	return c
+}
+
+// KeyRef names a key of a customer.
+type KeyRef struct {
+	Customer string
+	Key      string
+}
+
+// Revocation withdraws a key in an emergency. Revocations form a grow-only set.
+type Revocation struct {
+	KeyRef
+	Operator string
+	// UnixMilli is the time of the order; of two orders for the same key the earlier is kept.
+	UnixMilli int64
+}
+
+// Merge returns the earlier of two revocations of the same key.
+func (r Revocation) Merge(o Revocation) Revocation {
+	if cmp.Or(cmp.Compare(r.UnixMilli, o.UnixMilli), cmp.Compare(r.Operator, o.Operator)) > 0 {
+		return o
+	}
+	return r
+}
