Test the membership machine

Cause: wrong deaths rob live homes of their groups; missed ones leave groups without a home. An unanswered target is judged at the next tick, after the sample contacted with it.

--- a/internal/capacity/virtual.go
+++ b/internal/capacity/virtual.go
@@ -84,6 +84,9 @@
 	return n
 }
 
+// Rand returns the random numbers of the network.
+func (w *Network) Rand() *rand.Rand { return w.rng }
+
 // Node returns the instance with the id.
 func (w *Network) Node(id instance.ID) *Node { return w.byID[id] }
 
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -33,6 +33,7 @@
 	suspicions map[instance.ID]suspicion
 	tombstones map[instance.ID]tombstone
 	indirect   map[instance.ID]*indirectProbe
+	unanswered []instance.ID
 	urgent     *newsQueue
 	news       *newsQueue
 	budget     byteBudget
@@ -140,6 +141,7 @@
 	if m.replaced || m.own().State == instance.StateDead {
 		return nil
 	}
+	m.judgeUnanswered(now)
 	m.expireSuspicions(now)
 	m.forgetTombstones(now)
 	calls := m.probes(now)
@@ -162,6 +164,7 @@
 		m.suspicions[id] = s
 	}
 	clear(m.indirect)
+	m.unanswered = nil
 	m.join.fetching = false
 	m.reach.clear()
 	m.touchMembers()
--- /dev/null
+++ b/internal/membership/machine_test.go
@@ -0,0 +1,266 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/celerystep/celerystep/internal/capacity"
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/membership"
+	"github.com/celerystep/celerystep/internal/platform"
+)
+
+// fleet is a virtual fleet in three failure domains with all instances joined.
+type fleet struct {
+	*capacity.Network
+	// wrongDeaths lists instances taken for dead while their process ran.
+	wrongDeaths []string
+	// paused is an instance that does not answer for a while and is rightly declared dead.
+	paused instance.ID
+}
+
+func newFleet(t *testing.T, n int, seed uint64) *fleet {
+	f := &fleet{Network: capacity.NewNetwork(seed)}
+	for i := range n {
+		f.Add(info(i))
+	}
+	for _, node := range f.Nodes {
+		f.start(node)
+	}
+	if _, ok := f.RunUntil(10*time.Second, func() bool { return f.agree(n) }); !ok {
+		t.Fatal("the fleet did not form")
+	}
+	f.Run(3 * time.Second)
+	f.wrongDeaths = nil
+	return f
+}
+
+func info(i int) instance.Info {
+	return instance.Info{
+		ID:            instance.ID(fmt.Sprint("i", i)),
+		FailureDomain: instance.FailureDomain(fmt.Sprint("d", i%3)),
+		PeerAddress:   fmt.Sprint("10.0.0.1:", 7000+i),
+	}
+}
+
+func (f *fleet) start(n *capacity.Node) {
+	n.OnChange = func(_ time.Time, c membership.Changes) {
+		for _, change := range c.MemberChanges {
+			about := f.Node(change.ID)
+			if change.To == instance.StateDead && about.Up() && change.ID != f.paused && change.Incarnation >= about.Incarnation {
+				f.wrongDeaths = append(f.wrongDeaths, fmt.Sprintf("%s says %+v", n.Info.ID, change))
+			}
+		}
+	}
+	f.Start(n)
+	n.Machine.Listed(f.Now, f.list())
+}
+
+func (f *fleet) list() []platform.InstanceEntry {
+	var entries []platform.InstanceEntry
+	for _, n := range f.Nodes {
+		entries = append(entries, platform.InstanceEntry{Info: n.Info})
+	}
+	return entries
+}
+
+// all reports whether the condition holds in the views of all running instances.
+func (f *fleet) all(condition func(*membership.View) bool) bool {
+	for _, n := range f.Nodes {
+		if n.Up() && !condition(n.Machine.View()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) agree(live int) bool {
+	return f.all(func(v *membership.View) bool { return v.Joined && !v.CutOff && len(v.Live()) == live })
+}
+
+// deadEverywhere reports whether all running instances take the node for dead.
+func (f *fleet) deadEverywhere(n *capacity.Node) bool {
+	return f.all(func(v *membership.View) bool { return v.State(n.Info.ID) == instance.StateDead })
+}
+
+// Guards against a dead instance that is found late, or revived by the platform's lagging list.
+func TestDeadStaysDeadAlthoughListed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 1)
+	victim := f.Nodes[2]
+	f.Stop(victim, false)
+	d, ok := f.RunUntil(3*time.Second, func() bool { return f.deadEverywhere(victim) })
+	is.True(ok)
+	is.True(d <= 1500*time.Millisecond) // 1.3 s of detection and one push
+	for range 4 {
+		f.Run(5 * time.Second)
+		for _, n := range f.Nodes {
+			if n.Up() {
+				n.Machine.Listed(f.Now, f.list())
+			}
+		}
+	}
+	is.True(f.deadEverywhere(victim))
+	f.start(victim) // a replacement that kept the id has a higher incarnation
+	_, ok = f.RunUntil(5*time.Second, func() bool { return f.agree(6) })
+	is.True(ok)
+	is.Equal(len(f.wrongDeaths), 0)
+}
+
+// Guards against a paused process that comes back after it was declared dead and is not taken back.
+func TestPausedInstanceRefutes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 9, 2)
+	paused := f.Nodes[4]
+	f.Pause(paused)
+	_, ok := f.RunUntil(3*time.Second, func() bool {
+		n := 0
+		for _, other := range f.Nodes {
+			if other != paused && other.Machine.View().State(paused.Info.ID) == instance.StateDead {
+				n++
+			}
+		}
+		return n == 8
+	})
+	is.True(ok)
+	f.wrongDeaths = nil
+	f.Resume(paused)
+	d, ok := f.RunUntil(5*time.Second, func() bool { return f.agree(9) })
+	is.True(ok)
+	is.True(d <= 2*time.Second)
+	is.Equal(len(f.wrongDeaths), 0) // the paused instance must not blame its peers for its pause
+}
+
+// Guards against a paused process that goes on beside the one that replaced it under the same id.
+func TestReplacedProcessFallsSilent(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 3)
+	f.Run(2 * time.Second)
+	old := f.Nodes[1].Machine
+	f.start(f.Nodes[1])
+	_, ok := f.RunUntil(5*time.Second, func() bool { return f.agree(6) })
+	is.True(ok)
+	reply := f.Nodes[0].Machine.Gossip(f.Now, &membership.Message{From: info(1).ID})
+	reply.Members = append(reply.Members, f.Nodes[1].Machine.View().Self)
+	old.Gossip(f.Now, reply)
+	is.True(old.Replaced())
+	is.Equal(len(old.Tick(f.Now)), 0)
+}
+
+// Guards against leaving rows of the list that are applied to a later process with the same id.
+func TestListAnnouncesLeaving(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 4)
+	f.Nodes[0].Machine.Listed(f.Now, f.list())
+	leaving := f.list()
+	leaving[3].Leaving = true
+	f.Nodes[0].Machine.Listed(f.Now, leaving)
+	_, ok := f.RunUntil(4*time.Second, func() bool { return f.agree(5) })
+	is.True(ok)
+	is.Equal(f.Nodes[3].Machine.View().Self.State, instance.StateLeaving)
+	f.Stop(f.Nodes[3], true)
+	f.Run(time.Second)
+	is.True(f.deadEverywhere(f.Nodes[3]))
+	f.start(f.Nodes[3])
+	f.Nodes[0].Machine.Listed(f.Now, leaving) // the list lags
+	_, ok = f.RunUntil(5*time.Second, func() bool { return f.agree(6) })
+	is.True(ok)
+	f.Nodes[0].Machine.Listed(f.Now, leaving)
+	f.Run(2 * time.Second)
+	is.True(f.agree(6))
+}
+
+// Guards against live instances that are declared dead because single messages are lost.
+func TestFalseDeathsUnderLoss(t *testing.T) {
+	is := is.New(t)
+	const minutes = 10
+	f := newFleet(t, 20, 5)
+	f.Deliver = f.lossy(100)
+	suspicions := 0
+	for _, n := range f.Nodes {
+		watch := n.OnChange
+		n.OnChange = func(now time.Time, c membership.Changes) {
+			watch(now, c)
+			suspicions += c.Refutations
+		}
+	}
+	f.Run(minutes * time.Minute)
+	t.Logf("20 instances, %d minutes, 1 %% loss: %d wrong deaths, %d refuted suspicions", minutes, len(f.wrongDeaths), suspicions)
+	is.Equal(len(f.wrongDeaths), 0)
+}
+
+// lossy loses one in n messages.
+func (f *fleet) lossy(n int) func(capacity.Leg) capacity.Delivery {
+	return func(capacity.Leg) capacity.Delivery {
+		return capacity.Delivery{Lost: f.Rand().IntN(n) == 0, Delay: time.Millisecond}
+	}
+}
+
+// Guards against an instance that keeps serving while it is cut off, and against one that stops while the store or
+// most peers can be reached.
+func TestIsolation(t *testing.T) {
+	for _, n := range []int{2, 6, 60} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, n, 6)
+			alone := f.Nodes[0]
+			f.Deliver = func(l capacity.Leg) capacity.Delivery {
+				return capacity.Delivery{Lost: l.From == alone.Info.ID || l.To == alone.Info.ID, Delay: time.Millisecond}
+			}
+			isolated := func(storeReachable bool) func() bool {
+				return func() bool {
+					for _, other := range f.Nodes[1:] {
+						if n > 2 && other.Machine.Isolated(f.Now, false) {
+							t.Fatalf("%s is isolated", other.Info.ID)
+						}
+					}
+					return alone.Machine.Isolated(f.Now, storeReachable)
+				}
+			}
+			_, ok := f.RunUntil(10*time.Second, isolated(true))
+			is.True(!ok)
+			f.Deliver = nil
+			f.RunUntil(20*time.Second, func() bool { return f.agree(n) })
+			is.True(f.agree(n))
+			f.Run(3 * time.Second)
+			f.Deliver = func(l capacity.Leg) capacity.Delivery {
+				return capacity.Delivery{Lost: l.From == alone.Info.ID || l.To == alone.Info.ID, Delay: time.Millisecond}
+			}
+			d, ok := f.RunUntil(10*time.Second, isolated(false))
+			is.True(ok)
+			is.True(d >= membership.IsolationDelay)
+			is.True(d <= 4*time.Second) // the bound on the use of withdrawn keys
+		})
+	}
+}
+
+// Guards against the smaller side of a healed cut that makes the larger side take its live instances for dead.
+func TestHealedCutDoesNotSpreadWrongDeaths(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 30, 7)
+	small := func(id instance.ID) bool { return f.Node(id).Info.FailureDomain == "d0" }
+	f.Deliver = func(l capacity.Leg) capacity.Delivery {
+		return capacity.Delivery{Lost: small(l.From) != small(l.To), Delay: time.Millisecond}
+	}
+	f.Run(30 * time.Second)
+	for _, n := range f.Nodes {
+		is.Equal(n.Machine.View().CutOff, small(n.Info.ID))
+	}
+	f.wrongDeaths = nil
+	f.Deliver = nil
+	d, ok := f.RunUntil(30*time.Second, func() bool { return f.agree(30) })
+	is.True(ok)
+	refuted := 0
+	for _, n := range f.Nodes {
+		if !small(n.Info.ID) && n.Machine.View().Self.Incarnation != n.Incarnation {
+			refuted++
+		}
+	}
+	t.Logf("healed after %s; %d of 20 instances of the larger side had to refute", d, refuted)
+	is.True(d <= 3*time.Second)
+	is.True(refuted <= 5) // the first suspicions of the smaller side, before it knows that it is cut off
+	is.Equal(len(f.wrongDeaths), 0)
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -88,8 +88,8 @@
 	}
 	helpers := m.pickPeers(IndirectProbes, target)
 	if len(helpers) == 0 {
-		m.unanswered(now, target)
-		return nil
+		m.unanswered = append(m.unanswered, target)
+		return m.samples(now)
 	}
 	var calls []Call
 	for _, id := range helpers {
@@ -128,7 +128,7 @@
 		return
 	}
 	delete(m.indirect, c.Target)
-	m.unanswered(now, c.Target)
+	m.unanswered = append(m.unanswered, c.Target)
 }
 
 // confirmAlive ends the own observation of a suspect that answered. The suspicion then waits for the refutation, which
@@ -147,10 +147,22 @@
 	m.suspicions[id] = s
 }
 
-// unanswered handles a target that nobody reached. While this instance is cut off from most peers the failure is not
-// the target's, and nothing is spread.
-func (m *Machine) unanswered(now time.Time, target instance.ID) {
+// judgeUnanswered handles the targets that nobody reached since the last tick. It waits for the tick so that the
+// sample that was contacted together with the indirect probes counts.
+func (m *Machine) judgeUnanswered(now time.Time) {
+	if len(m.unanswered) == 0 {
+		return
+	}
 	m.evaluateReach(now)
+	for _, target := range m.unanswered {
+		m.suspect(now, target)
+	}
+	m.unanswered = m.unanswered[:0]
+}
+
+// suspect starts the suspicion of a target that nobody reached. While this instance is cut off from most peers the
+// failure is not the target's, and nothing is spread.
+func (m *Machine) suspect(now time.Time, target instance.ID) {
 	record, ok := m.state.member(target)
 	if !ok || m.reach.cut || record.State == instance.StateDead {
 		return
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -105,27 +105,42 @@
 		return true
 	}
 	r.cut = true
-	r.cutSince = now
+	r.cutSince = r.firstFailure()
 	r.unreachable = make(map[instance.ID]struct{}, r.failing)
 	for id, c := range r.contacts {
-		if c.ok {
-			continue
-		}
-		r.unreachable[id] = struct{}{}
-		if c.failedSince.Before(r.cutSince) {
-			r.cutSince = c.failedSince
+		if !c.ok {
+			r.unreachable[id] = struct{}{}
 		}
 	}
 	r.lostSince = r.cutSince
 	return true
 }
 
-// mostFail counts all peers of a small fleet and relies on a random sample in a large one.
+// mostFail counts all peers of a small fleet and relies on a random sample in a large one. Successes from before the
+// first failure say nothing about the present, so the sample leaves them out.
 func (r *reach) mostFail(known int) bool {
-	if known <= ExactPeers {
-		return known > 0 && 2*r.failing > known
+	if known <= ExactPeers || r.failing == 0 {
+		return 2*r.failing > known
+	}
+	start := r.firstFailure()
+	sample := 0
+	for _, c := range r.contacts {
+		if !c.at.Before(start) {
+			sample++
+		}
+	}
+	return sample >= SampleSize && 2*r.failing > sample
+}
+
+// firstFailure returns when the oldest call that counts as failed was sent.
+func (r *reach) firstFailure() time.Time {
+	var first time.Time
+	for _, c := range r.contacts {
+		if !c.ok && (first.IsZero() || c.failedSince.Before(first)) {
+			first = c.failedSince
+		}
 	}
-	return len(r.contacts) >= SampleSize && 2*r.failing > len(r.contacts)
+	return first
 }
 
 // prune drops results older than EvidenceWindow. Nothing depends on them while no call fails, so a quiet instance
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -10,7 +10,7 @@
 import "time"
 
 // Intervals, timeouts and limits of the failure detector. A dead instance is known to its probers after at most
-// ProbeInterval + 2*ProbeTimeout + SuspectTimeout = 1.3 s.
+// ProbeInterval + 2*ProbeTimeout + SuspectTimeout + 2*TickInterval = 1.4 s.
 const (
 	// TickInterval is the time between two calls of Machine.Tick.
 	TickInterval = 50 * time.Millisecond
