--- /dev/null
+++ b/internal/check/statements.go
@@ -0,0 +1,117 @@
+package check
+
+import "strings"
+
+// checkMixing finds statements of different transactions in one transaction of a connection, and transactions of a
+// caller that were split over several.
+func checkMixing(x *index, r *Result) {
+	home := make(map[TransactionID]*block)
+	for _, b := range x.blocks {
+		if len(b.marked) == 0 {
+			continue
+		}
+		r.Cases++
+		first := b.marked[0]
+		for _, op := range b.marked {
+			if op.Transaction != first.Transaction || op.Session != first.Session {
+				r.violate(b.first(), []*Operation{first, op}, "two callers' statements in one transaction")
+			}
+		}
+		if b.explicit && first.Transaction == 0 {
+			r.violate(b.first(), []*Operation{first}, "a single statement ran inside another transaction")
+		}
+		t := first.Transaction
+		if t == 0 {
+			continue
+		}
+		if home[t] != nil {
+			r.violate(b.first(), []*Operation{first}, "one transaction ran as two")
+		}
+		home[t] = b
+	}
+}
+
+// checkCustomers finds statements that ran as another customer's, or in another group, than their caller asked for.
+func checkCustomers(x *index, r *Result) {
+	for id, runs := range x.executions {
+		op := x.byID[id]
+		if op == nil {
+			r.Undecided++
+			continue
+		}
+		for _, run := range runs {
+			checkExecutionCustomer(x, op, run.statement, r)
+		}
+	}
+}
+
+func checkExecutionCustomer(x *index, op *Operation, s *Statement, r *Result) {
+	if s.Group != op.Group {
+		r.violate(s.Start, []*Operation{op}, "ran in group %s", s.Group)
+	}
+	if s.Customer == "" {
+		if x.in.Tagged {
+			r.Undecided++
+		}
+		return
+	}
+	r.Cases++
+	if s.Customer != op.Customer {
+		r.violate(s.Start, []*Operation{op}, "ran for customer %s on member %s", s.Customer, s.Member)
+	}
+}
+
+// minSecretBytes keeps the search for keys from matching by chance.
+const minSecretBytes = 8
+
+// checkSecrets finds customers' keys in what the groups logged. It covers statements only; a search of all bytes sent
+// to upstreams belongs to the tests of the fleet.
+func checkSecrets(x *index, r *Result) {
+	for _, secret := range x.in.Secrets {
+		if len(secret) < minSecretBytes {
+			r.Undecided++
+			continue
+		}
+		r.Cases++
+		for i := range x.in.Statements {
+			if s := &x.in.Statements[i]; s.contains(secret) {
+				r.violate(s.Start, nil, "key in a statement on member %s of group %s", s.Member, s.Group)
+			}
+		}
+	}
+}
+
+func (s *Statement) contains(text string) bool {
+	if strings.Contains(s.Text, text) || strings.Contains(s.Customer, text) {
+		return true
+	}
+	for _, p := range s.Params {
+		if strings.Contains(p, text) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkAnswers finds answers that belong to another request: a read that returned another row, or a write whose answer
+// does not carry its own marker.
+func checkAnswers(x *index, r *Result) {
+	for i := range x.in.Operations {
+		op := &x.in.Operations[i]
+		if op.Outcome != OutcomeOK {
+			continue
+		}
+		for _, v := range op.Values {
+			r.Cases++
+			if op.Kind != KindScan && v.Row != op.Row {
+				r.violate(op.Return, []*Operation{op}, "asked for row %s, got row %s", op.Row.ID, v.Row.ID)
+			}
+			if op.Kind.IsWrite() && v.Writer != op.Statement {
+				r.violate(op.Return, []*Operation{op}, "the answer carries the marker %s", v.Writer)
+			}
+		}
+		if op.Kind.IsWrite() && len(op.Values) == 0 {
+			r.violate(op.Return, []*Operation{op}, "a write was answered without its row")
+		}
+	}
+}
