--- a/internal/check/input.go
+++ b/internal/check/input.go
@@ -75,6 +75,17 @@
 	Tagged bool
 }
 
+// KeyWithdrawn reports whether the request used a key that was withdrawn before the request ended, so that its refusal
+// is what operators asked for.
+func (in *Input) KeyWithdrawn(q *Request) bool {
+	for _, w := range in.Withdrawals {
+		if w.Customer == q.Customer && w.Key == q.Key && !w.At.After(q.Done) {
+			return true
+		}
+	}
+	return false
+}
+
 // index holds what several checkers look up.
 type index struct {
 	in         *Input
