--- a/internal/check/input.go
+++ b/internal/check/input.go
@@ -13,12 +13,23 @@
 // Contract is what a customer is entitled to from a moment on.
 type Contract struct {
 	Customer string
-	From     time.Time
+	// From is the first moment at which an instance may apply it, By the moment at which all must; a zero By means
+	// SpreadBound after From.
+	From time.Time
+	By   time.Time
 	// Rate is in statements a second.
 	Rate  float64
 	Burst int
 }
 
+// by returns the moment at which all instances must apply the contract.
+func (c *Contract) by() time.Time {
+	if c.By.IsZero() {
+		return c.From.Add(SpreadBound)
+	}
+	return c.By
+}
+
 // Withdrawal is the moment at which the withdrawal of a key was accepted.
 type Withdrawal struct {
 	Customer string
--- a/internal/check/rate.go
+++ b/internal/check/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -30,7 +31,9 @@
 	for _, c := range x.in.Contracts {
 		contracts[c.Customer] = append(contracts[c.Customer], c)
 	}
-	for customer, admissions := range x.admissions() {
+	byCustomer := x.admissions()
+	for _, customer := range slices.Sorted(maps.Keys(byCustomer)) {
+		admissions := byCustomer[customer]
 		steps := newAllowance(contracts[customer])
 		if len(steps) == 0 {
 			r.Undecided += len(admissions)
@@ -87,15 +90,15 @@
 	refilled float64
 }
 
-// newAllowance returns the most that the customer may get. A change of contract may take SpreadBound to be in force
-// everywhere, so until then the higher of the old and the new values applies.
+// newAllowance returns the most that the customer may get. A change of contract takes a while to be in force everywhere,
+// so until then the higher of the old and the new values applies.
 func newAllowance(contracts []Contract) allowance {
 	slices.SortFunc(contracts, func(a, b Contract) int { return a.From.Compare(b.From) })
 	var points []time.Time
 	for i, c := range contracts {
 		points = append(points, c.From)
 		if i > 0 {
-			points = append(points, c.From.Add(SpreadBound))
+			points = append(points, c.by())
 		}
 	}
 	slices.SortFunc(points, time.Time.Compare)
@@ -114,7 +117,7 @@
 func highestInForce(contracts []Contract, moment time.Time) allowanceStep {
 	step := allowanceStep{from: moment}
 	for i, c := range contracts {
-		replaced := i+1 < len(contracts) && !contracts[i+1].From.Add(SpreadBound).After(moment)
+		replaced := i+1 < len(contracts) && !contracts[i+1].by().After(moment)
 		if replaced || c.From.After(moment) {
 			continue
 		}
--- a/internal/check/reads.go
+++ b/internal/check/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -22,8 +23,9 @@
 			acknowledged[e.op] = e
 		}
 	}
-	for _, ops := range operationsBySession(x.in.Operations) {
-		checkSessionReads(ops, acknowledged, r)
+	sessions := operationsBySession(x.in.Operations)
+	for _, id := range slices.Sorted(maps.Keys(sessions)) {
+		checkSessionReads(sessions[id], acknowledged, r)
 	}
 }
 
--- a/internal/check/register.go
+++ b/internal/check/register.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -85,13 +86,19 @@
 	}
 }
 
+// sortedRows returns the rows with the shortest histories first.
 func sortedRows(rows map[groupRow]*rowHistory) []groupRow {
 	keys := make([]groupRow, 0, len(rows))
 	for k := range rows {
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(a, b groupRow) int {
-		return len(rows[a].operations) - len(rows[b].operations)
+		return cmp.Or(
+			cmp.Compare(len(rows[a].operations), len(rows[b].operations)),
+			cmp.Compare(a.group, b.group),
+			cmp.Compare(a.row.Table, b.row.Table),
+			cmp.Compare(a.row.ID, b.row.ID),
+		)
 	})
 	return keys
 }
--- a/internal/check/statements.go
+++ b/internal/check/statements.go
@@ -33,19 +33,22 @@
 
 // checkCustomers finds statements that ran as another customer's, or in another group, than their caller asked for.
 func checkCustomers(x *index, r *Result) {
-	for id, runs := range x.executions {
+	for i := range x.in.Statements {
+		s := &x.in.Statements[i]
+		id, ok := s.Marker()
+		if !ok {
+			continue
+		}
 		op := x.byID[id]
 		if op == nil {
 			r.Undecided++
 			continue
 		}
-		for _, run := range runs {
-			checkExecutionCustomer(x, op, run.statement, r)
-		}
+		checkStatementCustomer(x, op, s, r)
 	}
 }
 
-func checkExecutionCustomer(x *index, op *Operation, s *Statement, r *Result) {
+func checkStatementCustomer(x *index, op *Operation, s *Statement, r *Result) {
 	if s.Group != op.Group {
 		r.violate(s.Start, []*Operation{op}, "ran in group %s", s.Group)
 	}
--- a/internal/check/writes.go
+++ b/internal/check/writes.go
@@ -82,6 +82,7 @@
 func checkDoubled(x *index, r *Result) {
 	possible := make(map[groupRow]int64)
 	last := make(map[groupRow]*Operation)
+	var rows []groupRow
 	for i := range x.effects {
 		e := &x.effects[i]
 		r.Cases++
@@ -90,11 +91,15 @@
 		}
 		if e.state != effectNone {
 			k := groupRow{e.op.Group, e.op.Row}
+			if possible[k] == 0 {
+				rows = append(rows, k)
+			}
 			possible[k]++
 			last[k] = e.op
 		}
 	}
-	for k, n := range possible {
+	for _, k := range rows {
+		n := possible[k]
 		if final := x.rows[k]; final.Version > n {
 			r.violate(last[k].Return, []*Operation{last[k]}, "row %s: final version %d after at most %d writes",
 				k.row.ID, final.Version, n)
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -4,15 +4,15 @@
 	"context"
 	"io"
 	"net"
-	"sync"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/xdg-go/scram"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/pgauth"
 )
 
 // Endpoint is an address that callers may connect to.
@@ -29,36 +29,21 @@
 	Password string
 }
 
+// KeyName returns the name of the key, empty when the user has no such part.
+func (c Credential) KeyName() string {
+	_, key, _ := strings.Cut(c.User, ".")
+	return key
+}
+
 // Names of celerystep's session parameters (design page, section 5).
 const (
 	parameterToken  = "celerystep.token"
 	parameterMaxAge = "celerystep.max_age_ms"
 )
 
-// scramMechanism is the only mechanism that the client offers.
-const scramMechanism = "SCRAM-SHA-256"
-
 // dialTimeout bounds the opening of a connection, from the TCP connection to the first ReadyForQuery.
 const dialTimeout = 5 * time.Second
 
-// serverError is an ErrorResponse.
-type serverError struct {
-	code    string
-	message string
-	fatal   bool
-}
-
-// Error formats the SQLSTATE and the message.
-func (e *serverError) Error() string { return "sqlstate=" + e.code + ": " + e.message }
-
-func newServerError(m *pgproto3.ErrorResponse) *serverError {
-	return &serverError{
-		code:    m.Code,
-		message: m.Message,
-		fatal:   m.SeverityUnlocalized == "FATAL" || m.Severity == "FATAL",
-	}
-}
-
 // conn is a caller's connection. It is used by one goroutine at a time.
 type conn struct {
 	net      net.Conn
@@ -74,25 +59,8 @@
 	txStatus byte
 }
 
-// scramClients caches derived keys, so that reconnecting sessions do not spend the generator's processor time on key
-// derivation.
-type scramClients struct{ byCredential sync.Map }
-
-func (c *scramClients) get(cred Credential) (*scram.Client, error) {
-	if v, ok := c.byCredential.Load(cred); ok {
-		return v.(*scram.Client), nil
-	}
-	// The server takes the user from the start-up message and ignores the name in the exchange.
-	client, err := scram.SHA256.NewClientUnprepped("", cred.Password, "")
-	if err != nil {
-		return nil, errors.Wrap(err, "step=scram")
-	}
-	v, _ := c.byCredential.LoadOrStore(cred, client)
-	return v.(*scram.Client), nil
-}
-
-// dial connects and authenticates. The error is a *serverError when the server refused.
-func dial(ctx context.Context, clients *scramClients, e Endpoint, cred Credential, parameters map[string]string) (*conn, error) {
+// dial connects and authenticates. The error is a *pgauth.ServerError when the server refused.
+func dial(ctx context.Context, clients *pgauth.Clients, e Endpoint, cred Credential, parameters map[string]string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -105,88 +73,33 @@
 		_ = nc.Close()
 		return nil, errors.Wrapf(err, "step=dial peer=%s", e.Address)
 	}
-	c := &conn{net: nc, front: pgproto3.NewFrontend(nc, nc), endpoint: e, prepared: make(map[string]string)}
-	if err := c.startup(clients, cred, parameters); err != nil {
+	c := &conn{net: nc, front: pgproto3.NewFrontend(nc, nc), endpoint: e, txStatus: 'I', prepared: make(map[string]string)}
+	login := pgauth.Login{User: cred.User, Password: cred.Password, Parameters: parameters}
+	if err := clients.Connect(c.front, login, c.setParameter); err != nil {
 		_ = nc.Close()
 		return nil, errors.Wrapf(err, "step=startup peer=%s", e.Address)
 	}
 	return c, nil
 }
 
-func (c *conn) startup(clients *scramClients, cred Credential, parameters map[string]string) error {
-	all := map[string]string{"user": cred.User, "application_name": "celerystep-load"}
-	for k, v := range parameters {
-		all[k] = v
-	}
-	c.front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: all})
-	if err := c.front.Flush(); err != nil {
-		return err
-	}
-	var conversation *scram.ClientConversation
-	for {
-		m, err := c.front.Receive()
-		if err != nil {
-			return err
-		}
-		switch m := m.(type) {
-		case *pgproto3.AuthenticationSASL:
-			client, err := clients.get(cred)
-			if err != nil {
-				return err
-			}
-			conversation = client.NewConversation()
-			first, err := conversation.Step("")
-			if err != nil {
-				return err
-			}
-			err = c.send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(first)})
-			if err != nil {
-				return err
-			}
-		case *pgproto3.AuthenticationSASLContinue:
-			if err := c.continueScram(conversation, m.Data); err != nil {
-				return err
-			}
-		case *pgproto3.AuthenticationSASLFinal:
-			if _, err := conversation.Step(string(m.Data)); err != nil {
-				return err
-			}
-		case *pgproto3.ReadyForQuery:
-			c.txStatus = m.TxStatus
-			return nil
-		default:
-			if err := c.note(m); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-func (c *conn) continueScram(conversation *scram.ClientConversation, challenge []byte) error {
-	if conversation == nil {
-		return errors.New("SASL continuation before its start")
-	}
-	answer, err := conversation.Step(string(challenge))
-	if err != nil {
-		return err
-	}
-	return c.send(&pgproto3.SASLResponse{Data: []byte(answer)})
-}
-
 func (c *conn) send(m pgproto3.FrontendMessage) error {
 	c.front.Send(m)
 	return c.front.Flush()
 }
 
-// note handles the messages that may come at any time. It returns a *serverError for an ErrorResponse.
+func (c *conn) setParameter(name, value string) {
+	if name == parameterToken {
+		c.token = value
+	}
+}
+
+// note handles the messages that may come at any time. It returns a *pgauth.ServerError for an ErrorResponse.
 func (c *conn) note(m pgproto3.BackendMessage) error {
 	switch m := m.(type) {
 	case *pgproto3.ParameterStatus:
-		if m.Name == parameterToken {
-			c.token = m.Value
-		}
+		c.setParameter(m.Name, m.Value)
 	case *pgproto3.ErrorResponse:
-		return newServerError(m)
+		return pgauth.NewServerError(m)
 	}
 	return nil
 }
--- a/internal/load/exec.go
+++ b/internal/load/exec.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/pgauth"
 )
 
 // notRunText is in every error answer that says that the statement was not run (design page, section 7).
@@ -82,7 +83,7 @@
 // receive reads an answer up to ReadyForQuery, a fatal error or the end of the stream.
 func (c *conn) receive() answer {
 	var a answer
-	var failure *serverError
+	var failure *pgauth.ServerError
 	for {
 		m, err := c.front.Receive()
 		if err != nil {
@@ -96,8 +97,8 @@
 		case *pgproto3.CommandComplete:
 			a.tag = string(m.CommandTag)
 		case *pgproto3.ErrorResponse:
-			failure = newServerError(m)
-			if failure.fatal {
+			failure = pgauth.NewServerError(m)
+			if failure.Fatal {
 				a.ended = true
 				return a.withFailure(failure)
 			}
@@ -112,11 +113,11 @@
 }
 
 // withFailure sets the outcome that an ErrorResponse states.
-func (a answer) withFailure(e *serverError) answer {
+func (a answer) withFailure(e *pgauth.ServerError) answer {
 	if e == nil {
 		return a
 	}
-	a.code = e.code
+	a.code = e.Code
 	a.err = e
 	a.outcome = outcomeOf(e)
 	return a
@@ -124,11 +125,11 @@
 
 // outcomeOf concludes from an error answer whether the statement may have run. A server that is shutting down or lost
 // its upstream may have run it unless it says otherwise; any other SQL error means that it had no effect.
-func outcomeOf(e *serverError) check.Outcome {
+func outcomeOf(e *pgauth.ServerError) check.Outcome {
 	switch {
-	case strings.Contains(e.message, notRunText):
+	case strings.Contains(e.Message, notRunText):
 		return check.OutcomeNotRun
-	case strings.HasPrefix(e.code, codeClassUnknown) || e.fatal:
+	case strings.HasPrefix(e.Code, codeClassUnknown) || e.Fatal:
 		return check.OutcomeUnknown
 	default:
 		return check.OutcomeFailed
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/pgauth"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -71,7 +72,7 @@
 	idleClose time.Duration
 	timeout   time.Duration
 	start     time.Time
-	clients   scramClients
+	clients   pgauth.Clients
 	progress  progress
 	sessions  []*session
 	schedule  *Schedule
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -19,6 +19,9 @@
 	reconnectPauseMax = 200 * time.Millisecond
 )
 
+// applicationName is what the sessions call themselves.
+const applicationName = "celerystep-load"
+
 // retryReserve is the least time before a request's deadline at which it is still attempted again.
 const retryReserve = 50 * time.Millisecond
 
@@ -221,9 +224,9 @@
 	if !ok {
 		return "", false
 	}
-	s.lastKey, s.lastInstance = keyName(cred), e.Instance
+	s.lastKey, s.lastInstance = cred.KeyName(), e.Instance
 	op := s.operation(request, nil, check.KindConnect)
-	op.Key = keyName(cred)
+	op.Key = s.lastKey
 	op.Instance, op.FailureDomain = e.Instance, e.FailureDomain
 	op.Invoke = time.Now()
 	c, err := dial(ctx, &s.gen.clients, e, cred, s.parameters())
@@ -273,7 +276,7 @@
 
 // parameters returns the start-up parameters of the session's next connection.
 func (s *session) parameters() map[string]string {
-	p := map[string]string{"database": s.stream.Database}
+	p := map[string]string{"database": s.stream.Database, "application_name": applicationName}
 	if !s.gen.proxy {
 		return p
 	}
@@ -286,12 +289,6 @@
 	return p
 }
 
-// keyName returns the name of the key in a user name of the form customer.keyname.
-func keyName(c Credential) string {
-	_, key, _ := strings.Cut(c.User, ".")
-	return key
-}
-
 // sleep waits for d and reports whether ctx is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/load/transaction.go
+++ b/internal/load/transaction.go
@@ -6,13 +6,14 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/pgauth"
 )
 
 // codeOf returns the SQLSTATE of an error answer, empty when the server gave none.
 func codeOf(err error) string {
-	var e *serverError
+	var e *pgauth.ServerError
 	if errors.As(err, &e) {
-		return e.code
+		return e.Code
 	}
 	return ""
 }
