--- a/internal/check/report.go
+++ b/internal/check/report.go
@@ -103,6 +103,15 @@
 	return slices.ContainsFunc(r, func(x Result) bool { return x.Status == StatusViolated })
 }
 
+// Find returns the result of the named checker.
+func (r Report) Find(checker string) (Result, bool) {
+	i := slices.IndexFunc(r, func(x Result) bool { return x.Checker == checker })
+	if i < 0 {
+		return Result{}, false
+	}
+	return r[i], true
+}
+
 // checker judges one guarantee.
 type checker struct {
 	guarantee Guarantee
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -178,3 +178,6 @@
 	// Refusals counts refused requests by customer.
 	Refusals map[string][]int `json:"refusals"`
 }
+
+// Took returns how long the action took.
+func (m Mark) Took() time.Duration { return m.Ended - m.At }
