--- a/internal/standin/group/group.go
+++ b/internal/standin/group/group.go
@@ -14,7 +14,7 @@
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
-// Group is a running database group.
+// Group is a running database group. Methods that name a member panic when the group does not have it.
 type Group struct {
 	options Options
 	logger  hclog.Logger
