--- a/internal/standin/group/execute.go
+++ b/internal/standin/group/execute.go
@@ -226,6 +226,9 @@
 		return 0, err
 	}
 	defer release()
+	if !s.m.frozen.pass(s.done) {
+		return 0, errTerminated()
+	}
 	index, err := s.m.beginStatement(s, t, st.Text, x.Args)
 	if err != nil {
 		return 0, err
@@ -236,14 +239,12 @@
 	} else {
 		n, err = s.m.database().Run(x, row)
 	}
-	state := ""
 	if err != nil {
-		state = asSQLError(err).State
-	} else {
-		t.recordStatement(st, x, n)
+		s.m.statements.setResult(index, false, asSQLError(err).State)
+		return n, err
 	}
-	s.m.statements.setResult(index, err == nil && st.Class == sqltext.Write && !st.Locks, state)
-	return n, err
+	s.m.statements.setResult(index, t.recordStatement(st, x, n), "")
+	return n, nil
 }
 
 // prepareRun takes the slot, the service time and, for a write, the writer. A write waits for the writer without a
@@ -290,7 +291,7 @@
 	case <-s.canceled:
 		return errorf(stateCanceled, "canceling statement due to user request")
 	case <-s.done:
-		return fatalf(stateAdminShutdown, "the connection is closed by the member")
+		return errTerminated()
 	}
 }
 
@@ -312,7 +313,7 @@
 	case <-s.canceled:
 		return errorf(stateCanceled, "canceling statement due to user request")
 	case <-s.done:
-		return fatalf(stateAdminShutdown, "the connection is closed by the member")
+		return errTerminated()
 	}
 }
 
--- a/internal/standin/group/transaction.go
+++ b/internal/standin/group/transaction.go
@@ -95,7 +95,7 @@
 	case <-s.canceled:
 		return errorf(stateCanceled, "canceling statement due to user request")
 	case <-s.done:
-		return fatalf(stateAdminShutdown, "the connection is closed by the member")
+		return errTerminated()
 	}
 }
 
@@ -113,6 +113,9 @@
 
 // commitTransaction ends the running transaction and reports the position when it wrote.
 func (s *session) commitTransaction() error {
+	if !s.m.frozen.pass(s.done) {
+		return errTerminated()
+	}
 	t := s.tx
 	s.tx = nil
 	if t.changes == 0 {
@@ -166,13 +169,14 @@
 	}
 }
 
-// recordStatement remembers a statement for the replay.
-func (t *transaction) recordStatement(st *sqltext.Statement, x sqldb.Statement, rows int64) {
+// recordStatement remembers a statement for the replay and reports whether it changed anything.
+func (t *transaction) recordStatement(st *sqltext.Statement, x sqldb.Statement, rows int64) bool {
 	if st.Class != sqltext.Write || st.Locks || rows == 0 && !st.Schema {
-		return
+		return false
 	}
 	t.statements = append(t.statements, x)
 	t.changes++
+	return true
 }
 
 // replayed returns the form in which members repeat a statement.
