Add the daemon's settings file

Cause: each process learns its addresses, failure domain and credentials from a settings file, and a mistake in it must be found before the start.

--- /dev/null
+++ b/internal/settings/secrets.go
@@ -0,0 +1,158 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/base64"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// minTokenSecretBytes is the output size of HMAC-SHA-256; a shorter key would weaken it.
+const minTokenSecretBytes = 32
+
+// TokenSecret is a decoded key for session tokens.
+type TokenSecret struct {
+	ID  string
+	Key []byte
+}
+
+// Files holds what the files named in the settings contain.
+type Files struct {
+	// CallerTLS is nil when callers connect in plain text.
+	CallerTLS *tls.Config
+	// PeerServerTLS and PeerClientTLS are nil when peers connect in plain text.
+	PeerServerTLS *tls.Config
+	PeerClientTLS *tls.Config
+	// UpstreamTLS is nil when members are connected in plain text.
+	UpstreamTLS      *tls.Config
+	UpstreamPassword Secret
+	// TokenKeys are in the order of the settings: the first one signs.
+	TokenKeys []TokenSecret
+}
+
+// LoadFiles reads every file that the settings name. The error joins all failures.
+func (s *Settings) LoadFiles() (*Files, error) {
+	f := &Files{UpstreamPassword: s.Upstream.Password}
+	err := errors.Join(
+		f.loadCallerTLS(s),
+		f.loadPeerTLS(s),
+		f.loadUpstream(s),
+		f.loadTokenKeys(s),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Files) loadCallerTLS(s *Settings) error {
+	if s.TLS.Callers.CertificateFile == "" {
+		return nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.TLS.Callers.CertificateFile, s.TLS.Callers.KeyFile)
+	if err != nil {
+		return errors.Wrap(err, "tls.callers")
+	}
+	f.CallerTLS = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
+	return nil
+}
+
+func (f *Files) loadPeerTLS(s *Settings) error {
+	files := s.TLS.Peers
+	if files.CertificateFile == "" {
+		return nil
+	}
+	pair, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+	if err != nil {
+		return errors.Wrap(err, "tls.peers")
+	}
+	pool, err := loadPool(files.AuthorityFile)
+	if err != nil {
+		return errors.Wrap(err, "tls.peers.authority_file")
+	}
+	f.PeerServerTLS = &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}
+	f.PeerClientTLS = &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		MinVersion:   tls.VersionTLS13,
+	}
+	return nil
+}
+
+func (f *Files) loadUpstream(s *Settings) error {
+	if s.Upstream.AuthorityFile != "" {
+		pool, err := loadPool(s.Upstream.AuthorityFile)
+		if err != nil {
+			return errors.Wrap(err, "upstream.authority_file")
+		}
+		f.UpstreamTLS = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	if s.Upstream.PasswordFile == "" {
+		return nil
+	}
+	text, err := os.ReadFile(s.Upstream.PasswordFile)
+	if err != nil {
+		return errors.Wrap(err, "upstream.password_file")
+	}
+	f.UpstreamPassword = Secret(strings.TrimRight(string(text), "\r\n"))
+	return nil
+}
+
+func (f *Files) loadTokenKeys(s *Settings) error {
+	var failed []error
+	for i, k := range s.TokenKeys {
+		key, err := k.load()
+		if err != nil {
+			failed = append(failed, errors.Wrap(err, "token_keys["+itoa(i)+"]"))
+			continue
+		}
+		f.TokenKeys = append(f.TokenKeys, TokenSecret{ID: k.ID, Key: key})
+	}
+	return errors.Join(failed...)
+}
+
+func (k *TokenKey) load() ([]byte, error) {
+	if k.SecretFile == "" {
+		return decodeTokenSecret(string(k.Secret))
+	}
+	text, err := os.ReadFile(k.SecretFile)
+	if err != nil {
+		return nil, err
+	}
+	return decodeTokenSecret(string(text))
+}
+
+// decodeTokenSecret decodes base64. Its errors do not repeat the text.
+func decodeTokenSecret(text string) ([]byte, error) {
+	key, err := base64.StdEncoding.DecodeString(strings.TrimSpace(text))
+	if err != nil {
+		return nil, errors.New("must be base64")
+	}
+	if len(key) < minTokenSecretBytes {
+		return nil, errors.Errorf("has %d bytes after decoding; at least %d are needed", len(key), minTokenSecretBytes)
+	}
+	return key, nil
+}
+
+func loadPool(path string) (*x509.CertPool, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.Errorf("%s holds no certificate", path)
+	}
+	return pool, nil
+}
+
+func itoa(i int) string { return strconv.Itoa(i) }
