--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/celerystep/celerystep/internal/instance"
@@ -16,6 +17,8 @@
 	out       map[instance.FailureDomain]bool
 	main      map[string]upstream.GroupID
 	served    map[string]int
+	// revoked holds emergency revocations that the configuration does not know of.
+	revoked map[KeyRef]bool
 }
 
 // NewSnapshot indexes c, which must be valid and must not change afterwards.
@@ -47,12 +50,7 @@
 	for i := range s.cluster.Routes {
 		order = append(order, &s.cluster.Routes[i])
 	}
-	slices.SortFunc(order, func(a, b *Route) int {
-		if a.Database < b.Database {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(order, func(a, b *Route) int { return cmp.Compare(a.Database, b.Database) })
 	groups := make(map[string]map[upstream.GroupID]bool)
 	for _, r := range order {
 		s.routes[r.Database] = r
@@ -87,6 +85,13 @@
 // Allows reports whether the customer may use the route with a key.
 func (r *Route) Allows(customer string) bool { return slices.Contains(r.Customers, customer) }
 
+// withRevocations returns the snapshot with a set of revoked keys, which must not change afterwards.
+func (s *Snapshot) withRevocations(revoked map[KeyRef]bool) *Snapshot {
+	out := *s
+	out.revoked = revoked
+	return &out
+}
+
 // Cluster returns the configuration behind the snapshot; the caller must not change it.
 func (s *Snapshot) Cluster() *Cluster { return s.cluster }
 
@@ -99,8 +104,11 @@
 	return c, ok
 }
 
-// Key returns the customer's key of the given name; a withdrawn key is not found.
+// Key returns the customer's key of the given name; a withdrawn or revoked key is not found.
 func (s *Snapshot) Key(customer, key string) (*Key, bool) {
+	if s.revoked[KeyRef{Customer: customer, Key: key}] {
+		return nil, false
+	}
 	c, ok := s.customers[customer]
 	if !ok {
 		return nil, false
