Add the gossip service and the coordinator of homes

Cause: the state machine needs a runtime with calls, views, callbacks and metrics; decisions about homes must be carried out against a home manager. Change: package gossip: Service (ticks, calls over a small transport interface, handlers for Gossip and Probe, list, store check, listeners, metrics) and Coordinator (claims, planned moves with repeated handovers, yielding, draining).

--- /dev/null
+++ b/internal/gossip/loops.go
@@ -0,0 +1,241 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/membership"
+)
+
+const (
+	// directoryInterval is the mean time between two readings of the platform's list; the jitter is 20 %.
+	directoryInterval = 5 * time.Second
+	// joinDirectoryInterval is the time between two readings while the instance has not joined.
+	joinDirectoryInterval = time.Second
+	// directoryTimeout bounds one reading of the list.
+	directoryTimeout = 2 * time.Second
+	// storeCheckInterval is the time between two checks of the store while most peers cannot be reached.
+	storeCheckInterval = 500 * time.Millisecond
+	// storeCheckAge is how long an answer of the store counts.
+	storeCheckAge = 600 * time.Millisecond
+)
+
+// tickLoop drives the machine.
+func (s *Service) tickLoop(ctx context.Context) error {
+	ticker := time.NewTicker(membership.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.step(ctx, s.tick)
+		}
+	}
+}
+
+// tick runs the machine and judges whether this instance is isolated.
+func (s *Service) tick(now time.Time) []membership.Call {
+	calls := s.machine.Tick(now)
+	cut := s.machine.CutOff(now)
+	reachable := s.opts.StoreCheck == nil || s.storeReachable(now)
+	if cut > 0 {
+		wake(s.storeCheck)
+	}
+	isolated := s.machine.Isolated(now, reachable)
+	if s.isolated.Swap(isolated) != isolated {
+		s.events.add(event{isolation: true, isolated: isolated})
+	}
+	joined := s.machine.View().Joined
+	s.mayClaim.Store(joined && !isolated && (cut == 0 || (reachable && cut >= minorityDelay)))
+	return calls
+}
+
+func (s *Service) storeReachable(now time.Time) bool {
+	seen := s.storeSeen.Load()
+	return seen != nil && now.Sub(*seen) <= storeCheckAge
+}
+
+// wake sends a signal unless one is waiting.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// storeLoop asks the store for an answer while the ticks want to know.
+func (s *Service) storeLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.storeCheck:
+		}
+		if s.opts.StoreCheck == nil {
+			continue
+		}
+		started := time.Now()
+		check, cancel := context.WithTimeout(ctx, storeCheckInterval)
+		err := s.opts.StoreCheck(check)
+		cancel()
+		if err == nil {
+			s.StoreAnswered()
+		}
+		if !sleep(ctx, storeCheckInterval-time.Since(started)) {
+			return ctx.Err()
+		}
+	}
+}
+
+// directoryLoop reads the platform's list. A failure harms nothing: the machine keeps what it knows.
+func (s *Service) directoryLoop(ctx context.Context) error {
+	for {
+		s.readDirectory(ctx)
+		wait := directoryInterval - directoryInterval/5 + rand.N(directoryInterval*2/5)
+		if !s.View().Joined {
+			wait = joinDirectoryInterval
+		}
+		if !sleep(ctx, wait) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Service) readDirectory(ctx context.Context) {
+	read, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	entries, err := s.opts.Directory.Instances(read)
+	if err != nil {
+		s.metrics.listErrors.Inc()
+		s.log.Warn("cannot read the list of instances", "error", err)
+		return
+	}
+	s.step(ctx, func(now time.Time) []membership.Call { return s.machine.Listed(now, entries) })
+}
+
+// sleep waits for d and reports whether ctx is still valid.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// event is something to tell the listeners.
+type event struct {
+	changes   membership.Changes
+	view      *membership.View
+	isolation bool
+	isolated  bool
+	replaced  bool
+}
+
+// eventQueue hands events from the machine to the dispatching goroutine, so that listeners may call the service.
+type eventQueue struct {
+	mu     sync.Mutex
+	events []event
+	signal chan struct{}
+}
+
+// add queues an event unless it tells nothing.
+func (q *eventQueue) add(e event) {
+	quiet := e.changes.Empty() && e.changes.Pauses == 0 && len(e.changes.MemberChanges) == 0
+	if quiet && !e.isolation && !e.replaced {
+		return
+	}
+	q.mu.Lock()
+	q.events = append(q.events, e)
+	q.mu.Unlock()
+	wake(q.signal)
+}
+
+func (q *eventQueue) take() []event {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	events := q.events
+	q.events = nil
+	return events
+}
+
+// dispatchLoop tells the listeners of changes in order.
+func (s *Service) dispatchLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.events.signal:
+		}
+		for _, e := range s.events.take() {
+			s.note(e)
+			for _, l := range s.listeners {
+				l.tell(e)
+			}
+		}
+	}
+}
+
+// note logs and counts an event.
+func (s *Service) note(e event) {
+	for _, c := range e.changes.MemberChanges {
+		s.metrics.changes.WithLabelValues(c.To.String(), string(c.Cause)).Inc()
+		level := s.log.Info
+		if c.To == instance.StateSuspect {
+			level = s.log.Debug
+		}
+		level("member changed", "member", c.ID, "from", c.From.String(), "to", c.To.String(),
+			"incarnation", c.Incarnation, "cause", c.Cause, "source", c.Source)
+	}
+	s.metrics.refutations.Add(float64(e.changes.Refutations))
+	s.metrics.pauses.Add(float64(e.changes.Pauses))
+	if e.changes.Pauses > 0 {
+		s.log.Warn("this process was paused; its timeouts were restarted")
+	}
+	if e.changes.CutOff {
+		s.log.Warn("reachability of peers changed", "cut_off", e.view.CutOff)
+	}
+	if e.isolation {
+		s.log.Warn("isolation changed", "isolated", e.isolated)
+	}
+	if e.replaced {
+		s.log.Error("a later process with the same id was seen", "member", s.opts.Self.ID)
+	}
+}
+
+// tell passes an event to a listener.
+func (l *Listener) tell(e event) {
+	if l.Member != nil {
+		for _, c := range e.changes.MemberChanges {
+			l.Member(c)
+		}
+	}
+	if l.Home != nil {
+		for _, h := range e.changes.Homes {
+			l.Home(h)
+		}
+	}
+	if l.Config != nil && e.changes.Config {
+		l.Config(e.view.Config())
+	}
+	if l.Revocation != nil {
+		for _, r := range e.changes.Revocations {
+			l.Revocation(r)
+		}
+	}
+	if l.View != nil && !e.changes.Empty() {
+		l.View(e.view)
+	}
+	if l.Isolated != nil && e.isolation {
+		l.Isolated(e.isolated)
+	}
+	if l.Replaced != nil && e.replaced {
+		l.Replaced()
+	}
+}
--- a/internal/homes/planner.go
+++ b/internal/homes/planner.go
@@ -26,6 +26,8 @@
 	// part, by hash of the group, so that the homes of a returning failure domain do not all move at once.
 	StableTime   = 30 * time.Second
 	StableSpread = 30 * time.Second
+	// MaxClaims bounds the claims that an instance runs at once.
+	MaxClaims = 16
 	// MaxRebalances bounds the moves to better owners that an instance runs at once.
 	MaxRebalances = 1
 	// MaxEvictions bounds the moves that an instance runs at once because it must give its homes up.
@@ -66,6 +68,7 @@
 	groups    map[upstream.GroupID]*groupState
 	// active lists the groups about which this instance may have to act, sorted.
 	active     []upstream.GroupID
+	claims     int
 	rebalances int
 	evictions  int
 }
@@ -208,26 +211,38 @@
 		return
 	}
 	state.busy, state.running = true, d
-	if d.Action == ActionRelease {
-		*p.moves(d.Cause)++
-	}
+	*p.counter(d)++
 }
 
-// moves returns the counter of running moves that a move counts for.
-func (p *Planner) moves(c Cause) *int {
-	if c == CauseBetterOwner {
+// counter returns the counter of running actions that an action counts for.
+func (p *Planner) counter(d Decision) *int {
+	switch {
+	case d.Action == ActionClaim:
+		return &p.claims
+	case d.Cause == CauseBetterOwner:
 		return &p.rebalances
+	default:
+		return &p.evictions
 	}
-	return &p.evictions
 }
 
-// ClaimDone takes the result of a claim.
-func (p *Planner) ClaimDone(now time.Time, id upstream.GroupID, ok bool) {
+// finish ends the running action of a group; ok is false when none runs.
+func (p *Planner) finish(id upstream.GroupID) (state *groupState, ok bool) {
 	state, known := p.groups[id]
 	if !known || !state.busy {
-		return
+		return nil, false
 	}
 	state.busy = false
+	*p.counter(state.running)--
+	return state, true
+}
+
+// ClaimDone takes the result of a claim.
+func (p *Planner) ClaimDone(now time.Time, id upstream.GroupID, ok bool) {
+	state, running := p.finish(id)
+	if !running {
+		return
+	}
 	if !ok {
 		p.fail(now, state)
 		return
@@ -248,12 +263,10 @@
 
 // MoveDone takes the result of a planned move.
 func (p *Planner) MoveDone(now time.Time, id upstream.GroupID, r MoveResult) {
-	state, known := p.groups[id]
-	if !known || !state.busy {
+	state, running := p.finish(id)
+	if !running {
 		return
 	}
-	state.busy = false
-	*p.moves(state.running.Cause)--
 	if r == MoveRefused {
 		p.Refused(now, id, state.running.To)
 		return
@@ -287,8 +300,16 @@
 	return "", false
 }
 
-// First returns the instance that is or will be the home of a group when all is quiet.
-func (p *Planner) First(id upstream.GroupID) (instance.ID, bool) { return p.ranking.First(id) }
+// Firsts returns the instance that is or will be the home of each group when all is quiet.
+func (p *Planner) Firsts() map[upstream.GroupID]instance.ID {
+	firsts := make(map[upstream.GroupID]instance.ID, len(p.ranking.groups))
+	for id, g := range p.ranking.groups {
+		if g.some {
+			firsts[id] = g.first.ID
+		}
+	}
+	return firsts
+}
 
 // Eligible reports whether this instance may take a group over now.
 func (p *Planner) Eligible(now time.Time, id upstream.GroupID) bool {
@@ -405,6 +426,9 @@
 		return
 	case !p.turn(d):
 		d.Cause = CauseNotFirst
+	case p.claims >= MaxClaims:
+		d.Cause = CauseMoveLimit
+		return
 	default:
 		d.Action, d.Cause = ActionClaim, cause
 		return
