--- a/internal/home/call.go
+++ b/internal/home/call.go
@@ -167,10 +167,14 @@
 			return m.class
 		}
 	}
-	if c.r.Kind == request.KindRead && !c.route.PrimaryOnly && g.anyReplica(now) {
+	switch {
+	case c.r.Kind != request.KindRead:
+		return classWrites
+	case c.route.PrimaryOnly || !g.anyReplica(now):
+		return classPrimaryReads
+	default:
 		return classReads
 	}
-	return classPrimary
 }
 
 func (g *Group) anyReplica(now time.Time) bool {
@@ -226,6 +230,8 @@
 		return errNoAuthority
 	case !g.primaryServes(now):
 		return errNoPrimary
+	case g.commitsStalled(now):
+		return errNoReceipt
 	default:
 		return errors.New("no slot became free in time")
 	}
--- a/internal/home/commit.go
+++ b/internal/home/commit.go
@@ -16,9 +16,15 @@
 	errCommitStop   = errors.New("the request was stopped before a majority had received the commit")
 )
 
+// commitStall is the time without quorum receipt after which no further writes are sent. A primary that is cut off from
+// its replicas accepts writes that end as unknown; 250 ms is far above a receipt's usual 2 ms and below the time that a
+// failover takes to be decided.
+const commitStall = 250 * time.Millisecond
+
 // commitWaiter is a commit that waits for quorum receipt.
 type commitWaiter struct {
 	position position.Position
+	since    time.Time
 	// done gets nil after quorum receipt, or the reason why it can no longer come.
 	done chan error
 }
@@ -36,7 +42,7 @@
 		g.mu.Unlock()
 		return err
 	}
-	w := &commitWaiter{position: p, done: make(chan error, 1)}
+	w := &commitWaiter{position: p, since: started, done: make(chan error, 1)}
 	c.state = callSettling
 	c.commit = w
 	g.commits = append(g.commits, w)
@@ -73,6 +79,12 @@
 	}
 }
 
+// commitsStalled reports whether the oldest commit has waited for so long that more writes would only add unknown
+// outcomes.
+func (g *Group) commitsStalled(now time.Time) bool {
+	return len(g.commits) > 0 && now.Sub(g.commits[0].since) > commitStall
+}
+
 // settleCommits ends the wait of commits that were received or no longer can be. The group must be locked.
 func (g *Group) settleCommits() {
 	left := g.commits[:0]
@@ -84,8 +96,12 @@
 		}
 		w.done <- err
 	}
+	if len(left) == len(g.commits) {
+		return
+	}
 	clear(g.commits[len(left):])
 	g.commits = left
+	g.dispatch(g.now())
 }
 
 // dropCommit ends one wait with the error if it has not ended yet.
@@ -100,6 +116,7 @@
 		if other == w {
 			g.commits = append(g.commits[:i], g.commits[i+1:]...)
 			w.done <- err
+			g.dispatch(g.now())
 			return
 		}
 	}
--- a/internal/home/configure.go
+++ b/internal/home/configure.go
@@ -10,9 +10,6 @@
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
-// firstMemberClass is the queue class of the first member's open transactions; the classes before it are for new work.
-const firstMemberClass = 2
-
 // refreshConfig applies the configuration in force if it changed. The group must be locked.
 func (g *Group) refreshConfig(now time.Time) {
 	latest := g.o.Snapshot()
@@ -67,7 +64,7 @@
 	for _, m := range append(old[:len(old):len(old)], g.members...) {
 		used[m.class] = true
 	}
-	for c := admission.Class(firstMemberClass); c < admission.MaxClasses; c++ {
+	for c := firstMemberClass; c < admission.MaxClasses; c++ {
 		if !used[c] {
 			return c
 		}
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -17,10 +17,14 @@
 // Queue classes of new work. The classes from firstMemberClass on are for statements of open transactions, which need
 // a slot but no connection and go first: they hold connections that others wait for.
 const (
-	// classPrimary needs a slot and an idle connection of the primary.
-	classPrimary admission.Class = 0
+	// classWrites needs a slot and an idle connection of the primary.
+	classWrites admission.Class = iota
+	// classPrimaryReads needs the same, for reads that no replica can serve.
+	classPrimaryReads
 	// classReads needs a slot and an idle connection of some replica.
-	classReads admission.Class = 1
+	classReads
+	// firstMemberClass is the class of the first member's open transactions.
+	firstMemberClass
 )
 
 // maxParked bounds the reads that left the fair queue and wait for a particular member.
@@ -87,17 +91,21 @@
 	return m != nil && m.usable(now)
 }
 
+// dispatchPrimary lets writes and reads that need the primary leave in turns. Writes stay while a switchover holds them
+// and while commits get no quorum receipt; reads need neither.
 func (g *Group) dispatchPrimary(now time.Time) {
-	if g.writesHeld || !g.primaryServes(now) {
+	if !g.primaryServes(now) {
 		return
 	}
+	writes := !g.writesHeld && !g.commitsStalled(now)
 	for {
 		load := g.pool.Load(g.primary)
 		if load.Free == 0 {
-			g.want(load, classPrimary, now)
+			g.want(load, classWrites, now)
+			g.want(load, classPrimaryReads, now)
 			return
 		}
-		c, ok := g.pop(classPrimary, now)
+		c, ok := g.popPrimary(writes, now)
 		if !ok {
 			return
 		}
@@ -109,6 +117,24 @@
 	}
 }
 
+// popPrimary takes a write or a read, the other kind than last time if both wait.
+func (g *Group) popPrimary(writes bool, now time.Time) (*call, bool) {
+	order := [2]admission.Class{classWrites, classPrimaryReads}
+	if g.readsTurn {
+		order[0], order[1] = order[1], order[0]
+	}
+	for _, class := range order {
+		if class == classWrites && !writes {
+			continue
+		}
+		if c, ok := g.pop(class, now); ok {
+			g.readsTurn = class == classWrites
+			return c, true
+		}
+	}
+	return nil, false
+}
+
 // want asks the pool for a connection when work waits for one.
 func (g *Group) want(load pool.Load, class admission.Class, now time.Time) {
 	if load.FreeSlots > 0 && g.queue.Ready(class, now) {
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -109,6 +109,8 @@
 	commits    []*commitWaiter
 	parked     []*call
 	candidates []router.Candidate
+	// readsTurn is true when a read is next to leave for the primary.
+	readsTurn bool
 	// active counts the requests inside Run.
 	active   int
 	authHeld bool
--- a/internal/home/outcome_test.go
+++ b/internal/home/outcome_test.go
@@ -122,6 +122,15 @@
 		w.is.Equal(res.Code, retry.CodeUnknown)
 		w.is.Equal(res.Step, "commit")
 		w.is.Equal(answer, "")
+		go run(m, query("s", "INSERT"))
+		time.Sleep(commitStall + 10*time.Millisecond)
+		held := query("held", "INSERT held") // sent, it would only be one more unknown outcome
+		held.Timeout = 100 * time.Millisecond
+		res, _ = run(m, held)
+		w.is.Equal(res.Outcome, request.OutcomeNotRun)
+		w.is.Equal(w.g.count("INSERT held"), 0)
+		res, _ = run(m, query("r", "SELECT 1"))
+		w.is.Equal(res.Outcome, request.OutcomeDone)
 	})
 }
 
