Wire the daemon and run a whole fleet in one process

Statements of open transactions no longer wait for a slot: waiting writers held all slots while the transaction that they waited for could not continue. Keep-alive probes no longer fail on success (errors.Wrap(nil) is not nil in go-faster/errors). A primary that its replicas cannot hear is excluded from the choice: it was promoted again in each term. TestPrimaryThatReplicasCannotHearIsReplaced fails before and passes after.

--- a/cmd/celerystep-load/run.go
+++ b/cmd/celerystep-load/run.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/celerystep/celerystep/internal/experiment"
+	"github.com/celerystep/celerystep/internal/fleet"
 	"github.com/celerystep/celerystep/internal/measure"
 	"github.com/celerystep/celerystep/internal/report"
 	"github.com/celerystep/celerystep/internal/simfleet"
@@ -17,7 +18,8 @@
 
 // fleets holds the kinds of fleet that can be measured.
 var fleets = map[string]experiment.Starter{
-	"simulated": simfleet.Starter(),
+	"simulated":  simfleet.Starter(),
+	defaultFleet: fleet.Starter(fleetLog()),
 }
 
 // defaultFleet is the kind that the figures of celerystep come from.
@@ -171,3 +173,16 @@
 	}
 	return nil
 }
+
+// fleetLog returns the logger for the parts of a local fleet, which CELERYSTEP_FLEET_LOG names a file for.
+func fleetLog() hclog.Logger {
+	path := os.Getenv("CELERYSTEP_FLEET_LOG")
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return nil
+	}
+	return hclog.New(&hclog.LoggerOptions{Name: "fleet", Output: f, Level: hclog.Debug})
+}
--- /dev/null
+++ b/internal/daemon/build.go
@@ -0,0 +1,261 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/celerystep/celerystep/internal/audit"
+	"github.com/celerystep/celerystep/internal/certs"
+	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/failover"
+	"github.com/celerystep/celerystep/internal/gossip"
+	"github.com/celerystep/celerystep/internal/home"
+	"github.com/celerystep/celerystep/internal/homes"
+	"github.com/celerystep/celerystep/internal/link"
+	"github.com/celerystep/celerystep/internal/membership"
+	"github.com/celerystep/celerystep/internal/peer"
+	"github.com/celerystep/celerystep/internal/platform"
+)
+
+// storeCheckKey is read to learn whether the key-value service answers.
+const storeCheckKey = "config/root"
+
+// httpHeaderTimeout bounds the request headers of scrapers and operators.
+const httpHeaderTimeout = 5 * time.Second
+
+func (d *Daemon) loadCertificates() error {
+	t := d.settings.TLS
+	var err error
+	if t.Callers.CertificateFile != "" {
+		files := certs.Files{Certificate: t.Callers.CertificateFile, Key: t.Callers.KeyFile}
+		if d.callerCerts, err = certs.Load(files); err != nil {
+			return errors.Wrap(err, "load certificate for callers")
+		}
+	}
+	if t.Peers.CertificateFile != "" {
+		files := certs.Files{Certificate: t.Peers.CertificateFile, Key: t.Peers.KeyFile, Roots: t.Peers.AuthorityFile}
+		if d.peerCerts, err = certs.Load(files); err != nil {
+			return errors.Wrap(err, "load certificate for peers")
+		}
+	}
+	return nil
+}
+
+// listen opens all addresses. A port 0 is replaced by the port that was given out.
+func (d *Daemon) listen() error {
+	at := d.settings.Listen
+	for _, l := range []struct {
+		name    string
+		address string
+		to      *net.Listener
+	}{
+		{"callers", at.Callers, &d.callers},
+		{"peers", at.Peers, &d.peersAt},
+		{"http", at.HTTP, &d.httpAt},
+		{"operators", at.Operators, &d.operators},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen for %s", l.name)
+		}
+		*l.to = listener
+	}
+	d.info = d.settings.Info()
+	if d.settings.Advertise.Callers == "" {
+		d.info.CallerAddress = d.callers.Addr().String()
+	}
+	if d.settings.Advertise.Peers == "" {
+		d.info.PeerAddress = d.peersAt.Addr().String()
+	}
+	return nil
+}
+
+func (d *Daemon) buildMembership() error {
+	d.calls = peer.NewClient(d.peerCerts)
+	service, err := gossip.New(gossip.Options{
+		Self:       d.info,
+		Transport:  gossipTransport{calls: d.calls, route: d.options.Route},
+		Directory:  d.options.Directory,
+		Log:        d.log,
+		Registerer: d.registry,
+		StoreCheck: d.checkStore,
+		Seed:       d.options.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	d.service = service
+	d.locator = &locator{service: service, route: d.options.Route}
+	d.trail = audit.NewTrail(audit.Options{
+		Self:  d.info,
+		Peers: &auditPeers{locator: d.locator, calls: d.calls},
+		Store: d.options.Store,
+		Log:   d.log.Named("audit"),
+		Start: time.Now(),
+	})
+	d.keeper = config.NewKeeper(config.KeeperOptions{
+		Self:       d.info.ID,
+		Store:      d.options.Store,
+		Gossip:     &configNews{self: d.info.ID, service: service, locator: d.locator, calls: d.calls},
+		Membership: liveInstances{d.locator},
+		Audit:      d.trail,
+		Log:        d.log.Named("config"),
+		Seed:       d.options.Seed,
+	})
+	service.Subscribe(d.membershipListener())
+	return nil
+}
+
+// checkStore asks the key-value service for any answer.
+func (d *Daemon) checkStore(ctx context.Context) error {
+	_, err := d.options.Store.Get(ctx, storeCheckKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+func (d *Daemon) membershipListener() gossip.Listener {
+	return gossip.Listener{
+		Config: func(v membership.ConfigVersion) { heard(d.keeper, v) },
+		Member: func(c membership.MemberChange) {
+			if r, ok := describeMember(c); ok {
+				d.trail.Record(r)
+				d.trail.Adopt(c.ID)
+			}
+		},
+		Revocation: func(r membership.Revocation) {
+			d.keeper.HeardRevocations([]config.Revocation{{
+				KeyRef:   config.KeyRef{Customer: r.Customer, Key: r.Key},
+				Operator: r.Operator,
+				UnixMS:   r.UnixMilli,
+			}})
+		},
+		Isolated: d.recordIsolation,
+		Replaced: func() {
+			d.log.Error("another process runs with the same instance id; this one ends")
+			d.Kill()
+		},
+	}
+}
+
+func (d *Daemon) recordIsolation(on bool) {
+	kind, cause := audit.KindIsolationEnded, "the store or most peers answer again"
+	if on {
+		kind, cause = audit.KindIsolated, "neither the store nor most peers answer"
+	}
+	d.trail.Record(audit.Record{Kind: kind, Cause: cause})
+}
+
+func (d *Daemon) buildHomes() {
+	runner := &homeRunner{self: d.info.ID, service: d.service}
+	d.manager = home.NewManager(home.Options{
+		Info:     d.info,
+		Port:     d.options.Port,
+		Snapshot: d.keeper.Snapshot,
+		Locate:   d.locator.Home,
+		Admitter: d.newAdmitter(),
+		OnLost: func(l home.Loss) {
+			if l.Cause == failover.CauseHomeCutOff {
+				d.coordinator.Yield(l.Group)
+			}
+		},
+		OnChange:   runner.announce,
+		Audit:      homeAudit{trail: d.trail},
+		Logger:     d.log.Named("home"),
+		Registerer: d.registry,
+		Seed:       d.options.Seed,
+		DrainLimit: d.settings.Timeouts.Drain.Duration(),
+	})
+	runner.manager = d.manager
+	d.coordinator = gossip.NewCoordinator(gossip.CoordinatorOptions{
+		Service:    d.service,
+		Manager:    runner,
+		Config:     d.keeper.Snapshot,
+		Log:        d.log,
+		Seed:       d.options.Seed,
+		OnDecision: d.recordDecision,
+	})
+	d.links = link.NewPool(link.Options{
+		Store:   d.peerCerts,
+		Log:     d.log.Named("link"),
+		Metrics: link.NewMetrics(d.registry),
+		Idle:    d.settings.Timeouts.PeerIdle.Duration(),
+	})
+}
+
+// newAdmitter returns the client for admissions at other homes; it finds the manager when it is called.
+func (d *Daemon) newAdmitter() *admissionClient {
+	return newAdmissionClient(d.info.ID, d.locator, lateManager{d}, d.calls)
+}
+
+// lateManager is the home manager, which is built after the client that calls it.
+type lateManager struct{ daemon *Daemon }
+
+// Admit implements homeManager.
+func (m lateManager) Admit(ctx context.Context, g groupID, items []home.AdmitItem) home.AdmitAnswer {
+	return m.daemon.manager.Admit(ctx, g, items)
+}
+
+// recordDecision records what became of a decision about a home. Claims are recorded by the home itself.
+func (d *Daemon) recordDecision(decision homes.Decision, err error) {
+	if decision.Action != homes.ActionRelease {
+		return
+	}
+	r := audit.Record{
+		Kind:       audit.KindHomeHandedOver,
+		Cause:      string(decision.Cause),
+		Group:      decision.Group,
+		Generation: decision.Generation,
+		Inputs:     []audit.Input{{Key: "to", Value: string(decision.To)}},
+	}
+	if err != nil {
+		r.Inputs = append(r.Inputs, audit.Input{Key: "error", Value: err.Error()})
+	}
+	d.trail.Record(r)
+}
+
+func (d *Daemon) startServers(g *errgroup.Group) {
+	d.startPeers(g)
+	metrics := &http.Server{Handler: d.httpMux(), ReadHeaderTimeout: httpHeaderTimeout}
+	g.Go(func() error { return serveHTTP(metrics, d.httpAt) })
+	d.startOperators(g)
+}
+
+func (d *Daemon) startPeers(g *errgroup.Group) {
+	mux := http.NewServeMux()
+	d.peers.Mount(mux)
+	server := peer.NewServer(mux, d.peerCerts, d.log.Named("peer"))
+	d.peerServer = server
+	g.Go(func() error {
+		if d.peerCerts == nil {
+			return serveHTTP(server, d.peersAt)
+		}
+		err := server.ServeTLS(d.peersAt, "", "")
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		return err
+	})
+}
+
+// httpMux serves metrics, liveness and readiness.
+func (d *Daemon) httpMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/daemon/command.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/platform/client"
+	"github.com/celerystep/celerystep/internal/settings"
+	"github.com/celerystep/celerystep/internal/upstream"
+	"github.com/celerystep/celerystep/internal/upstream/pgport"
+	"github.com/celerystep/celerystep/internal/version"
+)
+
+// Exit codes of celerystepd.
+const (
+	exitOK    = 0
+	exitError = 1
+	exitUsage = 2
+)
+
+// Main runs the command line of celerystepd and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("celerystepd", "Proxy daemon: session consistency, fair shares and failover for database groups.")
+	app.Version(version.String())
+	app.UsageWriter(stderr)
+	run := app.Command("run", "Run the daemon until SIGTERM, which starts a graceful shutdown.")
+	runFile := run.Arg("FILE", "Settings file in JSON.").Required().String()
+	check := app.Command("check", "Check a settings file and list every mistake with its JSON path and line.")
+	checkFile := check.Arg("FILE", "Settings file in JSON.").Required().String()
+	defaults := app.Command("defaults", "Print the settings with their defaults.")
+	command, err := app.Parse(args)
+	if err != nil {
+		app.Errorf("%s, try --help", err)
+		return exitUsage
+	}
+	switch command {
+	case run.FullCommand():
+		err = runDaemon(*runFile, stderr)
+	case check.FullCommand():
+		err = settings.RunCheck(stdout, *checkFile)
+	case defaults.FullCommand():
+		err = settings.RunDefaults(stdout)
+	}
+	if err != nil {
+		app.Errorf("%s", err)
+		return exitError
+	}
+	return exitOK
+}
+
+func runDaemon(path string, logs io.Writer) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: "celerystepd", Level: hclog.LevelFromString(s.Log.Level), Output: logs})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	store := client.New(client.Options{Address: s.Platform.Address, Timeout: s.Timeouts.PlatformCall.Duration()})
+	defer store.Close()
+	d, err := New(Options{
+		Settings:  s,
+		Logger:    log,
+		Store:     store,
+		Directory: store,
+		Port:      func(g upstream.Group) upstream.Port { return newPort(s, g) },
+	})
+	if err != nil {
+		return errors.Wrap(err, "start")
+	}
+	return d.Run(ctx)
+}
+
+func newPort(s *settings.Settings, g upstream.Group) upstream.Port {
+	return pgport.New(pgport.Options{
+		User:           s.Upstream.User,
+		Database:       string(g.ID),
+		ConnectTimeout: s.Timeouts.UpstreamDial.Duration(),
+	})
+}
--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -18,6 +18,9 @@
 	cause Cause
 	// preferred is promoted when its log is not behind; nil for no preference.
 	preferred *memberState
+	// excluded is a primary that the replicas cannot hear. Its log may be the longest, but promoting it again changes
+	// nothing; a majority of the others has every acknowledged record.
+	excluded *memberState
 	// chosen is the only member that is ever promoted in the term.
 	chosen *memberState
 }
@@ -46,10 +49,12 @@
 
 // startAttempt begins to fence the members in a term above all that were seen or used.
 func (m *Machine) startAttempt(cause Cause, text string, now time.Time) {
-	preferred := m.attempt.preferred
-	m.attempt = attempt{}
+	preferred, excluded := m.attempt.preferred, m.attempt.excluded
+	if cause == CausePrimaryIsolated {
+		excluded = m.primary
+	}
 	m.highest++
-	m.attempt = attempt{term: m.highest, owner: m.owner(), cause: cause, preferred: preferred}
+	m.attempt = attempt{term: m.highest, owner: m.owner(), cause: cause, preferred: preferred, excluded: excluded}
 	m.enter(PhaseFencing, cause, now)
 	m.record(StepFence, cause, m.primary, now, "fencing all members in term %d: %s", m.attempt.term, text)
 }
@@ -66,9 +71,13 @@
 // stepFencing chooses a member once a majority is fenced. A majority is enough even when another member has a higher
 // term; without one, a higher term means that another promoter is at work.
 func (m *Machine) stepFencing(now time.Time) {
+	if now.Sub(m.since) >= m.timing.StepTimeout {
+		// Too few of the others answer, so the excluded member is needed for a majority.
+		m.attempt.excluded = nil
+	}
 	var fenced []*memberState
 	for _, k := range m.members {
-		if k.fencedBy(m.attempt.term, m.attempt.owner) {
+		if k != m.attempt.excluded && k.fencedBy(m.attempt.term, m.attempt.owner) {
 			fenced = append(fenced, k)
 		}
 	}
--- a/internal/failover/cells_test.go
+++ b/internal/failover/cells_test.go
@@ -20,6 +20,8 @@
 var scenarios = []scenario{
 	{"crash", func(w *world) { w.members[0].alive = false }, func(w *world) { w.members[0].alive = true }},
 	{"partition", func(w *world) { w.isolate("a", true) }, func(w *world) { w.isolate("a", false) }},
+	{"primary cut off from the replicas only", func(w *world) { w.isolateFromMembers("a", true) },
+		func(w *world) { w.isolateFromMembers("a", false) }},
 	{"switchover", func(w *world) {
 		p := w.promoters[0]
 		p.post(func() {
@@ -35,10 +37,14 @@
 	}, nil},
 }
 
-func (w *world) isolate(id string, cut bool) {
+func (w *world) isolateFromMembers(id string, cut bool) {
 	for _, m := range w.members {
 		w.cut[link(id, string(m.id))] = cut
 	}
+}
+
+func (w *world) isolate(id string, cut bool) {
+	w.isolateFromMembers(id, cut)
 	for _, p := range w.promoters {
 		w.cut[link(id, p.name)] = cut
 	}
@@ -227,3 +233,21 @@
 	}
 	t.Logf("cells run=%d held=%d red=%d (the step does not occur in %d more)", run, held, run-held, absent)
 }
+
+// Guards against promoting a primary again that its replicas cannot hear: its unacknowledged records make its log the
+// longest, so writes would stay unacknowledged until the partition heals. The bound is the stated write gap of 5 s.
+func TestPrimaryThatReplicasCannotHearIsReplaced(t *testing.T) {
+	w := newWorld(1, 1)
+	w.promoters[0].wants = true
+	w.run(time.Second)
+	w.isolateFromMembers("a", true)
+	w.run(6 * time.Second)
+	acked := w.acked
+	w.run(7 * time.Second)
+	if v := w.promoters[0].machine.View(); v.Primary == "a" || w.acked == acked {
+		t.Fatalf("%s leads in term %d, acknowledged %d before and %d after a second", v.Primary, v.Term, acked, w.acked)
+	}
+	if len(w.violations) > 0 {
+		t.Fatal(w.violations)
+	}
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/daemon"
+	"github.com/celerystep/celerystep/internal/experiment"
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/platform"
+	"github.com/celerystep/celerystep/internal/platform/client"
+	"github.com/celerystep/celerystep/internal/settings"
+	"github.com/celerystep/celerystep/internal/upstream"
+	"github.com/celerystep/celerystep/internal/upstream/pgport"
+)
+
+// pollInterval is the time between two looks at the state of an instance that starts.
+const pollInterval = 5 * time.Millisecond
+
+// platformEnd names the key-value service in the network.
+const platformEnd = "platform"
+
+// tokenKey signs the session tokens of a fleet in one process.
+const tokenKey = "Y2VsZXJ5c3RlcC1sb2NhbC10b2tlbi1rZXktMDEyMzQ1"
+
+// node is one instance of the daemon in the fleet.
+type node struct {
+	fleet  *Fleet
+	self   instance.Info
+	daemon *daemon.Daemon
+	store  *client.Client
+
+	stopped chan struct{}
+	cancel  context.CancelFunc
+	// leaving is set when the platform no longer sends callers.
+	leaving atomic.Bool
+
+	mu  sync.Mutex
+	err error
+}
+
+// newNode builds an instance at place i. Its id differs from that of the instance that it replaces.
+func (f *Fleet) newNode(i int, callers string) (server, error) {
+	id := f.nextID(i)
+	n := &node{fleet: f, stopped: make(chan struct{})}
+	here := end{string(id), f.domain(i)}
+	n.store = client.New(client.Options{Address: f.network.route(here, end{name: platformEnd, domain: here.domain}, f.platform.Addr())})
+	d, err := daemon.New(daemon.Options{
+		Settings:  f.settings(id, here.domain, callers),
+		Logger:    f.log,
+		Store:     n.store,
+		Directory: n.store,
+		Port:      func(g upstream.Group) upstream.Port { return f.port(here, g) },
+		Route:     func(to instance.Info) instance.Info { return f.routePeer(here, to) },
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "build instance %s", id)
+	}
+	n.daemon = d
+	n.self = d.Info()
+	return n, nil
+}
+
+func (f *Fleet) settings(id instance.ID, d instance.FailureDomain, callers string) *settings.Settings {
+	s := settings.Default()
+	s.InstanceID = id
+	s.FailureDomain = d
+	s.Region = f.topology.Region
+	s.Listen = settings.Listen{Callers: callers, Peers: "127.0.0.1:0", HTTP: "127.0.0.1:0", Operators: "127.0.0.1:0"}
+	s.Platform.Address = f.platform.Addr()
+	s.TokenKeys = []settings.TokenKey{{ID: "local", Secret: tokenKey}}
+	return &s
+}
+
+// port returns the port to a group over the network of the fleet.
+func (f *Fleet) port(from end, g upstream.Group) upstream.Port {
+	route := func(m upstream.Member) upstream.Member {
+		m.Address = f.network.route(from, end{memberEnd(g.ID, m.ID), m.FailureDomain}, m.Address)
+		return m
+	}
+	return &routedPort{Port: pgport.New(pgport.Options{}), route: route}
+}
+
+func memberEnd(g upstream.GroupID, m upstream.MemberID) string { return string(g) + "/" + string(m) }
+
+func (f *Fleet) routePeer(from end, to instance.Info) instance.Info {
+	to.PeerAddress = f.network.route(from, end{string(to.ID), to.FailureDomain}, to.PeerAddress)
+	return to
+}
+
+// register tells the platform's instance list of the instance.
+func (f *Fleet) register(n server, leaving bool) {
+	n.setLeaving(leaving)
+	f.platform.Register(platform.InstanceEntry{Info: n.info(), Leaving: leaving})
+}
+
+func (n *node) info() instance.Info { return n.self }
+
+func (n *node) setLeaving(on bool) { n.leaving.Store(on) }
+
+func (n *node) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.stopped)
+		err := n.daemon.Run(ctx)
+		n.mu.Lock()
+		n.err = err
+		n.mu.Unlock()
+		if err != nil {
+			n.fleet.log.Error("instance failed", "instance", n.self.ID, "error", err)
+		}
+		n.store.Close()
+	}()
+}
+
+func (n *node) running() bool {
+	select {
+	case <-n.stopped:
+		return false
+	default:
+		return true
+	}
+}
+
+func (n *node) accepting() bool { return n.running() && !n.leaving.Load() && n.daemon.Ready() }
+
+// callers returns the address for callers, over the network of the fleet so that a paused instance is silent.
+func (n *node) callers() string {
+	to := end{string(n.self.ID), n.self.FailureDomain}
+	return n.fleet.network.route(end{"callers", n.self.FailureDomain}, to, n.self.CallerAddress)
+}
+
+// waitReady waits until the instance serves callers and knows the home of every group.
+func (n *node) waitReady(ctx context.Context, t *experiment.Topology) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !n.knowsAll(t) {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "instance %s is not ready; missing %s", n.self.ID, n.missing(t))
+		case <-n.stopped:
+			return errors.Errorf("instance %s ended before it was ready", n.self.ID)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (n *node) knowsAll(t *experiment.Topology) bool { return n.missing(t) == "" }
+
+// missing names what the instance still waits for.
+func (n *node) missing(t *experiment.Topology) string {
+	var list []string
+	if !n.daemon.Ready() {
+		list = append(list, "configuration")
+	}
+	for i := range t.Groups {
+		if _, ok := n.daemon.Home(t.Groups[i].ID); !ok {
+			list = append(list, "home of "+string(t.Groups[i].ID))
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
+// stop shuts the instance down gracefully.
+func (n *node) stop(ctx context.Context) error {
+	if n.cancel == nil {
+		return nil
+	}
+	n.cancel()
+	select {
+	case <-n.stopped:
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "stop instance %s", n.self.ID)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.err
+}
+
+// kill ends the instance at once.
+func (n *node) kill() {
+	n.daemon.Kill()
+	if n.cancel != nil {
+		<-n.stopped
+		n.cancel()
+	}
+}
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -147,7 +147,10 @@
 
 // probeConn makes sure that an idle connection still answers.
 func (g *Group) probeConn(cn *conn) error {
-	return errors.Wrap(g.verify(cn, &pgproto3.Sync{}, ""), "keep-alive probe")
+	if err := g.verify(cn, &pgproto3.Sync{}, ""); err != nil {
+		return errors.Wrap(err, "keep-alive probe")
+	}
+	return nil
 }
 
 // resetConn ends the transaction and removes what sessions left on the connection.
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -14,8 +14,8 @@
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
-// Queue classes of new work. The classes from firstMemberClass on are for statements of open transactions, which need
-// a slot but no connection and go first: they hold connections that others wait for.
+// Queue classes of new work. The classes from firstMemberClass on are for statements of open transactions, which wait
+// for a token only and go first: they hold connections and locks that others wait for.
 const (
 	// classWrites needs a slot and an idle connection of the primary.
 	classWrites admission.Class = iota
@@ -59,9 +59,11 @@
 	return c, true
 }
 
+// dispatchPinned lets the statements of open transactions leave without waiting for a slot: statements that wait for the
+// locks of such a transaction may hold all slots, and only its end frees them.
 func (g *Group) dispatchPinned(now time.Time) {
 	for _, m := range g.members {
-		for g.pool.Load(m.spec.ID).FreeSlots > 0 {
+		for {
 			c, ok := g.pop(m.class, now)
 			if !ok {
 				break
--- a/internal/pool/transitions.go
+++ b/internal/pool/transitions.go
@@ -46,11 +46,12 @@
 	return m.idle[len(m.idle)-1]
 }
 
-// Resume takes a slot for the next statement of a transaction. It returns false while the member has no free slot or
-// when the connection is not in a transaction.
+// Resume takes a slot for the next statement of a transaction. It returns false when the connection is not in a
+// transaction. It does not wait for a free slot: statements that wait for the locks of this transaction may hold all
+// slots, and only this transaction's end can release them. The excess is bounded by the open transactions.
 func (p *Pool) Resume(id ConnID) bool {
 	c, ok := p.conns[id]
-	if !ok || c.state != StateTransaction || c.member.busy >= p.slots {
+	if !ok || c.state != StateTransaction {
 		return false
 	}
 	c.state = StateBusy
--- a/internal/standin/group/execute.go
+++ b/internal/standin/group/execute.go
@@ -338,8 +338,10 @@
 	i := m.statements.add(LoggedStatement{
 		Time:        time.Now(),
 		Member:      m.id,
+		Role:        m.role,
 		Connection:  s.pid,
 		Transaction: t.id,
+		Block:       t.explicit,
 		Customer:    s.customer(),
 		Owner:       s.claim.Owner,
 		Generation:  s.claim.Generation,
