--- a/internal/home/actions.go
+++ b/internal/home/actions.go
@@ -50,6 +50,8 @@
 		g.writesHeld = false
 		g.holdDrain = false
 		g.dispatch(g.now())
+	case failover.SwitchoverFailed:
+		g.failSwitchovers(errors.Errorf("the switchover ended without a new primary: %s", a.Cause))
 	case failover.Record:
 		g.recordExplanation(a.Explanation)
 	}
@@ -137,13 +139,11 @@
 // claimed starts serving. The buckets of an unplanned takeover refill only when the authority of the old home must
 // have ended, counted from now, because the old home's last confirmation came before this majority accepted the claim.
 func (g *Group) claimed(a failover.Claimed) {
+	now := g.now()
 	if g.phase != phaseClaiming {
-		g.claim = a.Claim
-		g.tracker.SetClaim(a.Claim)
-		g.startRound(g.now())
+		g.claimedAgain(a, now)
 		return
 	}
-	now := g.now()
 	g.claim = a.Claim
 	g.phase = phaseServing
 	g.tracker.SetClaim(a.Claim)
@@ -154,6 +154,21 @@
 	g.wakeLoop()
 }
 
+// claimedAgain goes on under a higher generation, with which the state machine took back members that another instance
+// had claimed. Members have closed the connections of the lower generation.
+func (g *Group) claimedAgain(a failover.Claimed, now time.Time) {
+	g.claim = a.Claim
+	g.tracker.SetClaim(a.Claim)
+	for _, m := range g.members {
+		for _, drop := range g.pool.DropMember(m.spec.ID) {
+			g.forget(drop.Conn)
+		}
+	}
+	g.record(Event{Kind: EventClaim, Cause: "claimed_again", Text: "A majority accepted a higher generation of this home; connections are opened anew."})
+	g.startRound(now)
+	g.wakeLoop()
+}
+
 func (g *Group) claimText() string {
 	if g.handoverValid() {
 		return "A majority accepted the claim after a handover; buckets continue at their levels."
@@ -178,15 +193,25 @@
 	}
 	g.settleCommits()
 	g.log.Info("primary announced", "primary", a.Primary, "term", a.Term, "previous", old)
-	g.answerSwitchovers()
+	g.finishSwitchovers()
 	if f := g.o.OnChange; f != nil {
 		o := g.ownership()
 		g.task(func() { f(o) })
 	}
+	g.probeAll(now)
 	g.dispatch(now)
 	g.wakeLoop()
 }
 
+// probeAll verifies all idle connections before they are used again. A change of primary may have broken them, and a
+// write that is sent on a broken connection ends as unknown.
+func (g *Group) probeAll(now time.Time) {
+	for _, m := range g.members {
+		g.pool.ProbeMember(m.spec.ID, now)
+	}
+	g.planPool(now)
+}
+
 // gapUntil returns how long the group has been without a primary that takes writes.
 func (g *Group) gapUntil(now time.Time) time.Duration {
 	if g.gapSince.IsZero() {
@@ -227,8 +252,8 @@
 	if now.Before(g.holdDeadline) {
 		return
 	}
-	for _, s := range g.sessions {
-		if s.call == nil && s.conn != nil && s.conn.writing {
+	for _, cn := range g.conns {
+		if s := cn.session; s != nil && s.call == nil && cn.writing {
 			g.rollBackIdle(s, "switchover")
 		}
 	}
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -26,6 +26,10 @@
 	out []byte
 	// writing is true while a write runs or a write transaction is open; guarded by the group's lock.
 	writing bool
+	// session is the session whose transaction is open on the connection, since the time of its last statement; guarded
+	// by the group's lock.
+	session *sessionState
+	since   time.Time
 	once    sync.Once
 }
 
@@ -90,6 +94,7 @@
 		return
 	}
 	g.stopWriting(cn)
+	g.unpin(cn)
 	delete(g.conns, id)
 	cn.close()
 }
--- a/internal/home/execute.go
+++ b/internal/home/execute.go
@@ -262,9 +262,7 @@
 	now := g.now()
 	c.state = callNew
 	c.conn = nil
-	if c.session.conn == e.cn {
-		c.session.conn = nil
-	}
+	g.unpin(e.cn)
 	g.queue.Done(c.ticket, now.Sub(c.granted), now)
 	g.mu.Unlock()
 	g.broken(e.cn, err)
@@ -285,20 +283,18 @@
 	c.conn = nil
 	c.ended = c.sent && tx == 'I'
 	cn.tx = tx
+	g.unpin(cn)
 	switch {
 	case g.phase == phaseClosed:
-		c.session.conn = nil
 		g.forget(cn.id)
 		return
 	case tx != 'I':
-		c.session.conn = cn
+		g.pin(c.session, cn, now)
 		g.pool.Park(cn.id)
 	case cn.state.Touched():
-		c.session.conn = nil
 		g.pool.Reset(cn.id)
 		g.task(func() { g.check(cn, g.resetConn) })
 	default:
-		c.session.conn = nil
 		g.stopWriting(cn)
 		if !g.pool.Release(cn.id, now) {
 			g.forget(cn.id)
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -117,7 +117,7 @@
 	// inPass is true while the loop's pass runs, which plans the pool itself.
 	inPass bool
 	// switchovers are the operators' orders that wait for an announcement.
-	switchovers []chan Ownership
+	switchovers []*switchoverWaiter
 }
 
 // newGroup starts the claim of the group. handover is nil for an unplanned takeover.
@@ -177,6 +177,9 @@
 // updateAuthority copies the end of the authority to where the request path reads it, and tells the failover state
 // machine when it is lost or regained.
 func (g *Group) updateAuthority(now time.Time) {
+	if g.phase == phaseClosed {
+		return
+	}
 	until := g.tracker.AuthorityUntil()
 	ns := int64(0)
 	if !until.IsZero() {
@@ -231,6 +234,7 @@
 	g.startDueRound(now)
 	g.act(g.machine.Tick(now))
 	g.checkHold(now)
+	g.endIdleTransactions(now)
 	g.expire(now)
 	g.dispatch(now)
 	g.planPool(now)
@@ -284,15 +288,18 @@
 	for _, cn := range g.conns {
 		cn.close()
 	}
-	g.answerSwitchovers()
+	g.failSwitchovers(ErrNotOwned)
 	g.cancel()
 	g.checkDrained()
 	return true
 }
 
-// wait blocks until all goroutines of the group ended.
+// wait blocks until all goroutines of the group ended, and closes the port if it can be closed.
 func (g *Group) wait() {
 	g.tasks.Wait()
+	if c, ok := g.port.(interface{ Close() }); ok {
+		c.Close()
+	}
 	g.metrics.forget()
 }
 
--- a/internal/home/manager.go
+++ b/internal/home/manager.go
@@ -337,8 +337,8 @@
 	if g.phase != phaseDraining {
 		return Handover{}, false
 	}
-	for _, s := range g.sessions {
-		if s.conn != nil && s.call == nil {
+	for _, cn := range g.conns {
+		if s := cn.session; s != nil && s.call == nil {
 			g.rollBackIdle(s, "release")
 		}
 	}
--- a/internal/home/options.go
+++ b/internal/home/options.go
@@ -41,6 +41,9 @@
 	configSpread = 4 * time.Second
 	// drainLimit bounds the wait for open transactions when a home is released.
 	drainLimit = 30 * time.Second
+	// idleTransactionLimit bounds the time that a transaction may hold a connection between two statements.
+	// Connections are scarce, so a caller that stopped in the middle of a transaction must not keep one for good.
+	idleTransactionLimit = 30 * time.Second
 	// staleStatus is the age of a member's last status after which it gets no new work: three missed heartbeats.
 	staleStatus = 350 * time.Millisecond
 	// loopInterval is the longest time between two passes of a group's loop.
@@ -132,6 +135,8 @@
 	Timing failover.Timing
 	// DrainLimit bounds the wait for open transactions on Release; 0 means 30 s.
 	DrainLimit time.Duration
+	// IdleTransactionLimit bounds the time between two statements of a transaction; 0 means 30 s.
+	IdleTransactionLimit time.Duration
 }
 
 func (o *Options) setDefaults() {
@@ -156,6 +161,9 @@
 	if o.DrainLimit == 0 {
 		o.DrainLimit = drainLimit
 	}
+	if o.IdleTransactionLimit == 0 {
+		o.IdleTransactionLimit = idleTransactionLimit
+	}
 }
 
 var _ request.Runner = (*Manager)(nil)
--- a/internal/home/session.go
+++ b/internal/home/session.go
@@ -79,10 +79,35 @@
 	g.rollBack(s)
 }
 
+// pin keeps the connection for the session's transaction.
+func (g *Group) pin(s *sessionState, cn *conn, now time.Time) {
+	s.conn = cn
+	cn.session = s
+	cn.since = now
+}
+
+// unpin ends the session's hold on the connection, if any.
+func (g *Group) unpin(cn *conn) {
+	if cn.session == nil {
+		return
+	}
+	cn.session.conn = nil
+	cn.session = nil
+}
+
+// endIdleTransactions rolls back transactions whose sessions have been idle for too long.
+func (g *Group) endIdleTransactions(now time.Time) {
+	for _, cn := range g.conns {
+		if s := cn.session; s != nil && s.call == nil && now.Sub(cn.since) > g.o.IdleTransactionLimit {
+			g.rollBackIdle(s, "idle_transaction")
+		}
+	}
+}
+
 // rollBack takes the connection from the session and resets it in its own goroutine.
 func (g *Group) rollBack(s *sessionState) {
 	cn := s.conn
-	s.conn = nil
+	g.unpin(cn)
 	if g.phase == phaseClosed {
 		g.forget(cn.id)
 		return
@@ -170,8 +195,8 @@
 
 func (g *Group) openTransactions() int {
 	n := 0
-	for _, s := range g.sessions {
-		if s.conn != nil {
+	for _, cn := range g.conns {
+		if cn.session != nil {
 			n++
 		}
 	}
--- a/internal/home/switchover.go
+++ b/internal/home/switchover.go
@@ -21,17 +21,20 @@
 		return Ownership{}, err
 	}
 	select {
-	case o := <-done:
-		if o.Lost {
-			return o, ErrNotOwned
-		}
-		return o, nil
+	case end := <-done:
+		return end.ownership, end.err
 	case <-ctx.Done():
 		return Ownership{}, errors.Wrap(ctx.Err(), "wait for the new primary")
 	}
 }
 
-func (g *Group) startSwitchover(r failover.SwitchoverRequest) (<-chan Ownership, error) {
+// switchoverEnd is what an operator who waits learns.
+type switchoverEnd struct {
+	ownership Ownership
+	err       error
+}
+
+func (g *Group) startSwitchover(r failover.SwitchoverRequest) (<-chan switchoverEnd, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.phase != phaseServing {
@@ -41,16 +44,44 @@
 	if err != nil {
 		return nil, err
 	}
-	done := make(chan Ownership, 1)
-	g.switchovers = append(g.switchovers, done)
+	w := &switchoverWaiter{target: r.Target, from: g.primary, done: make(chan switchoverEnd, 1)}
+	g.switchovers = append(g.switchovers, w)
 	g.act(actions)
-	return done, nil
+	return w.done, nil
+}
+
+// switchoverWaiter is an operator who waits for a new primary: the target, or any other than from.
+type switchoverWaiter struct {
+	target upstream.MemberID
+	from   upstream.MemberID
+	done   chan switchoverEnd
+}
+
+// reached reports whether the present primary is what the operator asked for.
+func (w *switchoverWaiter) reached(primary upstream.MemberID) bool {
+	if w.target != "" {
+		return primary == w.target
+	}
+	return primary != w.from
+}
+
+// finishSwitchovers tells the operators who wait which primary was announced. The state machine may have promoted
+// another member than they asked for, for example the old primary when its log was ahead.
+func (g *Group) finishSwitchovers() {
+	for _, w := range g.switchovers {
+		end := switchoverEnd{ownership: g.ownership()}
+		if !w.reached(g.primary) {
+			end.err = errors.Errorf("the switchover ended with %s as the primary of term %d", g.primary, g.term)
+		}
+		w.done <- end
+	}
+	g.switchovers = nil
 }
 
-// answerSwitchovers tells the operators who wait that a primary was announced or the role ended.
-func (g *Group) answerSwitchovers() {
-	for _, done := range g.switchovers {
-		done <- g.ownership()
+// failSwitchovers tells all operators who wait that no new primary follows.
+func (g *Group) failSwitchovers(err error) {
+	for _, w := range g.switchovers {
+		w.done <- switchoverEnd{ownership: g.ownership(), err: err}
 	}
 	g.switchovers = nil
 }
--- a/internal/home/transaction_test.go
+++ b/internal/home/transaction_test.go
@@ -204,3 +204,76 @@
 		w.is.Equal(a.types()[500], byte('C'))
 	})
 }
+
+// Guards against a planned move of the primary that refuses or loses a statement, and against a caller that keeps a
+// connection for good by stopping in a transaction.
+func TestSwitchoverUnderLoad(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		run(m, query("idle", "BEGIN"))
+		run(m, query("idle", "INSERT"))
+		_, err := m.Switchover(context.Background(), "g1", "b", "op")
+		w.is.True(err != nil) // the idle transaction outlasts the hold of a move that is not forced
+		time.Sleep(idleTransactionLimit)
+		w.is.Equal(w.g.count("ROLLBACK"), 1)
+		each(10, func(i int) {
+			for n := range 50 {
+				if i == 0 && n == 10 {
+					w.switchTo(m, "b")
+				}
+				for _, text := range [][]string{{"INSERT"}, {"BEGIN", "INSERT", "COMMIT"}, {"SELECT 1"}}[i%3] {
+					if res, _ := run(m, query(name(i), text)); res.Outcome != request.OutcomeDone {
+						w.t.Errorf("%s: %+v", text, res)
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}
+		})
+		_, err = m.Switchover(context.Background(), "g1", "b", "op")
+		w.is.True(err != nil) // it leads already
+		s := m.Status()[0]
+		w.is.Equal(s.Phase, "steady")
+		w.is.Equal(len(s.Members), 3)
+	})
+}
+
+// switchTo repeats an operator's order until it is carried out. The state machine may promote another member when that
+// one answers the fence first; the operator must then be told so.
+func (w *world) switchTo(m *Manager, target upstream.MemberID) {
+	for range 20 {
+		o, err := m.Switchover(context.Background(), "g1", target, "op")
+		if err == nil {
+			w.is.Equal(o.Primary, target)
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.t.Error("switchover not carried out")
+}
+
+// Guards against a preset change that reaches waiting work late or refills buckets.
+func TestPresetChangeAppliesAtOnce(t *testing.T) {
+	rate := func(perSecond float64) func(*config.Cluster) {
+		return func(c *config.Cluster) {
+			c.Customers[0].Contracts = map[config.Preset]config.Contract{config.PresetOrdinary: {RatePerSecond: perSecond, Burst: 5, Share: 1}}
+		}
+	}
+	simulate(t, rate(0.001), func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		start := time.Now()
+		w.is.True(m.Admit(context.Background(), "g1", []AdmitItem{{"c1", 5}}).Granted[0].Tokens == 0)
+		go func() {
+			time.Sleep(time.Second)
+			w.configure(rate(10))
+			m.ConfigChanged()
+		}()
+		each(5, func(i int) {
+			res, _ := run(m, query(name(i), "INSERT"))
+			w.is.Equal(res.Outcome, request.OutcomeDone)
+		})
+		took := time.Since(start)
+		w.is.True(took > 1400*time.Millisecond && took < 1700*time.Millisecond) // five tokens at 10 a second
+	})
+}
