--- a/internal/home/actions.go
+++ b/internal/home/actions.go
@@ -196,7 +196,7 @@
 	g.finishSwitchovers()
 	if f := g.o.OnChange; f != nil {
 		o := g.ownership()
-		g.task(func() { f(o) })
+		g.manager.tasks.Go(func() { f(o) })
 	}
 	g.probeAll(now)
 	g.dispatch(now)
--- a/internal/home/execute.go
+++ b/internal/home/execute.go
@@ -99,15 +99,15 @@
 	return nil
 }
 
-// attemptDeadline bounds this attempt. A read keeps half of its time for another member, in case the connection went
-// silent.
+// attemptDeadline bounds this attempt. A read keeps a quarter of its time for another member, in case the connection went
+// silent. A larger part would cut reads that are merely slow.
 func (e *execution) attemptDeadline() time.Time {
 	c := e.c
 	if c.pinned || c.attempt > 0 || c.r.Kind != request.KindRead && !c.r.Idempotent {
 		return c.deadline
 	}
 	now := e.g.now()
-	return now.Add(c.deadline.Sub(now) / 2)
+	return now.Add(c.deadline.Sub(now) * 3 / 4)
 }
 
 func (e *execution) applySettings() *failure {
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -67,7 +67,7 @@
 	// drained is closed when a draining group has no request and no transaction left.
 	drained chan struct{}
 
-	// mu guards everything below. It is held for microseconds and never during I/O.
+	// mu guards everything below. It is held for microseconds and never while waiting for a member or a caller.
 	mu    sync.Mutex
 	phase phase
 	// published is true once the manager sends requests here.
