--- a/internal/home/rounds.go
+++ b/internal/home/rounds.go
@@ -9,8 +9,8 @@
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
-// roundPatience is the time after which a round without a majority no longer keeps the next one from being sent.
-const roundPatience = 5 * time.Millisecond
+// maxRoundWait is the time after which a round without a majority no longer keeps the next one from being sent.
+const maxRoundWait = 5 * time.Millisecond
 
 // rounds shares status rounds between the periodic confirmation of the claim and requests that need a read index.
 type rounds struct {
@@ -35,12 +35,12 @@
 func (g *Group) joinRound(now time.Time) *indexWaiter {
 	w := &indexWaiter{id: g.tracker.NextRound(), done: make(chan struct{})}
 	g.rounds.waiters = append(g.rounds.waiters, w)
-	if g.rounds.open == 0 || now.Sub(g.rounds.sent) >= roundPatience {
+	if g.rounds.open == 0 || now.Sub(g.rounds.sent) >= maxRoundWait {
 		g.startRound(now)
 		return w
 	}
-	if patience := g.rounds.sent.Add(roundPatience); patience.Before(g.rounds.due) {
-		g.rounds.due = patience
+	if next := g.rounds.sent.Add(maxRoundWait); next.Before(g.rounds.due) {
+		g.rounds.due = next
 		g.wakeLoop()
 	}
 	return w
--- a/internal/pool/plan.go
+++ b/internal/pool/plan.go
@@ -47,7 +47,7 @@
 func (p *Pool) planDrain(actions []Action) []Action {
 	first := len(actions)
 	for _, c := range p.conns {
-		if c.state == StateIdle && (c.doomed || !p.takesNewWork(c.member)) {
+		if c.state == StateIdle && (c.closeOnRelease || !p.takesNewWork(c.member)) {
 			actions = append(actions, p.close(c, "member draining"))
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -86,8 +86,8 @@
 	idleSince time.Time
 	// probeDue is the time of the next keep-alive probe.
 	probeDue time.Time
-	// doomed connections are closed instead of becoming idle.
-	doomed bool
+	// closeOnRelease connections are closed instead of becoming idle.
+	closeOnRelease bool
 }
 
 // Pool is the state of all connections of a group.
@@ -157,7 +157,7 @@
 	delete(p.members, m.id)
 	for _, c := range p.conns {
 		if c.member == m {
-			c.doomed = true
+			c.closeOnRelease = true
 		}
 	}
 }
@@ -192,7 +192,7 @@
 	}
 }
 
-// DropMember dooms all connections to the member, for example after it accepted another claim, and returns those to
+// DropMember closes all connections to the member, for example after it accepted another claim. It returns those to
 // close now. The others are closed when their statement ends.
 func (p *Pool) DropMember(id upstream.MemberID) []Action {
 	var actions []Action
@@ -200,7 +200,7 @@
 		if c.member.id != id {
 			continue
 		}
-		c.doomed = true
+		c.closeOnRelease = true
 		if c.state == StateIdle {
 			actions = append(actions, p.close(c, "member dropped"))
 		}
--- a/internal/pool/transitions.go
+++ b/internal/pool/transitions.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	p.leaveSlot(c)
-	if c.doomed || !p.takesNewWork(c.member) || len(p.conns) > p.limit {
+	if c.closeOnRelease || !p.takesNewWork(c.member) || len(p.conns) > p.limit {
 		c.state = StateClosing
 		return false
 	}
