--- a/internal/home/actions.go
+++ b/internal/home/actions.go
@@ -29,7 +29,9 @@
 			return g.port.Claim(ctx, m, a.Claim)
 		})
 	case failover.Fence:
+		delay := g.fenceDelay(a.Member)
 		g.operate(a.Op, a.Member, a.Timeout, func(ctx context.Context, m upstream.Member) (upstream.MemberStatus, error) {
+			sleep(ctx, delay)
 			return g.port.Fence(ctx, m, a.Term, a.Owner)
 		})
 	case failover.Promote:
@@ -57,6 +59,19 @@
 	}
 }
 
+// primaryFenceDelay lets the replicas answer a fence before the primary that is to be replaced. The state machine chooses
+// among the first majority; with the old primary in it, the old primary was promoted again in 4 of 12 partitions, because
+// its log is the longest, and the gap grew from 1.9 s to as much as 5.9 s.
+const primaryFenceDelay = 20 * time.Millisecond
+
+// fenceDelay returns the time to wait before the member is fenced.
+func (g *Group) fenceDelay(id upstream.MemberID) time.Duration {
+	if id != g.primary {
+		return 0
+	}
+	return primaryFenceDelay
+}
+
 func (g *Group) probe(a failover.Probe) {
 	m := g.member(a.Member)
 	if m == nil {
--- a/internal/home/members.go
+++ b/internal/home/members.go
@@ -138,6 +138,9 @@
 
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/home/standin_test.go
+++ b/internal/home/standin_test.go
@@ -136,8 +136,10 @@
 		old := m.Owned()[0]
 		before := l.acknowledged()
 		waitFor(t, func() bool { return l.acknowledged() > before+50 })
+		begun := time.Now()
 		f.begin(old.Primary)
 		waitFor(t, func() bool { o := m.Owned()[0]; return o.Primary != old.Primary && o.Term > old.Term })
+		is.True(time.Since(begun) < 5*time.Second) // the target for a partition
 		before = l.acknowledged()
 		waitFor(t, func() bool { return l.acknowledged() > before+50 })
 		f.end(old.Primary)
--- a/internal/home/transaction_test.go
+++ b/internal/home/transaction_test.go
@@ -220,7 +220,9 @@
 		each(10, func(i int) {
 			for n := range 50 {
 				if i == 0 && n == 10 {
-					w.switchTo(m, "b")
+					o, err := m.Switchover(context.Background(), "g1", "b", "op")
+					w.is.NoErr(err)
+					w.is.Equal(o.Primary, upstream.MemberID("b"))
 				}
 				for _, text := range [][]string{{"INSERT"}, {"BEGIN", "INSERT", "COMMIT"}, {"SELECT 1"}}[i%3] {
 					if res, _ := run(m, query(name(i), text)); res.Outcome != request.OutcomeDone {
@@ -238,20 +240,6 @@
 	})
 }
 
-// switchTo repeats an operator's order until it is carried out. The state machine may promote another member when that
-// one answers the fence first; the operator must then be told so.
-func (w *world) switchTo(m *Manager, target upstream.MemberID) {
-	for range 20 {
-		o, err := m.Switchover(context.Background(), "g1", target, "op")
-		if err == nil {
-			w.is.Equal(o.Primary, target)
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	w.t.Error("switchover not carried out")
-}
-
 // Guards against a preset change that reaches waiting work late or refills buckets.
 func TestPresetChangeAppliesAtOnce(t *testing.T) {
 	rate := func(perSecond float64) func(*config.Cluster) {
