Fail over from a primary that its replicas do not hear

Cause: a primary that only the home still reaches can acknowledge nothing, and the two conditions of the design never both hold then.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -18,6 +18,8 @@
 	cause Cause
 	// preferred is promoted when its log is not behind; nil for no preference.
 	preferred *memberState
+	// excluded is passed over while a majority without it is fenced; nil for none.
+	excluded *memberState
 	// chosen is the only member that is ever promoted in the term.
 	chosen *memberState
 }
@@ -46,10 +48,10 @@
 
 // startAttempt begins to fence the members in a term above all that were seen or used.
 func (m *Machine) startAttempt(cause Cause, text string, now time.Time) {
-	preferred := m.attempt.preferred
+	preferred, excluded := m.attempt.preferred, m.attempt.excluded
 	m.attempt = attempt{}
 	m.highest++
-	m.attempt = attempt{term: m.highest, owner: m.owner(), cause: cause, preferred: preferred}
+	m.attempt = attempt{term: m.highest, owner: m.owner(), cause: cause, preferred: preferred, excluded: excluded}
 	m.enter(PhaseFencing, cause, now)
 	m.record(StepFence, cause, m.primary, now, "fencing all members in term %d: %s", m.attempt.term, text)
 }
@@ -66,14 +68,25 @@
 // stepFencing chooses a member once a majority is fenced. A majority is enough even when another member has a higher
 // term; without one, a higher term means that another promoter is at work.
 func (m *Machine) stepFencing(now time.Time) {
-	var fenced []*memberState
+	var fenced, candidates []*memberState
 	for _, k := range m.members {
-		if k.fencedBy(m.attempt.term, m.attempt.owner) {
-			fenced = append(fenced, k)
+		if !k.fencedBy(m.attempt.term, m.attempt.owner) {
+			continue
 		}
+		fenced = append(fenced, k)
+		if k != m.attempt.excluded {
+			candidates = append(candidates, k)
+		}
+	}
+	// Any fenced majority has every acknowledged record.
+	if len(candidates) >= m.majority() {
+		m.choose(candidates, now)
+		return
 	}
 	if len(fenced) >= m.majority() {
-		m.choose(fenced, now)
+		if now.Sub(m.since) >= m.timing.StepTimeout {
+			m.choose(fenced, now)
+		}
 		return
 	}
 	for _, k := range m.members {
--- a/internal/failover/evaluate.go
+++ b/internal/failover/evaluate.go
@@ -115,7 +115,8 @@
 		m.suspect(now)
 		return
 	}
-	if m.isolated(now) {
+	if m.isolated(now) && m.authority {
+		m.attempt.excluded = p
 		m.startFailover(CausePrimaryIsolated, now, "no majority can receive from the primary, so that no write can be acknowledged")
 		return
 	}
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -291,6 +291,8 @@
 	records         []Explanation
 	failed          []Cause
 	maxHold, heldAt time.Duration
+	// undrained keeps the home from reporting drained writes.
+	undrained bool
 }
 
 // boot starts the process without any memory of its former life.
@@ -371,7 +373,7 @@
 
 // write runs one small transaction on the known primary and reports drained writes.
 func (p *promoter) write() {
-	if p.held && p.drain {
+	if p.held && p.drain && !p.undrained {
 		p.drain = false
 		p.do(p.machine.WritesDrained(p.at()))
 	}
