--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -256,3 +256,14 @@
 		}
 	}
 }
+
+func BenchmarkStatus(b *testing.B) {
+	w := newWorld(1, 1)
+	w.promoters[0].wants = true
+	w.run(time.Second)
+	m, s, now := w.promoters[0].machine, w.members[1].status(), w.promoters[0].at()
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Status(s, now)
+	}
+}
