--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -18,8 +18,7 @@
 	cause Cause
 	// preferred is promoted when its log is not behind; nil for no preference.
 	preferred *memberState
-	// excluded is a primary that the replicas cannot hear. Its log may be the longest, but promoting it again changes
-	// nothing; a majority of the others has every acknowledged record.
+	// excluded is passed over while a majority without it is fenced; nil for none.
 	excluded *memberState
 	// chosen is the only member that is ever promoted in the term.
 	chosen *memberState
@@ -50,9 +49,7 @@
 // startAttempt begins to fence the members in a term above all that were seen or used.
 func (m *Machine) startAttempt(cause Cause, text string, now time.Time) {
 	preferred, excluded := m.attempt.preferred, m.attempt.excluded
-	if cause == CausePrimaryIsolated {
-		excluded = m.primary
-	}
+	m.attempt = attempt{}
 	m.highest++
 	m.attempt = attempt{term: m.highest, owner: m.owner(), cause: cause, preferred: preferred, excluded: excluded}
 	m.enter(PhaseFencing, cause, now)
@@ -71,18 +68,25 @@
 // stepFencing chooses a member once a majority is fenced. A majority is enough even when another member has a higher
 // term; without one, a higher term means that another promoter is at work.
 func (m *Machine) stepFencing(now time.Time) {
-	if now.Sub(m.since) >= m.timing.StepTimeout {
-		// Too few of the others answer, so the excluded member is needed for a majority.
-		m.attempt.excluded = nil
-	}
-	var fenced []*memberState
+	var fenced, candidates []*memberState
 	for _, k := range m.members {
-		if k != m.attempt.excluded && k.fencedBy(m.attempt.term, m.attempt.owner) {
-			fenced = append(fenced, k)
+		if !k.fencedBy(m.attempt.term, m.attempt.owner) {
+			continue
+		}
+		fenced = append(fenced, k)
+		if k != m.attempt.excluded {
+			candidates = append(candidates, k)
 		}
 	}
+	// Any fenced majority has every acknowledged record.
+	if len(candidates) >= m.majority() {
+		m.choose(candidates, now)
+		return
+	}
 	if len(fenced) >= m.majority() {
-		m.choose(fenced, now)
+		if now.Sub(m.since) >= m.timing.StepTimeout {
+			m.choose(fenced, now)
+		}
 		return
 	}
 	for _, k := range m.members {
