Pull recent news when there is much of it

Cause: with random pushes under the byte budget, 99 % of 1,200 instances knew the 350 records of a lost failure domain (deaths and new homes) only after 16 s, and joining instances pushed the whole copied state again. Change: above 40 recently changed records an instance pushes each record once and pulls: salted 2-byte hashes of recent records, answered with what is missing. Records copied while joining are not spread.

--- a/internal/capacity/gossip.go
+++ b/internal/capacity/gossip.go
@@ -30,6 +30,8 @@
 	scenarioLimit = 2 * time.Minute
 	// cutTime is how long a failure domain stays cut off.
 	cutTime = 30 * time.Second
+	// claimDelay is the time after which the homes of lost instances are announced anew: detection and a claim.
+	claimDelay = 1500 * time.Millisecond
 	// restartDrain and restartGap are the times between leaving, end and new start of a restarted instance.
 	restartDrain = 500 * time.Millisecond
 	restartGap   = time.Second
@@ -119,16 +121,10 @@
 // newGossipFleet returns a fleet whose instances have all joined and that is quiet.
 func newGossipFleet(n int, seed uint64) *gossipFleet {
 	f := &gossipFleet{Network: NewNetwork(seed), n: n}
-	for i := range n {
-		f.Start(f.Add(instance.Info{
-			ID:            instance.ID(fmt.Sprintf("region-0%d-proxy-%04d", i%gossipDomains%3, i)),
-			FailureDomain: instance.FailureDomain(fmt.Sprintf("region-0%d-zone-%d", i%gossipDomains%3, i%gossipDomains)),
-			PeerAddress:   fmt.Sprintf("10.20.%d.%d:7420", i/200, i%200),
-			CallerAddress: fmt.Sprintf("10.20.%d.%d:5432", i/200, i%200),
-		}))
-	}
+	f.addNodes()
 	view := f.fullView()
 	for _, node := range f.Nodes {
+		f.Start(node)
 		node.Machine.Preload(f.Now, view)
 		node.Machine.Listed(f.Now, f.list())
 		node.OnChange = func(now time.Time, c membership.Changes) { f.watch(node, c) }
@@ -137,26 +133,47 @@
 	return f
 }
 
-// fullView returns a view with all instances and homes.
+// gossipInfo returns the i-th instance; ids and addresses have the length of real ones.
+func gossipInfo(i int) instance.Info {
+	domain := i % gossipDomains
+	return instance.Info{
+		ID:            instance.ID(fmt.Sprintf("region-0%d-proxy-%04d", domain%3, i)),
+		FailureDomain: instance.FailureDomain(fmt.Sprintf("region-0%d-zone-%d", domain%3, domain)),
+		PeerAddress:   fmt.Sprintf("10.20.%d.%d:7420", i/200, i%200),
+		CallerAddress: fmt.Sprintf("10.20.%d.%d:5432", i/200, i%200),
+	}
+}
+
+// fullView returns a view with all instances and homes, as of the present time.
 func (f *gossipFleet) fullView() *membership.View {
-	m := membership.New(f.Now, membership.Config{Self: f.Nodes[0].Info, Incarnation: uint64(f.Now.UnixMilli())})
+	incarnation := uint64(f.Now.UnixMilli())
+	m := membership.New(f.Now, membership.Config{Self: f.Nodes[0].Info, Incarnation: incarnation})
 	for _, node := range f.Nodes {
-		v := node.Machine.View()
-		m.Gossip(f.Now, &membership.Message{From: node.Info.ID, Members: []membership.Member{v.Self}})
+		record := membership.Member{
+			ID: node.Info.ID, Incarnation: incarnation, Info: node.Info, InfoIncarnation: incarnation,
+		}
+		m.Gossip(f.Now, &membership.Message{From: node.Info.ID, Members: []membership.Member{record}})
 	}
-	for i := range int(float64(f.n) * groupsPerInstance) {
-		m.AnnounceHome(membership.Home{
-			Group:      upstream.GroupID(fmt.Sprintf("group-%05d", i)),
-			Owner:      f.Nodes[i%f.n].Info.ID,
-			Generation: 1,
-			Primary:    "member-1",
-			Term:       1,
-		})
+	for i := range f.groups() {
+		m.AnnounceHome(f.Now, f.home(i, 1, f.Nodes[i%f.n]))
 	}
 	m.AnnounceConfig(membership.ConfigVersion{Version: 1, OperationID: "initial", Root: "root"})
 	return m.View()
 }
 
+func (f *gossipFleet) groups() int { return int(float64(f.n) * groupsPerInstance) }
+
+// home returns the record of the i-th group.
+func (f *gossipFleet) home(i int, generation uint64, owner *Node) membership.Home {
+	return membership.Home{
+		Group:      upstream.GroupID(fmt.Sprintf("group-%05d", i)),
+		Owner:      owner.Info.ID,
+		Generation: generation,
+		Primary:    "member-1",
+		Term:       1,
+	}
+}
+
 // list returns the platform's list; it shows all instances all the time, as a lagging list does.
 func (f *gossipFleet) list() []platform.InstanceEntry {
 	var entries []platform.InstanceEntry
@@ -231,23 +248,32 @@
 	return err
 }
 
-// cutDomain cuts off one failure domain and measures until all others take its instances for dead.
+// cutDomain cuts off one failure domain, claims its homes at others, and measures until all others take its instances
+// for dead and know the new homes.
 func (f *gossipFleet) cutDomain() error {
 	f.cutOff = f.Nodes[3].Info.FailureDomain
-	var lost []instance.ID
-	for _, node := range f.Nodes {
-		if node.Up() && node.Info.FailureDomain == f.cutOff {
-			lost = append(lost, node.Info.ID)
+	cut := func(n *Node) bool { return n.Info.FailureDomain == f.cutOff }
+	var moved []membership.Home
+	for i := range f.groups() {
+		if cut(f.Nodes[i%f.n]) {
+			moved = append(moved, f.home(i, 2, f.Nodes[(i+1)%f.n]))
 		}
 	}
-	err := f.await(func(n *Node) bool {
-		if n.Info.FailureDomain == f.cutOff {
-			return true
+	f.After(claimDelay, func() {
+		for _, h := range moved {
+			f.Node(h.Owner).Machine.AnnounceHome(f.Now, h)
 		}
+	})
+	err := f.await(func(n *Node) bool {
 		view := n.Machine.View()
-		for _, id := range lost {
-			if view.State(id) != instance.StateDead {
-				return false
+		for _, node := range f.Nodes {
+			if cut(node) && view.State(node.Info.ID) != instance.StateDead {
+				return cut(n)
+			}
+		}
+		for _, h := range moved {
+			if known, _ := view.Home(h.Group); known != h {
+				return cut(n)
 			}
 		}
 		return true
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -43,6 +43,8 @@
 			Buckets: m.Digest.Buckets,
 			Wanted:  m.Digest.Wanted,
 			Joined:  m.Digest.Joined,
+			Recent:  m.Digest.Recent,
+			Salt:    m.Digest.Salt,
 		}
 	}
 	return p
@@ -102,7 +104,14 @@
 		})
 	}
 	if d := p.GetDigest(); d != nil {
-		m.Digest = &membership.Digest{Root: d.Root, Buckets: d.Buckets, Wanted: d.Wanted, Joined: d.Joined}
+		m.Digest = &membership.Digest{
+			Root:    d.Root,
+			Buckets: d.Buckets,
+			Wanted:  d.Wanted,
+			Joined:  d.Joined,
+			Recent:  d.Recent,
+			Salt:    d.Salt,
+		}
 	}
 	return m
 }
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -144,8 +144,8 @@
 
 // AnnounceHome spreads the record of a home. A generation below the known one has no effect.
 func (s *Service) AnnounceHome(h membership.Home) {
-	s.step(context.Background(), func(time.Time) []membership.Call {
-		s.machine.AnnounceHome(h)
+	s.step(context.Background(), func(now time.Time) []membership.Call {
+		s.machine.AnnounceHome(now, h)
 		return nil
 	})
 }
--- a/internal/gossip/transport_test.go
+++ b/internal/gossip/transport_test.go
@@ -54,6 +54,8 @@
 				Buckets: rapid.SliceOfN(number, 1, 3).Draw(t, "buckets"),
 				Wanted:  rapid.SliceOfN(rapid.Uint32(), 1, 3).Draw(t, "wanted"),
 				Joined:  rapid.Bool().Draw(t, "joined"),
+				Recent:  rapid.SliceOf(rapid.Byte()).Draw(t, "recent"),
+				Salt:    rapid.Uint32().Draw(t, "salt"),
 			}
 			m.Config = membership.ConfigVersion{Version: number.Draw(t, "version") + 1, OperationID: "o", Root: "r"}
 		}
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -19,7 +19,7 @@
 		m.applyNews(now, r, msg.From)
 	}
 	for _, h := range msg.Homes {
-		m.applyHome(h)
+		m.applyHome(now, h)
 	}
 	if msg.Config.Version > 0 {
 		m.applyConfig(msg.Config)
@@ -83,7 +83,7 @@
 	m.follow(now, after)
 	m.touchMembers()
 	if known || after.State != instance.StateDead {
-		m.news.add(newsKey{kind: kindMember, member: r.ID})
+		m.spread(now, newsKey{kind: kindMember, member: r.ID})
 	}
 	if !known || before.State != after.State || before.Incarnation != after.Incarnation {
 		m.explain(before, after, cause, source)
@@ -164,12 +164,12 @@
 	m.view = nil
 }
 
-func (m *Machine) applyHome(h Home) {
+func (m *Machine) applyHome(now time.Time, h Home) {
 	after, changed := m.state.mergeHome(h)
 	if !changed {
 		return
 	}
-	m.news.add(newsKey{kind: kindHome, group: h.Group})
+	m.spread(now, newsKey{kind: kindHome, group: h.Group})
 	m.changes.Homes = append(m.changes.Homes, after)
 	m.homesVersion++
 	m.view = nil
--- a/internal/membership/call.go
+++ b/internal/membership/call.go
@@ -21,6 +21,8 @@
 	CallSample
 	// CallPush spreads news to a random peer.
 	CallPush
+	// CallPull asks a random peer for recent news that this instance does not have.
+	CallPull
 	// CallDigest compares states with a random peer.
 	CallDigest
 	// CallFetch exchanges the records of buckets that differ.
@@ -42,6 +44,8 @@
 		return "sample"
 	case CallPush:
 		return "push"
+	case CallPull:
+		return "pull"
 	case CallDigest:
 		return "digest"
 	case CallFetch:
@@ -88,7 +92,9 @@
 		return nil
 	}
 	if r.OK && r.Message != nil {
+		m.join.copying = c.Kind == CallFetch && !m.join.done
 		m.receive(now, r.Message)
+		m.join.copying = false
 	}
 	if !r.OK && c.epoch != m.epoch {
 		return nil
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -15,6 +15,8 @@
 	// fetching is true while a fetch is outstanding.
 	fetching bool
 	fetched  [BucketCount]bool
+	// copying is true while the records of a fetch are joined into the state. They are no news to others.
+	copying bool
 	// answered is true once another joining instance answered.
 	answered bool
 	// contacted is true once an instance other than this one was tried.
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -36,6 +36,7 @@
 	unanswered []instance.ID
 	urgent     *newsQueue
 	news       *newsQueue
+	recent     recentNews
 	budget     byteBudget
 	directory  directory
 	join       join
@@ -198,7 +199,7 @@
 }
 
 // AnnounceHome spreads a record of a home. Lower generations than the known one have no effect.
-func (m *Machine) AnnounceHome(h Home) { m.applyHome(h) }
+func (m *Machine) AnnounceHome(now time.Time, h Home) { m.applyHome(now, h) }
 
 // AnnounceConfig spreads a version of the configuration. Versions below the known one have no effect.
 func (m *Machine) AnnounceConfig(c ConfigVersion) { m.applyConfig(c) }
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -25,6 +25,8 @@
 	Buckets []uint64
 	Wanted  []uint32
 	Joined  bool
+	Recent  []byte
+	Salt    uint32
 }
 
 // Size returns the length of the message in bytes as encoded by package gossip.
@@ -98,6 +100,10 @@
 	if d.Joined {
 		n += 2
 	}
+	n += stringSize(len(d.Recent))
+	if d.Salt != 0 {
+		n += 5
+	}
 	return n
 }
 
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -27,12 +27,18 @@
 // least often go first, so that new news is not held up by old.
 type newsQueue struct {
 	levels   [][]newsEntry
-	current  map[newsKey]uint64
+	current  map[newsKey]newsPlace
 	sequence uint64
 }
 
+// newsPlace is where a key is queued.
+type newsPlace struct {
+	sequence uint64
+	level    int
+}
+
 func newNewsQueue() *newsQueue {
-	return &newsQueue{current: make(map[newsKey]uint64)}
+	return &newsQueue{current: make(map[newsKey]newsPlace)}
 }
 
 // add queues a record as never sent, also when it is queued already.
@@ -43,22 +49,35 @@
 		q.levels = append(q.levels, nil)
 	}
 	q.sequence++
-	q.current[k] = q.sequence
+	q.current[k] = newsPlace{sequence: q.sequence, level: level}
 	q.levels[level] = append(q.levels[level], newsEntry{key: k, sequence: q.sequence})
 }
 
 func (q *newsQueue) len() int { return len(q.current) }
 
-// take calls send for the records sent least often until it returns stop. A record that was sent counts as sent
-// copies more times and leaves the queue at limit.
-func (q *newsQueue) take(copies, limit int, send func(newsKey) sendResult) {
+// raise counts a record as sent once more, because a peer is known to have it.
+func (q *newsQueue) raise(k newsKey, limit int) {
+	place, ok := q.current[k]
+	if !ok {
+		return
+	}
+	if place.level+1 >= limit {
+		delete(q.current, k)
+		return
+	}
+	q.put(k, place.level+1)
+}
+
+// take calls send for the records sent less than below times, those sent least often first, until it returns stop. A
+// record that was sent counts as sent copies more times and leaves the queue at limit.
+func (q *newsQueue) take(copies, below, limit int, send func(newsKey) sendResult) {
 	var sent []newsEntry
 	var levels []int
-	for level := range q.levels {
+	for level := range min(below, len(q.levels)) {
 		kept := q.levels[level][:0]
 		stopped := false
 		for i, e := range q.levels[level] {
-			if q.current[e.key] != e.sequence {
+			if q.current[e.key].sequence != e.sequence {
 				continue
 			}
 			result := send(e.key)
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -13,19 +13,19 @@
 		return nil
 	}
 	m.due.push = nextDue(now, m.due.push, PushInterval)
+	calls := m.pulls(now)
 	if m.news.len() == 0 && m.urgent.len() == 0 {
-		return nil
+		return calls
 	}
 	targets := m.pickPeers(m.fanout(now))
 	if len(targets) == 0 {
-		return nil
+		return calls
 	}
 	msg := &Message{From: m.self, StoreAge: m.storeAge(now)}
 	if !m.addNews(now, msg, MaxPushNewsBytes, len(targets), nil) {
-		return nil
+		return calls
 	}
 	m.budget.spend(CallOverheadBytes * len(targets))
-	var calls []Call
 	for _, id := range targets {
 		if c, ok := m.gossipCall(now, CallPush, id, msg); ok {
 			calls = append(calls, c)
@@ -40,7 +40,11 @@
 	const full = MaxPushNewsBytes + CallOverheadBytes
 	m.budget.refill(now)
 	switch left := m.budget.left(); {
-	case m.urgent.len() > 0 || left >= PushFanout*full:
+	case m.urgent.len() > 0:
+		return PushFanout
+	case m.pulling() && left >= full:
+		return 1
+	case left >= PushFanout*full:
 		return PushFanout
 	case left >= full:
 		return 1
@@ -71,7 +75,11 @@
 func (m *Machine) fill(q *newsQueue, msg *Message, room, copies int, margin float64, received *Message) int {
 	used := 0
 	total := retransmissions(m.peers.len()+1, margin)
-	q.take(copies, total, func(k newsKey) sendResult {
+	below := total
+	if q == m.news && m.pulling() {
+		below = PullFirstSends
+	}
+	q.take(copies, below, total, func(k newsKey) sendResult {
 		if received.has(k) {
 			return sendSkipped
 		}
@@ -156,7 +164,11 @@
 	m.receive(now, msg)
 	reply := &Message{From: m.self, StoreAge: m.storeAge(now)}
 	m.addDoubt(reply, msg.From)
-	if msg.Digest != nil {
+	switch {
+	case msg.Digest == nil:
+	case len(msg.Digest.Recent) > 0:
+		m.answerPull(now, reply, msg.Digest)
+	default:
 		m.answerDigest(reply, msg)
 	}
 	m.addNews(now, reply, MaxPushNewsBytes, 1, msg)
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -52,6 +52,18 @@
 	NewsBytesPerSecond = 8 * 1024
 	// NewsBurstBytes is what may be sent at once after a quiet time.
 	NewsBurstBytes = 8 * 1024
+	// PullThreshold is the number of recently changed records from which an instance pulls instead of pushing the same
+	// records many times. With random pushes alone each record must reach an instance about ten times on average
+	// until all have it.
+	PullThreshold = 40
+	// PullFirstSends is how often an instance pushes a record while it pulls.
+	PullFirstSends = 1
+	// MaxPullRecords bounds the hashes in one pull.
+	MaxPullRecords = 512
+	// MaxPullBytes bounds the records in the answer to a pull.
+	MaxPullBytes = 2 * 1024
+	// RecentTime is how long a changed record counts as recent news.
+	RecentTime = 15 * time.Second
 	// NewsMargin and UrgentMargin are the margins of the number of sends of a record (see retransmissions). One in
 	// exp(7) = 1,100 records of members and homes misses one instance; one in exp(14) = 1,200,000 configuration
 	// versions and revocations does, because these must be known everywhere within 4 s.
