--- a/internal/config/chunks.go
+++ b/internal/config/chunks.go
@@ -90,14 +90,26 @@
 // WriteBack stores a configuration that is in force when the key-value service holds an older one or another one of
 // the same version, as after a restart from an old copy. It returns the configuration that the service holds then.
 func (r *Repository) WriteBack(ctx context.Context, e *Encoded) (Ref, error) {
+	return r.writeBack(ctx, e, func(stored Ref) bool {
+		return stored.Version < e.Root.Version || stored.Version == e.Root.Version && stored != e.Ref()
+	})
+}
+
+// Restore stores an accepted configuration that the key-value service has lost. Unlike WriteBack it leaves another one
+// of the same version alone, because that one may be in force. It returns the configuration that the service holds
+// then; the accepted one may be lost when that is not newer than itself and differs.
+func (r *Repository) Restore(ctx context.Context, e *Encoded) (Ref, error) {
+	return r.writeBack(ctx, e, func(stored Ref) bool { return stored.Version < e.Root.Version })
+}
+
+func (r *Repository) writeBack(ctx context.Context, e *Encoded, replaces func(stored Ref) bool) (Ref, error) {
 	for attempt := 1; ; attempt++ {
 		stored, err := r.storedRoot(ctx)
 		if err != nil {
 			return Ref{}, err
 		}
-		present := stored.ref()
-		if present.Version > e.Root.Version || present == e.Ref() {
-			return present, nil
+		if !replaces(stored.ref()) {
+			return stored.ref(), nil
 		}
 		err = r.replaceWith(ctx, e, stored)
 		if err == nil {
--- a/internal/config/codec.go
+++ b/internal/config/codec.go
@@ -79,8 +79,9 @@
 	e.Root.Version = c.Version
 	e.Root.OperationID = c.OperationID
 	e.Root.Chunks = nil
+	w := gzip.NewWriter(io.Discard)
 	for name, s := range split(c) {
-		p, err := compress(s)
+		p, err := compress(w, s)
 		if err != nil {
 			return nil, errors.Wrapf(err, "encode section %s", name)
 		}
@@ -97,9 +98,10 @@
 	return e, nil
 }
 
-func compress(s *section) ([]byte, error) {
+// compress reuses w, because the tables of a new writer take longer to set up than a small section to compress.
+func compress(w *gzip.Writer, s *section) ([]byte, error) {
 	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
+	w.Reset(&b)
 	if err := json.NewEncoder(w).Encode(s); err != nil {
 		return nil, err
 	}
--- a/internal/config/collect.go
+++ b/internal/config/collect.go
@@ -49,16 +49,20 @@
 	if err != nil {
 		return err
 	}
-	part := fmt.Sprintf("%x", version%collectPartitions)
+	return r.collectPart(ctx, fmt.Sprintf("%x", version%collectPartitions), root.Revision, used)
+}
+
+// collectPart deletes the candidates of one part and lists new ones.
+func (r *Repository) collectPart(ctx context.Context, part string, rootRevision uint64, used map[Hash]bool) error {
 	key := collectPrefix + part
 	entry, err := r.read(ctx, "read candidates", key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	if err := r.deleteCandidates(ctx, entry.Value, root.Revision, used); err != nil {
+	if err := r.deleteCandidates(ctx, entry.Value, rootRevision, used); err != nil {
 		return err
 	}
-	return r.recordCandidates(ctx, key, entry.Revision, chunkPrefix+part, root.Revision, used)
+	return r.recordCandidates(ctx, key, entry.Revision, chunkPrefix+part, rootRevision, used)
 }
 
 // usedChunks returns the chunks of the root and of the history. The root is read first: a root that is replaced in
--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -137,6 +137,13 @@
 	return nil
 }
 
+// Contains reports whether the present configuration or one of the replaced ones that are kept was made by the
+// operation.
+func (r *Repository) Contains(ctx context.Context, operationID string) (bool, error) {
+	done, err := r.findOperation(ctx, operationID)
+	return done != nil, err
+}
+
 // findOperation returns the root that the operation made, or nil.
 func (r *Repository) findOperation(ctx context.Context, id string) (*StoredRoot, error) {
 	roots, err := r.History(ctx)
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -124,6 +124,7 @@
 	}
 	s.mu.Lock()
 	err := f()
+	h = s.hook // a watch may have waited while the hook was replaced
 	s.mu.Unlock()
 	if err == nil && h.After != nil {
 		return h.After(ctx, c)
