--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -232,16 +232,23 @@
 	})
 }
 
-// flush writes all waiting records and makes a record of earlier losses.
+// flush writes all waiting records. Losses are reported once the service takes records again: a report during the
+// outage would itself drop a record.
 func (t *Trail) flush(ctx context.Context) error {
-	t.reportDropped()
+	if err := t.writer.flush(ctx, t.toStore); err != nil {
+		return err
+	}
+	if !t.reportDropped() {
+		return nil
+	}
 	return t.writer.flush(ctx, t.toStore)
 }
 
-func (t *Trail) reportDropped() {
+// reportDropped makes a record of the number of dropped records and returns false when there are none.
+func (t *Trail) reportDropped() bool {
 	n := t.toStore.takeDropped()
 	if n == 0 {
-		return
+		return false
 	}
 	t.dropped.Add(uint64(n))
 	t.Record(Record{
@@ -252,6 +259,7 @@
 			{Key: "where", Value: "waiting for the key-value service"},
 		},
 	})
+	return true
 }
 
 // every calls f at each interval until ctx ends.
--- a/internal/audit/writer.go
+++ b/internal/audit/writer.go
@@ -116,10 +116,13 @@
 		return errors.Wrap(err, "encode batch")
 	}
 	_, err = w.swap(ctx, p.ref.Key, 0, value)
-	if !errors.Is(err, platform.ErrConflict) {
-		return errors.Wrap(err, "write batch")
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		return w.resolve(ctx, p)
 	}
-	return w.resolve(ctx, p)
+	return errors.Wrap(err, "write batch")
 }
 
 // resolve decides after a conflict whether the key holds this batch, stored by a try whose answer was lost, or that of
