--- a/internal/audit/explain.go
+++ b/internal/audit/explain.go
@@ -95,7 +95,8 @@
 	s.add(" [%s", r.Kind)
 	s.addIf(", cause %s", r.Cause)
 	s.facts(r)
-	return s.add("]").end()
+	s.add("]")
+	return s.addIf(". %s", consequences[r.Kind]).end()
 }
 
 // general explains a kind without a sentence of its own.
--- a/internal/audit/sentences.go
+++ b/internal/audit/sentences.go
@@ -38,6 +38,13 @@
 	KindLost:               lost,
 }
 
+// consequences says what follows from an event. It also completes the texts that come with records of these kinds.
+var consequences = map[Kind]string{
+	KindHomeClaimed:    "Connections of older generations are closed by the members",
+	KindTokenFault:     "An acknowledged write may be lost: compare the members' logs. The primary serves the session",
+	KindOutcomeUnknown: "It may have taken effect: look before it is repeated",
+}
+
 func failoverStarted(r *Record) string {
 	s := begin("group %s: failover from primary %s started", r.Group, orUnknown(r.Input("primary")))
 	s.addIf(" because %s", r.Cause)
@@ -85,7 +92,7 @@
 	s.addIf(" because %s", r.Cause)
 	s.addIf("; the home before was %s", r.Input("previous_owner"))
 	s.addIf("; accepted by %s", r.Input("members"))
-	return s.add(". Connections of older generations are closed by the members").end()
+	return s.add(". %s", consequences[KindHomeClaimed]).end()
 }
 
 func homeHandedOver(r *Record) string {
@@ -106,7 +113,7 @@
 		orUnknown(r.Input("token_position")), orUnknown(r.Input("term_start")))
 	s.addIf(", customer %s", r.Customer)
 	s.addIf(", trace %s", string(r.Trace))
-	return s.add(". An acknowledged write may be lost: compare the members' logs. The primary serves the session").end()
+	return s.add(". %s", consequences[KindTokenFault]).end()
 }
 
 // operator names who asked.
@@ -213,7 +220,7 @@
 	s.addIf(", because %s", r.Cause)
 	s.addIf("; the last step was %s", r.Input("step"))
 	s.addIf(" at %s", r.Input("peer"))
-	return s.add(". It may have taken effect: look before it is repeated").end()
+	return s.add(". %s", consequences[KindOutcomeUnknown]).end()
 }
 
 // outcomes says in words what became of a request.
