--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -59,6 +59,8 @@
 	previous atomic.Pointer[Encoded]
 	// storeAnswer is the time of the last answer of the key-value service in nanoseconds since 1970.
 	storeAnswer atomic.Int64
+	// revocationList is the set for readers on other goroutines.
+	revocationList atomic.Pointer[[]Revocation]
 
 	events   chan event
 	readRoot chan struct{}
@@ -281,6 +283,8 @@
 	if len(added) == 0 {
 		return nil
 	}
+	all := k.revoked.list()
+	k.revocationList.Store(&all)
 	k.o.Gossip.AnnounceRevocations(added)
 	for _, r := range added {
 		k.o.Log.Warn("key revoked in an emergency", "customer", r.Customer, "key", r.Key, "operator", r.Operator)
@@ -294,3 +298,11 @@
 	k.notify(next)
 	return k.machine.setPending(now, len(k.revoked.pending(next.Cluster())))
 }
+
+// Revocations returns the emergency revocations that this instance knows of, in order of customer and key.
+func (k *Keeper) Revocations() []Revocation {
+	if list := k.revocationList.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
--- a/internal/settings/secrets.go
+++ b/internal/settings/secrets.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/certs"
 )
 
 // minTokenSecretBytes is the output size of HMAC-SHA-256; a shorter key would weaken it.
@@ -22,11 +24,10 @@
 
 // Files holds what the files named in the settings contain.
 type Files struct {
-	// CallerTLS is nil when callers connect in plain text.
-	CallerTLS *tls.Config
-	// PeerServerTLS and PeerClientTLS are nil when peers connect in plain text.
-	PeerServerTLS *tls.Config
-	PeerClientTLS *tls.Config
+	// Callers is nil when callers connect in plain text.
+	Callers *certs.Store
+	// Peers serves the peers' and the operators' address; it is nil when they connect in plain text.
+	Peers *certs.Store
 	// UpstreamTLS is nil when members are connected in plain text.
 	UpstreamTLS      *tls.Config
 	UpstreamPassword Secret
@@ -50,42 +51,31 @@
 }
 
 func (f *Files) loadCallerTLS(s *Settings) error {
-	if s.TLS.Callers.CertificateFile == "" {
+	x := s.TLS.Callers
+	if x.CertificateFile == "" {
 		return nil
 	}
-	pair, err := tls.LoadX509KeyPair(s.TLS.Callers.CertificateFile, s.TLS.Callers.KeyFile)
-	if err != nil {
-		return errors.Wrap(err, "tls.callers")
-	}
-	f.CallerTLS = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
-	return nil
+	var err error
+	f.Callers, err = certs.Load(certs.Files{Certificate: x.CertificateFile, Key: x.KeyFile})
+	return wrap(err, "tls.callers")
 }
 
 func (f *Files) loadPeerTLS(s *Settings) error {
-	files := s.TLS.Peers
-	if files.CertificateFile == "" {
+	x := s.TLS.Peers
+	if x.CertificateFile == "" {
 		return nil
 	}
-	pair, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
-	if err != nil {
-		return errors.Wrap(err, "tls.peers")
-	}
-	pool, err := loadPool(files.AuthorityFile)
-	if err != nil {
-		return errors.Wrap(err, "tls.peers.authority_file")
-	}
-	f.PeerServerTLS = &tls.Config{
-		Certificates: []tls.Certificate{pair},
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
-	}
-	f.PeerClientTLS = &tls.Config{
-		Certificates: []tls.Certificate{pair},
-		RootCAs:      pool,
-		MinVersion:   tls.VersionTLS13,
+	var err error
+	f.Peers, err = certs.Load(certs.Files{Certificate: x.CertificateFile, Key: x.KeyFile, Roots: x.AuthorityFile})
+	return wrap(err, "tls.peers")
+}
+
+// wrap adds the path of the setting to an error.
+func wrap(err error, path string) error {
+	if err == nil {
+		return nil
 	}
-	return nil
+	return errors.Wrap(err, path)
 }
 
 func (f *Files) loadUpstream(s *Settings) error {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -162,3 +162,17 @@
 		}
 	})
 }
+
+// Guards against examples and a published schema that differ from what the program reads.
+func TestExamples(t *testing.T) {
+	is := is.New(t)
+	for _, file := range []string{"kestrel/settings", "kestrel/settings-local", "swanwhistle/settings", "swanwhistle/settings-local"} {
+		document, err := os.ReadFile("../../examples/" + file + ".json")
+		is.NoErr(err)
+		_, problems := Parse(document)
+		is.Equal(len(problems), 0)
+	}
+	schema, err := os.ReadFile("../../examples/schema/settings.schema.json")
+	is.NoErr(err)
+	is.True(bytes.Equal(schema, SchemaDocument()))
+}
