--- a/internal/config/chunks.go
+++ b/internal/config/chunks.go
@@ -45,23 +45,29 @@
 // deletes a chunk only at the revision at which it found it unused, so it cannot delete one that is about to be used.
 func (r *Repository) putChunk(ctx context.Context, h Hash, p []byte) (platform.Entry, error) {
 	var out platform.Entry
-	expected := uint64(0)
 	err := r.repeat(ctx, "write chunk", func(ctx context.Context) error {
 		var err error
-		out, err = r.store.CompareAndSwap(ctx, chunkKey(h), expected, p, 0)
-		if !errors.Is(err, platform.ErrConflict) {
-			return err
+		out, err = r.store.CompareAndSwap(ctx, chunkKey(h), 0, p, 0)
+		if errors.Is(err, platform.ErrConflict) {
+			out, err = r.rewriteChunk(ctx, h, p)
 		}
-		found, err := r.store.Get(ctx, chunkKey(h))
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
-			return err
-		}
-		expected = found.Revision
-		return errors.Errorf("chunk %s changed while it was written", h.Short())
+		return err
 	})
 	return out, err
 }
 
+func (r *Repository) rewriteChunk(ctx context.Context, h Hash, p []byte) (platform.Entry, error) {
+	found, err := r.store.Get(ctx, chunkKey(h))
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return platform.Entry{}, err
+	}
+	e, err := r.store.CompareAndSwap(ctx, chunkKey(h), found.Revision, p, 0)
+	if errors.Is(err, platform.ErrConflict) {
+		return e, errors.Errorf("chunk %s changed while it was written", h.Short())
+	}
+	return e, err
+}
+
 // dropChunks deletes what an abandoned proposal wrote. Its failure only leaves work for the collection.
 func (r *Repository) dropChunks(ctx context.Context, created []platform.Entry) {
 	for _, e := range created {
--- a/internal/config/repository.go
+++ b/internal/config/repository.go
@@ -23,8 +23,9 @@
 const (
 	// callTimeout bounds one call to the key-value service. It answers in milliseconds when it is well.
 	callTimeout = 2 * time.Second
-	// readAttempts bounds the tries of a read or of a write that is safe to repeat.
-	readAttempts = 4
+	// readAttempts bounds the tries of a read or of a write that is safe to repeat. With the delays below, an operator
+	// learns of an outage after 1.3 s.
+	readAttempts = 6
 	// firstBackoff doubles with each attempt up to lastBackoff.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
