--- a/internal/ctl/connect_test.go
+++ b/internal/ctl/connect_test.go
@@ -57,7 +57,7 @@
 	is.True(strings.Contains(text, "accepted as version 2"))
 
 	server.Restore(old)
-	code, text = run("domain", "out", "wa-south-b")
+	code, _ = run("domain", "out", "wa-south-b")
 	is.True(code == ExitBehind || code == ExitOK) // as fast as the instance repairs the service
 	w.await(func() bool {
 		code, _ := run("--base-version=2", "domain", "out", "wa-south-b")
