--- a/internal/config/codec.go
+++ b/internal/config/codec.go
@@ -22,7 +22,7 @@
 )
 
 // Numbers of hash buckets per kind. They are part of the format: another number moves objects to other chunks. With
-// 4,000 customers a chunk holds about 125 of them, so that a change of one key sends about 50 KB to each daemon.
+// 4,000 customers of two keys each a chunk holds about 125 of them, and a change of one key sends 25 KB to each daemon.
 const (
 	groupBuckets    = 8
 	customerBuckets = 32
