Number the fleet token keys in the settings

Cause: session tokens carry the key's id as a 32-bit number. Change: token_keys[].id is a number and LoadFiles returns session.Key; long lines in collect.go are wrapped.

--- a/internal/config/collect.go
+++ b/internal/config/collect.go
@@ -34,9 +34,9 @@
 // chunks, so the calls of a run are bounded.
 //
 // A chunk is deleted in the second run that finds it unused, at an unchanged revision, and only if the root was
-// replaced in between. The first run lists the chunks while the root does not change. A proposal that was about to use the chunk in the first run has then either replaced the root,
-// so that the chunk is referred to, or will fail because its base is gone; a later proposal writes the chunk again,
-// which changes its revision.
+// replaced in between. The first run lists the chunks while the root does not change. A proposal that was about to use
+// the chunk in the first run has then either replaced the root, so that the chunk is referred to, or will fail because
+// its base is gone; a later proposal writes the chunk again, which changes its revision.
 func (r *Repository) Collect(ctx context.Context) error {
 	root, err := r.read(ctx, "read root", rootKey)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -85,6 +85,7 @@
 	return used, root.Version, nil
 }
 
+// deleteCandidates deletes the chunks of a list that was made before the root was replaced.
 func (r *Repository) deleteCandidates(ctx context.Context, document []byte, rootRevision uint64, used map[Hash]bool) error {
 	if document == nil {
 		return nil
@@ -108,7 +109,10 @@
 	return nil
 }
 
-func (r *Repository) recordCandidates(ctx context.Context, key string, revision uint64, prefix string, rootRevision uint64, used map[Hash]bool) error {
+// recordCandidates lists the unused chunks with the prefix under the key.
+func (r *Repository) recordCandidates(
+	ctx context.Context, key string, revision uint64, prefix string, rootRevision uint64, used map[Hash]bool,
+) error {
 	entries, err := r.list(ctx, "list chunks", prefix, collectListLimit)
 	if err != nil {
 		return err
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/jsoncheck"
+	"github.com/celerystep/celerystep/internal/session"
 )
 
 //go:embed settings.schema.json
@@ -139,7 +140,7 @@
 	if s.Upstream.Password != "" && s.Upstream.PasswordFile != "" {
 		c.add("upstream.password_file", "give either password or password_file")
 	}
-	seen := make(map[string]bool)
+	seen := make(map[session.KeyID]bool)
 	for i, k := range s.TokenKeys {
 		path := "token_keys[" + itoa(i) + "]"
 		if seen[k.ID] {
--- a/internal/settings/secrets.go
+++ b/internal/settings/secrets.go
@@ -11,17 +11,9 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/certs"
+	"github.com/celerystep/celerystep/internal/session"
 )
 
-// minTokenSecretBytes is the output size of HMAC-SHA-256; a shorter key would weaken it.
-const minTokenSecretBytes = 32
-
-// TokenSecret is a decoded key for session tokens.
-type TokenSecret struct {
-	ID  string
-	Key []byte
-}
-
 // Files holds what the files named in the settings contain.
 type Files struct {
 	// Callers is nil when callers connect in plain text.
@@ -32,7 +24,7 @@
 	UpstreamTLS      *tls.Config
 	UpstreamPassword Secret
 	// TokenKeys are in the order of the settings: the first one signs.
-	TokenKeys []TokenSecret
+	TokenKeys []session.Key
 }
 
 // LoadFiles reads every file that the settings name. The error joins all failures.
@@ -105,7 +97,7 @@
 			failed = append(failed, errors.Wrap(err, "token_keys["+itoa(i)+"]"))
 			continue
 		}
-		f.TokenKeys = append(f.TokenKeys, TokenSecret{ID: k.ID, Key: key})
+		f.TokenKeys = append(f.TokenKeys, session.Key{ID: k.ID, Secret: key})
 	}
 	return errors.Join(failed...)
 }
@@ -127,8 +119,8 @@
 	if err != nil {
 		return nil, errors.New("must be base64")
 	}
-	if len(key) < minTokenSecretBytes {
-		return nil, errors.Errorf("has %d bytes after decoding; at least %d are needed", len(key), minTokenSecretBytes)
+	if len(key) < session.MinKeyBytes {
+		return nil, errors.Errorf("has %d bytes after decoding; at least %d are needed", len(key), session.MinKeyBytes)
 	}
 	return key, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/session"
 )
 
 // Milliseconds is a duration in a settings file.
@@ -49,7 +50,8 @@
 	TLS           TLS                    `json:"tls"`
 	Upstream      Upstream               `json:"upstream"`
 	// TokenKeys are the fleet's keys for session tokens. The first one signs, all verify. Every instance needs the
-	// same keys. Default: none, and no tokens are given out.
+	// same keys: a new one is added at the end on all instances before it is moved to the front. Default: none, and no
+	// tokens are given out.
 	TokenKeys []TokenKey `json:"token_keys"`
 	Platform  Platform   `json:"platform"`
 	Timeouts  Timeouts   `json:"timeouts"`
@@ -113,9 +115,10 @@
 
 // TokenKey is one key for session tokens. Exactly one of Secret and SecretFile is given: at least 32 bytes in base64.
 type TokenKey struct {
-	ID         string `json:"id"`
-	Secret     Secret `json:"secret"`
-	SecretFile string `json:"secret_file"`
+	// ID is carried by the tokens, 1 to 4294967295.
+	ID         session.KeyID `json:"id"`
+	Secret     Secret        `json:"secret"`
+	SecretFile string        `json:"secret_file"`
 }
 
 // Platform says how to reach the key-value service.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -86,7 +86,7 @@
 		{"all addresses", `"region"`, `"listen": {"callers": "0.0.0.0:1"}, "region"`, `advertise.callers: is required`},
 		{"half a pair", `"region"`, `"tls": {"callers": {"key_file": "k"}}, "region"`, `tls.callers: give both`},
 		{"two passwords", `"user"`, `"password": "a", "password_file": "b", "user"`, `upstream.password_file: give either`},
-		{"short secret", `"region"`, `"token_keys": [{"id": "a", "secret": "c2hvcnQ="}], "region"`, `token_keys[0].secret: has 5 bytes`},
+		{"short secret", `"region"`, `"token_keys": [{"id": 1, "secret": "c2hvcnQ="}], "region"`, `token_keys[0].secret: has 5 bytes`},
 		{"two documents", `2380"}`, `2380"}} {`, `line 6: not valid JSON: text after the end`},
 		{"cut off", `2380"}`, `2380"`, `not valid JSON`},
 	}
@@ -147,7 +147,7 @@
 // Guards against panics, and against settings that are accepted with a mistake which their own output has.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimal))
-	f.Add([]byte(`{"token_keys": [{"id": "a", "id": "b"}], "a.b": {"[0]": []}}`))
+	f.Add([]byte(`{"token_keys": [{"id": 1, "id": 2}], "a.b": {"[0]": []}}`))
 	f.Add([]byte(strings.Replace(minimal, `"region"`, `"limits": {"max_callers": 1e3}, "region"`, 1)))
 	f.Add([]byte("[[[[\n\n1e999"))
 	f.Fuzz(func(t *testing.T, document []byte) {
