--- a/internal/config/chunks.go
+++ b/internal/config/chunks.go
@@ -45,23 +45,29 @@
 // deletes a chunk only at the revision at which it found it unused, so it cannot delete one that is about to be used.
 func (r *Repository) putChunk(ctx context.Context, h Hash, p []byte) (platform.Entry, error) {
 	var out platform.Entry
-	expected := uint64(0)
 	err := r.repeat(ctx, "write chunk", func(ctx context.Context) error {
 		var err error
-		out, err = r.store.CompareAndSwap(ctx, chunkKey(h), expected, p, 0)
-		if !errors.Is(err, platform.ErrConflict) {
-			return err
+		out, err = r.store.CompareAndSwap(ctx, chunkKey(h), 0, p, 0)
+		if errors.Is(err, platform.ErrConflict) {
+			out, err = r.rewriteChunk(ctx, h, p)
 		}
-		found, err := r.store.Get(ctx, chunkKey(h))
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
-			return err
-		}
-		expected = found.Revision
-		return errors.Errorf("chunk %s changed while it was written", h.Short())
+		return err
 	})
 	return out, err
 }
 
+func (r *Repository) rewriteChunk(ctx context.Context, h Hash, p []byte) (platform.Entry, error) {
+	found, err := r.store.Get(ctx, chunkKey(h))
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return platform.Entry{}, err
+	}
+	e, err := r.store.CompareAndSwap(ctx, chunkKey(h), found.Revision, p, 0)
+	if errors.Is(err, platform.ErrConflict) {
+		return e, errors.Errorf("chunk %s changed while it was written", h.Short())
+	}
+	return e, err
+}
+
 // dropChunks deletes what an abandoned proposal wrote. Its failure only leaves work for the collection.
 func (r *Repository) dropChunks(ctx context.Context, created []platform.Entry) {
 	for _, e := range created {
@@ -90,14 +96,26 @@
 // WriteBack stores a configuration that is in force when the key-value service holds an older one or another one of
 // the same version, as after a restart from an old copy. It returns the configuration that the service holds then.
 func (r *Repository) WriteBack(ctx context.Context, e *Encoded) (Ref, error) {
+	return r.writeBack(ctx, e, func(stored Ref) bool {
+		return stored.Version < e.Root.Version || stored.Version == e.Root.Version && stored != e.Ref()
+	})
+}
+
+// Restore stores an accepted configuration that the key-value service has lost. Unlike WriteBack it leaves another one
+// of the same version alone, because that one may be in force. It returns the configuration that the service holds
+// then; the accepted one may be lost when that is not newer than itself and differs.
+func (r *Repository) Restore(ctx context.Context, e *Encoded) (Ref, error) {
+	return r.writeBack(ctx, e, func(stored Ref) bool { return stored.Version < e.Root.Version })
+}
+
+func (r *Repository) writeBack(ctx context.Context, e *Encoded, replaces func(stored Ref) bool) (Ref, error) {
 	for attempt := 1; ; attempt++ {
 		stored, err := r.storedRoot(ctx)
 		if err != nil {
 			return Ref{}, err
 		}
-		present := stored.ref()
-		if present.Version > e.Root.Version || present == e.Ref() {
-			return present, nil
+		if !replaces(stored.ref()) {
+			return stored.ref(), nil
 		}
 		err = r.replaceWith(ctx, e, stored)
 		if err == nil {
--- a/internal/config/codec.go
+++ b/internal/config/codec.go
@@ -22,7 +22,7 @@
 )
 
 // Numbers of hash buckets per kind. They are part of the format: another number moves objects to other chunks. With
-// 4,000 customers a chunk holds about 125 of them, so that a change of one key sends about 50 KB to each daemon.
+// 4,000 customers of two keys each a chunk holds about 125 of them, and a change of one key sends 25 KB to each daemon.
 const (
 	groupBuckets    = 8
 	customerBuckets = 32
@@ -79,8 +79,9 @@
 	e.Root.Version = c.Version
 	e.Root.OperationID = c.OperationID
 	e.Root.Chunks = nil
+	w := gzip.NewWriter(io.Discard)
 	for name, s := range split(c) {
-		p, err := compress(s)
+		p, err := compress(w, s)
 		if err != nil {
 			return nil, errors.Wrapf(err, "encode section %s", name)
 		}
@@ -97,9 +98,10 @@
 	return e, nil
 }
 
-func compress(s *section) ([]byte, error) {
+// compress reuses w, because the tables of a new writer take longer to set up than a small section to compress.
+func compress(w *gzip.Writer, s *section) ([]byte, error) {
 	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
+	w.Reset(&b)
 	if err := json.NewEncoder(w).Encode(s); err != nil {
 		return nil, err
 	}
--- a/internal/config/collect.go
+++ b/internal/config/collect.go
@@ -34,9 +34,9 @@
 // chunks, so the calls of a run are bounded.
 //
 // A chunk is deleted in the second run that finds it unused, at an unchanged revision, and only if the root was
-// replaced in between. The first run lists the chunks while the root does not change. A proposal that was about to use the chunk in the first run has then either replaced the root,
-// so that the chunk is referred to, or will fail because its base is gone; a later proposal writes the chunk again,
-// which changes its revision.
+// replaced in between. The first run lists the chunks while the root does not change. A proposal that was about to use
+// the chunk in the first run has then either replaced the root, so that the chunk is referred to, or will fail because
+// its base is gone; a later proposal writes the chunk again, which changes its revision.
 func (r *Repository) Collect(ctx context.Context) error {
 	root, err := r.read(ctx, "read root", rootKey)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -49,16 +49,20 @@
 	if err != nil {
 		return err
 	}
-	part := fmt.Sprintf("%x", version%collectPartitions)
+	return r.collectPart(ctx, fmt.Sprintf("%x", version%collectPartitions), root.Revision, used)
+}
+
+// collectPart deletes the candidates of one part and lists new ones.
+func (r *Repository) collectPart(ctx context.Context, part string, rootRevision uint64, used map[Hash]bool) error {
 	key := collectPrefix + part
 	entry, err := r.read(ctx, "read candidates", key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	if err := r.deleteCandidates(ctx, entry.Value, root.Revision, used); err != nil {
+	if err := r.deleteCandidates(ctx, entry.Value, rootRevision, used); err != nil {
 		return err
 	}
-	return r.recordCandidates(ctx, key, entry.Revision, chunkPrefix+part, root.Revision, used)
+	return r.recordCandidates(ctx, key, entry.Revision, chunkPrefix+part, rootRevision, used)
 }
 
 // usedChunks returns the chunks of the root and of the history. The root is read first: a root that is replaced in
@@ -81,6 +85,7 @@
 	return used, root.Version, nil
 }
 
+// deleteCandidates deletes the chunks of a list that was made before the root was replaced.
 func (r *Repository) deleteCandidates(ctx context.Context, document []byte, rootRevision uint64, used map[Hash]bool) error {
 	if document == nil {
 		return nil
@@ -104,7 +109,10 @@
 	return nil
 }
 
-func (r *Repository) recordCandidates(ctx context.Context, key string, revision uint64, prefix string, rootRevision uint64, used map[Hash]bool) error {
+// recordCandidates lists the unused chunks with the prefix under the key.
+func (r *Repository) recordCandidates(
+	ctx context.Context, key string, revision uint64, prefix string, rootRevision uint64, used map[Hash]bool,
+) error {
 	entries, err := r.list(ctx, "list chunks", prefix, collectListLimit)
 	if err != nil {
 		return err
--- a/internal/settings/secrets.go
+++ b/internal/settings/secrets.go
@@ -9,29 +9,22 @@
 	"strings"
 
 	"github.com/go-faster/errors"
-)
-
-// minTokenSecretBytes is the output size of HMAC-SHA-256; a shorter key would weaken it.
-const minTokenSecretBytes = 32
 
-// TokenSecret is a decoded key for session tokens.
-type TokenSecret struct {
-	ID  string
-	Key []byte
-}
+	"github.com/celerystep/celerystep/internal/certs"
+	"github.com/celerystep/celerystep/internal/session"
+)
 
 // Files holds what the files named in the settings contain.
 type Files struct {
-	// CallerTLS is nil when callers connect in plain text.
-	CallerTLS *tls.Config
-	// PeerServerTLS and PeerClientTLS are nil when peers connect in plain text.
-	PeerServerTLS *tls.Config
-	PeerClientTLS *tls.Config
+	// Callers is nil when callers connect in plain text.
+	Callers *certs.Store
+	// Peers serves the peers' and the operators' address; it is nil when they connect in plain text.
+	Peers *certs.Store
 	// UpstreamTLS is nil when members are connected in plain text.
 	UpstreamTLS      *tls.Config
 	UpstreamPassword Secret
 	// TokenKeys are in the order of the settings: the first one signs.
-	TokenKeys []TokenSecret
+	TokenKeys []session.Key
 }
 
 // LoadFiles reads every file that the settings name. The error joins all failures.
@@ -50,42 +43,31 @@
 }
 
 func (f *Files) loadCallerTLS(s *Settings) error {
-	if s.TLS.Callers.CertificateFile == "" {
+	x := s.TLS.Callers
+	if x.CertificateFile == "" {
 		return nil
 	}
-	pair, err := tls.LoadX509KeyPair(s.TLS.Callers.CertificateFile, s.TLS.Callers.KeyFile)
-	if err != nil {
-		return errors.Wrap(err, "tls.callers")
-	}
-	f.CallerTLS = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
-	return nil
+	var err error
+	f.Callers, err = certs.Load(certs.Files{Certificate: x.CertificateFile, Key: x.KeyFile})
+	return wrap(err, "tls.callers")
 }
 
 func (f *Files) loadPeerTLS(s *Settings) error {
-	files := s.TLS.Peers
-	if files.CertificateFile == "" {
+	x := s.TLS.Peers
+	if x.CertificateFile == "" {
 		return nil
 	}
-	pair, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
-	if err != nil {
-		return errors.Wrap(err, "tls.peers")
-	}
-	pool, err := loadPool(files.AuthorityFile)
-	if err != nil {
-		return errors.Wrap(err, "tls.peers.authority_file")
-	}
-	f.PeerServerTLS = &tls.Config{
-		Certificates: []tls.Certificate{pair},
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
-	}
-	f.PeerClientTLS = &tls.Config{
-		Certificates: []tls.Certificate{pair},
-		RootCAs:      pool,
-		MinVersion:   tls.VersionTLS13,
+	var err error
+	f.Peers, err = certs.Load(certs.Files{Certificate: x.CertificateFile, Key: x.KeyFile, Roots: x.AuthorityFile})
+	return wrap(err, "tls.peers")
+}
+
+// wrap adds the path of the setting to an error.
+func wrap(err error, path string) error {
+	if err == nil {
+		return nil
 	}
-	return nil
+	return errors.Wrap(err, path)
 }
 
 func (f *Files) loadUpstream(s *Settings) error {
@@ -115,7 +97,7 @@
 			failed = append(failed, errors.Wrap(err, "token_keys["+itoa(i)+"]"))
 			continue
 		}
-		f.TokenKeys = append(f.TokenKeys, TokenSecret{ID: k.ID, Key: key})
+		f.TokenKeys = append(f.TokenKeys, session.Key{ID: k.ID, Secret: key})
 	}
 	return errors.Join(failed...)
 }
@@ -137,8 +119,8 @@
 	if err != nil {
 		return nil, errors.New("must be base64")
 	}
-	if len(key) < minTokenSecretBytes {
-		return nil, errors.Errorf("has %d bytes after decoding; at least %d are needed", len(key), minTokenSecretBytes)
+	if len(key) < session.MinKeyBytes {
+		return nil, errors.Errorf("has %d bytes after decoding; at least %d are needed", len(key), session.MinKeyBytes)
 	}
 	return key, nil
 }
