--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -113,6 +113,7 @@
 	is.Equal(m.Worst.P99Customer, "c1")
 	is.True(m.Worst.P99 >= 9*time.Second) // a failure counts as the timeout
 	is.Equal(m.Customers[1].P99.Round(time.Millisecond), milli(10))
+	is.Equal(m.Reads.Count, int64(390)) // neither failures nor excess requests have a latency
 }
 
 // Guards against a replica share that counts reads of read-write transactions, retries or failed statements.
--- a/internal/report/summary.go
+++ b/internal/report/summary.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -87,9 +88,32 @@
 			p.line("   %-26s %s", figures[i].name, NewSpread(v).format(figures[i].unit))
 		}
 	}
+	p.codes("wrongful refusals by code", s.results, func(m *measure.Measures) map[string]int { return m.Refusals.ByCode })
+	p.codes("failed requests by code", s.results, func(m *measure.Measures) map[string]int { return m.FailedByCode })
 	p.gaps(s.results)
 }
 
+// codes writes the sums over all repeats by SQLSTATE.
+func (p *printer) codes(title string, results []*measure.Result, get func(*measure.Measures) map[string]int) {
+	sums := make(map[string]int)
+	for _, r := range results {
+		if r.Measures == nil {
+			continue
+		}
+		for code, n := range get(r.Measures) {
+			sums[code] += n
+		}
+	}
+	if len(sums) == 0 {
+		return
+	}
+	text := ""
+	for _, code := range slices.Sorted(maps.Keys(sums)) {
+		text += fmt.Sprintf(" %s=%d", code, sums[code])
+	}
+	p.line("   %-26s%s", title, text)
+}
+
 // selfChecks writes the worst of what the tool measured about itself.
 func (p *printer) selfChecks(results []*measure.Result) {
 	var worst load.SelfCheck
