Judge logs that number transactions, and sample timer lateness for the self-check

Cause: a member's log need not hold BEGIN and COMMIT nor the end of statements, as the group stand-in's does not. Blocks derived from BEGIN and COMMIT would have called every transaction split, and saturation would have gone unnoticed. Change: statements carry a transaction number; mixing, rate and failure-domain checks use it and the callers' BEGIN and COMMIT; checks find transactions that take turns on one connection; the self-check samples how late timers of one millisecond fire.

--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -40,11 +40,9 @@
 const (
 	logWriteA = iota
 	logReadA
-	logBegin
 	logTxReadA
 	logTxWriteA
 	logTxWriteB
-	logCommit
 	logAgedRead
 )
 
@@ -57,13 +55,10 @@
 	}
 }
 
-func logged(id StatementID, text string, connection uint64, ms int, lsn position.LSN) Statement {
+func logged(id StatementID, transaction, connection uint64, ms int, lsn position.LSN) Statement {
 	s := Statement{
-		Group: "g1", Member: "m1", Role: upstream.RolePrimary, Connection: connection, Owner: "i1", Customer: "c1",
-		Text: text, Start: at(ms + 2), End: at(ms + 6),
-	}
-	if id > 0 {
-		s.Params = []string{id.String()}
+		Group: "g1", Member: "m1", Role: upstream.RolePrimary, Connection: connection, Transaction: transaction,
+		Owner: "i1", Customer: "c1", Params: []string{id.String()}, Start: at(ms + 2), End: at(ms + 6),
 	}
 	if lsn > 0 {
 		s.Position = position.Position{Term: 1, LSN: lsn}
@@ -96,14 +91,12 @@
 			opOldKey:   oldKey,
 		},
 		Statements: []Statement{
-			logWriteA:   logged(1, "INSERT INTO commitments", 7, 100, 1),
-			logReadA:    logged(2, "SELECT", 8, 200, 0),
-			logBegin:    logged(0, "BEGIN", 7, 300, 0),
-			logTxReadA:  logged(4, "SELECT", 7, 320, 0),
-			logTxWriteA: logged(5, "INSERT INTO commitments", 7, 340, 0),
-			logTxWriteB: logged(6, "INSERT INTO commitments", 7, 360, 0),
-			logCommit:   logged(0, "COMMIT", 7, 380, 3),
-			logAgedRead: logged(8, "SELECT", 8, 6000, 0),
+			logWriteA:   logged(1, 1, 7, 100, 1),
+			logReadA:    logged(2, 2, 8, 200, 0),
+			logTxReadA:  logged(4, 3, 7, 320, 0),
+			logTxWriteA: logged(5, 3, 7, 340, 0),
+			logTxWriteB: logged(6, 3, 7, 360, 3),
+			logAgedRead: logged(8, 4, 8, 6000, 0),
 		},
 		Requests: []Request{
 			{ID: 1, Customer: "c1", Group: "g1", Entitled: true, Intended: at(6000), Done: at(6010), Outcome: OutcomeOK},
@@ -174,11 +167,20 @@
 			in.Finals[0].Rows[0] = Value{rowA, 3, 5}
 		}},
 		{"mixed transactions", "a single statement runs inside the transaction", func(in *Input) {
-			in.Statements[logReadA] = logged(2, "SELECT", 7, 350, 0)
+			in.Statements[logReadA] = logged(2, 3, 7, 350, 0)
+		}},
+		{"mixed transactions", "two single statements run as one transaction", func(in *Input) {
+			in.Statements[logAgedRead].Transaction = 2
 		}},
-		{"mixed transactions", "the transaction is split over two connections", func(in *Input) {
+		{"mixed transactions", "a single statement runs on the transaction's connection", func(in *Input) {
+			in.Statements[logReadA] = logged(2, 2, 7, 350, 0)
+		}},
+		{"mixed transactions", "the transaction runs on two connections", func(in *Input) {
 			in.Statements[logTxWriteB].Connection = 9
 		}},
+		{"mixed transactions", "the transaction runs as two", func(in *Input) {
+			in.Statements[logTxWriteB].Transaction = 9
+		}},
 		{"mixed transactions", "two sessions share a transaction", func(in *Input) {
 			in.Operations[opTxWriteB].Session = 2
 		}},
@@ -197,7 +199,7 @@
 		{"withdrawn key accepted", "statement of a connected caller accepted", func(in *Input) {
 			in.Operations[opAgedRead].Key = "k0"
 		}},
-		{"rate and burst", "six statements at once with a burst of five", func(in *Input) {
+		{"rate and burst", "seven statements within 0.4 s with a burst of five", func(in *Input) {
 			in.Contracts[0].Rate = 1
 		}},
 		{"work in a failure domain taken out", "statement on a member", func(in *Input) {
@@ -216,10 +218,10 @@
 			in.Operations[opWriteA].Values[0].Writer = 6
 		}},
 		{"false not run", "the refused statement is in the log", func(in *Input) {
-			in.Statements = append(in.Statements, logged(9, "INSERT INTO commitments", 8, 7100, 4))
+			in.Statements = append(in.Statements, logged(9, 9, 8, 7100, 4))
 		}},
 		{"doubled write", "the log holds it twice", func(in *Input) {
-			in.Statements = append(in.Statements, logged(1, "INSERT INTO commitments", 8, 120, 4))
+			in.Statements = append(in.Statements, logged(1, 9, 8, 120, 4))
 		}},
 		{"doubled write", "the final version counts it twice", func(in *Input) {
 			in.Finals[0].Rows[1].Version = 2
@@ -264,7 +266,7 @@
 			in.Finals[0].Rows = []Value{{rowA, 1, 1}}
 		}},
 		{"doubled write", StatusHeld, func(in *Input) { // a failed run and one that succeeded are one run
-			s := logged(1, "INSERT INTO commitments", 8, 90, 0)
+			s := logged(1, 9, 8, 90, 0)
 			s.Code = "25006"
 			in.Statements = append(in.Statements, s)
 		}},
@@ -282,7 +284,7 @@
 			in.Statements[logReadA].Customer = ""
 		}},
 		{"acknowledgement by a replaced primary", StatusUndecided, func(in *Input) {
-			in.Statements[logCommit].Position = position.Position{}
+			in.Statements[logTxWriteB].Position = position.Position{}
 		}},
 	}
 	for _, c := range cases {
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -189,23 +189,28 @@
 // Latency is the time from the intended arrival to the end.
 func (r *Request) Latency() time.Duration { return r.Done.Sub(r.Intended) }
 
-// Statement is one entry of a member's statement log.
+// Statement is one entry of a member's statement log. BEGIN, COMMIT and other control statements need not be logged.
 type Statement struct {
 	Group  upstream.GroupID
 	Member upstream.MemberID
-	Role   upstream.Role
-	// Connection numbers the connections of the member; it is not reused during a run.
-	Connection uint64
+	// Role is the member's role when it ran the statement.
+	Role upstream.Role
+	// Connection numbers the connections of the member, Transaction its transactions; a statement outside a
+	// transaction block is a transaction of its own. Numbers are not reused during a run.
+	Connection  uint64
+	Transaction uint64
 	// Owner is the home instance that the connection was opened for, empty when none was stated.
 	Owner instance.ID
 	// Customer is the customer that the statement was tagged with, empty when it carried no tag.
 	Customer string
 	Text     string
 	Params   []string
-	// Start is the moment at which the member began the statement in a slot; End is zero when it did not finish.
+	// Start is the moment at which the member began the statement. End is zero when it did not finish or the log does
+	// not tell.
 	Start time.Time
 	End   time.Time
-	// Position is the commit position, zero when the statement committed no write.
+	// Position is the commit position of the transaction, on at least one of its statements; zero when it wrote
+	// nothing or did not commit.
 	Position position.Position
 	// Code is the SQLSTATE of a failed statement.
 	Code string
--- a/internal/check/rate.go
+++ b/internal/check/rate.go
@@ -11,8 +11,8 @@
 // rateSlack absorbs the rounding of floating-point numbers; it is far below one statement.
 const rateSlack = 1e-6
 
-// admission is one statement of a customer that started at a group. The fleet admitted it at a moment that no history
-// shows, but after the caller sent it and before a member began it.
+// admission is one statement of a customer that the fleet admitted. No history shows the moment, but it came after the
+// caller sent the statement and before a member began it.
 type admission struct {
 	sent    time.Time
 	started time.Time
@@ -47,29 +47,21 @@
 	}
 }
 
-// admissions returns each customer's statements that started at a group. A statement that the fleet retried counts
-// once, at its first start. BEGIN and COMMIT carry no marker and are found through the transaction around them.
+// admissions returns each customer's admitted statements. A statement that the fleet retried counts once, at its first
+// start. BEGIN and COMMIT cost a token too (design page, section 8), but members need not log them: those that
+// succeeded were admitted before their answer came.
 func (x *index) admissions() map[string][]admission {
 	list := make(map[string][]admission)
-	add := func(op *Operation, s *Statement) {
-		list[op.Customer] = append(list[op.Customer], admission{op.Invoke, s.Start, op})
-	}
-	for id, runs := range x.executions {
-		if op := x.byID[id]; op != nil {
-			add(op, firstRun(runs).statement)
-		}
-	}
-	for _, b := range x.blocks {
-		if len(b.marked) == 0 || !b.explicit {
-			continue
-		}
-		t := b.marked[0].Transaction
-		if op := x.begin[t]; op != nil {
-			add(op, b.statements[0])
-		}
-		last := b.statements[len(b.statements)-1]
-		if op := x.commit[t]; op != nil && keywordOf(last.Text) == keywordCommit {
-			add(op, last)
+	for i := range x.in.Operations {
+		op := &x.in.Operations[i]
+		switch {
+		case op.Kind == KindBegin || op.Kind == KindCommit:
+			if op.Outcome == OutcomeOK {
+				list[op.Customer] = append(list[op.Customer], admission{op.Invoke, op.Return, op})
+			}
+		case x.byID[op.Statement] == op && len(x.executions[op.Statement]) > 0:
+			first := firstRun(x.executions[op.Statement])
+			list[op.Customer] = append(list[op.Customer], admission{op.Invoke, first.statement.Start, op})
 		}
 	}
 	return list
--- a/internal/check/statements.go
+++ b/internal/check/statements.go
@@ -1,9 +1,13 @@
 package check
 
-import "strings"
+import (
+	"strings"
 
-// checkMixing finds statements of different transactions in one transaction of a connection, and transactions of a
-// caller that were split over several.
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// checkMixing finds statements of different transactions in one transaction of a member, transactions of a caller that
+// were split over several, and transactions that took turns on one connection.
 func checkMixing(x *index, r *Result) {
 	home := make(map[TransactionID]*block)
 	for _, b := range x.blocks {
@@ -11,24 +15,56 @@
 			continue
 		}
 		r.Cases++
-		first := b.marked[0]
-		for _, op := range b.marked {
-			if op.Transaction != first.Transaction || op.Session != first.Session {
-				r.violate(b.first(), []*Operation{first, op}, "two callers' statements in one transaction")
-			}
-		}
-		if b.explicit && first.Transaction == 0 {
-			r.violate(b.first(), []*Operation{first}, "a single statement ran inside another transaction")
-		}
-		t := first.Transaction
+		checkBlock(b, r)
+		t := b.marked[0].Transaction
 		if t == 0 {
 			continue
 		}
 		if home[t] != nil {
-			r.violate(b.first(), []*Operation{first}, "one transaction ran as two")
+			r.violate(b.statements[0].Start, b.marked[:1], "one transaction ran as two")
 		}
 		home[t] = b
 	}
+	checkTurns(x, r)
+}
+
+// checkBlock judges one transaction of a member.
+func checkBlock(b *block, r *Result) {
+	first := b.marked[0]
+	for _, op := range b.marked[1:] {
+		if op.Transaction != first.Transaction || op.Session != first.Session || op.Transaction == 0 {
+			r.violate(b.statements[0].Start, []*Operation{first, op}, "two callers' statements in one transaction")
+		}
+	}
+	for _, s := range b.statements {
+		if s.Connection != b.statements[0].Connection {
+			r.violate(s.Start, b.marked[:1], "one transaction on two connections of member %s", s.Member)
+		}
+	}
+}
+
+// connectionKey names a member's connection.
+type connectionKey struct {
+	group      upstream.GroupID
+	member     upstream.MemberID
+	connection uint64
+}
+
+// checkTurns finds a transaction that goes on after another one has begun on the same connection.
+func checkTurns(x *index, r *Result) {
+	last := make(map[connectionKey]*Statement)
+	for _, b := range x.blocks {
+		s := b.statements[0]
+		k := connectionKey{s.Group, s.Member, s.Connection}
+		if before := last[k]; before != nil && before.Start.After(s.Start) {
+			r.violate(s.Start, b.marked, "transaction %d began inside transaction %d on connection %d of member %s",
+				s.Transaction, before.Transaction, s.Connection, s.Member)
+		}
+		end := b.statements[len(b.statements)-1]
+		if last[k] == nil || end.Start.After(last[k].Start) {
+			last[k] = end
+		}
+	}
 }
 
 // checkCustomers finds statements that ran as another customer's, or in another group, than their caller asked for.
--- a/internal/check/timing.go
+++ b/internal/check/timing.go
@@ -43,7 +43,7 @@
 
 func checkDomainMembers(x *index, o *Outage, r *Result) {
 	for _, b := range x.blocks {
-		if len(b.marked) == 0 || !o.covers(b.first()) {
+		if len(b.marked) == 0 || !o.covers(x.began(b)) {
 			continue
 		}
 		r.Cases++
@@ -83,7 +83,7 @@
 		}
 		for _, b := range x.blocks {
 			s := b.statements[0]
-			if len(b.marked) == 0 || s.Group != o.Group || !o.covers(s.Start) {
+			if len(b.marked) == 0 || s.Group != o.Group || !o.covers(x.began(b)) {
 				continue
 			}
 			r.Cases++
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -67,7 +67,8 @@
 	// run and reads the final rows after it.
 	Query(ctx context.Context, g upstream.GroupID, sql string) ([][]string, error)
 	// Statements returns what statement connections ran on all members of the group since the fleet started, with
-	// what members ran before a restart. Replication is not part of it. Times come from this process's clock.
+	// what members ran before a restart. Replication is not part of it, and control statements need not be. Times come
+	// from this process's clock. A log that dropped entries is an error, because the checkers would judge too little.
 	Statements(g upstream.GroupID) ([]check.Statement, error)
 	// Log returns the end of the present primary's log.
 	Log(g upstream.GroupID) (LogEnd, error)
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -150,11 +150,14 @@
 		x.reportProgress(generator, finished)
 		return nil
 	})
-	if err := group.Wait(); err != nil {
+	err = group.Wait()
+	if stopErr := usage.Stop(&result.SelfCheck); err == nil {
+		err = stopErr
+	}
+	if err != nil {
 		return history, errors.Wrap(err, "step=load")
 	}
-	result.SelfCheck.CPU, result.SelfCheck.SchedulerP99, err = usage.Stop()
-	return history, err
+	return history, nil
 }
 
 // reportProgress logs the running totals until the load has finished.
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -61,7 +61,10 @@
 		},
 		Faults: faults,
 		// The tests judge histories, not figures, and share the machine with others.
-		Bounds: load.Bounds{LagP99: load.Duration(time.Minute), CPU: 2, ServiceExcessP95: load.Duration(time.Minute)},
+		Bounds: load.Bounds{
+			LagP99: load.Duration(time.Minute), CPU: 2, ServiceExcessP95: load.Duration(time.Minute),
+			TimerLateP99: load.Duration(time.Minute),
+		},
 	}
 }
 
@@ -209,9 +212,9 @@
 func TestRunThatFellBehindHasNoFigures(t *testing.T) {
 	e := small()
 	e.Duration = ms(600)
-	e.Bounds = load.Bounds{LagP99: 1, CPU: 1e-9, ServiceExcessP95: -load.Duration(time.Hour)}
+	e.Bounds = load.Bounds{LagP99: 1, CPU: 1e-9, ServiceExcessP95: -load.Duration(time.Hour), TimerLateP99: 1}
 	result := runOnce(t, e, experiment.ModeCelerystep)
-	if result.Measures != nil || result.Series != nil || len(result.SelfCheck.Reasons) != 3 {
+	if result.Measures != nil || result.Series != nil || len(result.SelfCheck.Reasons) != 4 {
 		t.Errorf("measures %v, reasons %v", result.Measures, result.SelfCheck.Reasons)
 	}
 	if len(result.Guarantees) == 0 {
--- a/internal/load/selfcheck.go
+++ b/internal/load/selfcheck.go
@@ -24,8 +24,12 @@
 	// configured slots, were the bottleneck.
 	CPU float64 `json:"cpu"`
 	// ServiceExcessP95 bounds the 95th percentile of the time by which reads at the groups took longer than the
-	// configured service time. Beyond it the stand-ins were slower than configured.
+	// configured service time. Beyond it the stand-ins were slower than configured. It is not judged when the groups'
+	// logs do not tell when statements ended.
 	ServiceExcessP95 Duration `json:"service_excess_p95"`
+	// TimerLateP99 bounds the 99th percentile of the time by which a timer of one millisecond fired late. The stand-ins
+	// wait for their service time with such timers, so beyond it their slots were slower than configured.
+	TimerLateP99 Duration `json:"timer_late_p99"`
 }
 
 // DefaultBounds are used where an experiment gives none.
@@ -34,6 +38,7 @@
 		LagP99:           Duration(10 * time.Millisecond),
 		CPU:              0.85,
 		ServiceExcessP95: Duration(5 * time.Millisecond),
+		TimerLateP99:     Duration(5 * time.Millisecond),
 	}
 }
 
@@ -42,6 +47,7 @@
 	LagP99           time.Duration `json:"lag_p99_ns"`
 	CPU              float64       `json:"cpu"`
 	ServiceExcessP95 time.Duration `json:"service_excess_p95_ns"`
+	TimerLateP99     time.Duration `json:"timer_late_p99_ns"`
 	// SchedulerP99 is the time that runnable goroutines waited for a processor, for information.
 	SchedulerP99 time.Duration `json:"scheduler_p99_ns"`
 	// Reasons say why the run does not count; empty when it does.
@@ -66,6 +72,10 @@
 		s.Reasons = append(s.Reasons, fmt.Sprintf("the stand-in groups were slower than configured: p95 %s over the service time, bound %s",
 			s.ServiceExcessP95, b.ServiceExcessP95.D()))
 	}
+	if s.TimerLateP99 > b.TimerLateP99.D() {
+		s.Reasons = append(s.Reasons, fmt.Sprintf("the processors could not keep the stand-ins' service times: timers p99 %s late, bound %s",
+			s.TimerLateP99, b.TimerLateP99.D()))
+	}
 }
 
 // LagP99 returns the generator's scheduling lag over the requests whose session was idle.
@@ -112,28 +122,62 @@
 	began   time.Time
 	cpu     time.Duration
 	waiting *metrics.Float64Histogram
+	stop    chan struct{}
+	stopped chan struct{}
+	late    []time.Duration
 }
 
-// schedulerMetric is the runtime's histogram of the time that goroutines waited to run.
-const schedulerMetric = "/sched/latencies:seconds"
+const (
+	// schedulerMetric is the runtime's histogram of the time that goroutines waited to run.
+	schedulerMetric = "/sched/latencies:seconds"
+	// probeTimer is the timer whose lateness is sampled, probeEvery the pause between two samples.
+	probeTimer = time.Millisecond
+	probeEvery = 10 * time.Millisecond
+)
 
-// StartUsage begins a sample.
+// StartUsage begins a sample. Stop must be called.
 func StartUsage() (*Usage, error) {
 	cpu, err := processorTime()
 	if err != nil {
 		return nil, err
 	}
-	return &Usage{began: time.Now(), cpu: cpu, waiting: schedulerWaits()}, nil
+	u := &Usage{
+		began: time.Now(), cpu: cpu, waiting: schedulerWaits(), stop: make(chan struct{}), stopped: make(chan struct{}),
+	}
+	go u.probe()
+	return u, nil
+}
+
+// probe samples how late short timers fire.
+func (u *Usage) probe() {
+	defer close(u.stopped)
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-u.stop:
+			return
+		case <-t.C:
+		}
+		began := time.Now()
+		time.Sleep(probeTimer)
+		u.late = append(u.late, time.Since(began)-probeTimer)
+	}
 }
 
-// Stop returns the share of all processors' time used since the start and the 99th percentile of the scheduler's wait.
-func (u *Usage) Stop() (cpu float64, schedulerP99 time.Duration, err error) {
+// Stop ends the sample and fills in what it found.
+func (u *Usage) Stop(s *SelfCheck) error {
+	close(u.stop)
+	<-u.stopped
 	now, err := processorTime()
 	if err != nil {
-		return 0, 0, err
+		return err
 	}
 	available := time.Since(u.began) * time.Duration(runtime.GOMAXPROCS(0))
-	return float64(now-u.cpu) / float64(available), waitQuantile(u.waiting, schedulerWaits(), 0.99), nil
+	s.CPU = float64(now-u.cpu) / float64(available)
+	s.SchedulerP99 = waitQuantile(u.waiting, schedulerWaits(), 0.99)
+	s.TimerLateP99 = quantile(u.late, 0.99)
+	return nil
 }
 
 func processorTime() (time.Duration, error) {
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -113,7 +113,7 @@
 	replica bool
 }
 
-// servedReads returns each read once, by the execution that finished last: the one whose answer counted.
+// servedReads returns each read once, by the execution that began last: the one whose answer counted.
 func servedReads(in *Input) []servedRead {
 	eligible := make(map[check.StatementID]bool)
 	for i := range in.History.Operations {
@@ -127,10 +127,10 @@
 		s := &in.History.Statements[i]
 		id, ok := s.Marker()
 		at := in.offset(s.Start)
-		if !ok || !eligible[id] || s.Code != "" || s.End.IsZero() || at < in.Warmup || at >= in.Duration {
+		if !ok || !eligible[id] || s.Code != "" || at < in.Warmup || at >= in.Duration {
 			continue
 		}
-		if last[id] == nil || s.End.After(last[id].End) {
+		if last[id] == nil || s.Start.After(last[id].Start) {
 			last[id] = s
 		}
 	}
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -31,7 +31,8 @@
 {{range .Runs}}
 <h2>{{.R.Deployment}}/{{.R.Experiment}}, mode {{.R.Mode}}, run {{.R.Repeat}}, seed {{.R.Seed}}</h2>
 <p>Started {{.R.Started.Format "2006-01-02 15:04:05"}}, fleet {{.R.Fleet}}, generator lag p99 {{ms .R.SelfCheck.LagP99}} ms,
-processors {{number .CPUPercent}} % busy, stand-ins p95 {{ms .R.SelfCheck.ServiceExcessP95}} ms over their service time.</p>
+processors {{number .CPUPercent}} % busy, stand-ins p95 {{ms .R.SelfCheck.ServiceExcessP95}} ms over their service time,
+timers p99 {{ms .R.SelfCheck.TimerLateP99}} ms late.</p>
 {{range .R.SelfCheck.Reasons}}<p class="violated">This run does not count: {{.}}.</p>{{end}}
 <table><tr><th>Guarantee</th><th>Checker</th><th>Verdict</th><th>Cases</th><th>Undecided</th><th>Broken</th></tr>
 {{range .R.Guarantees}}<tr class="{{.Status}}"><td>{{.Guarantee}}</td><td>{{.Checker}}</td><td>{{.Status}}</td>
--- a/internal/report/summary.go
+++ b/internal/report/summary.go
@@ -121,11 +121,11 @@
 		worst.LagP99 = max(worst.LagP99, r.SelfCheck.LagP99)
 		worst.CPU = max(worst.CPU, r.SelfCheck.CPU)
 		worst.ServiceExcessP95 = max(worst.ServiceExcessP95, r.SelfCheck.ServiceExcessP95)
-		worst.SchedulerP99 = max(worst.SchedulerP99, r.SelfCheck.SchedulerP99)
+		worst.TimerLateP99 = max(worst.TimerLateP99, r.SelfCheck.TimerLateP99)
 	}
-	p.line("   tool: generator lag p99 %s ms, processors %s %% busy, stand-ins p95 %s ms over service time, scheduler wait p99 %s ms",
+	p.line("   tool: generator lag p99 %s ms, processors %s %% busy, stand-ins p95 %s ms over service time, timers p99 %s ms late",
 		number(milliseconds(worst.LagP99)), number(100*worst.CPU), number(milliseconds(worst.ServiceExcessP95)),
-		number(milliseconds(worst.SchedulerP99)))
+		number(milliseconds(worst.TimerLateP99)))
 }
 
 // format shows a spread with its unit.
--- a/internal/simfleet/database.go
+++ b/internal/simfleet/database.go
@@ -209,13 +209,15 @@
 // change is a write that waits for its transaction's commit.
 type change struct{ value check.Value }
 
-// commit applies the changes and finishes the statement. It fails when the member is no longer primary.
+// commit applies the changes and notes their position at the transaction's last statement, which is nil when there was
+// none. It fails when the member is no longer primary.
 func (d *database) commit(m *member, s *check.Statement, changes []change) *sqlError {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s.End = time.Now()
+	if s != nil {
+		s.End = time.Now()
+	}
 	if d.primary != m {
-		s.Code = codeUnknown
 		return &sqlError{codeUnknown, "outcome unknown: the primary was lost"}
 	}
 	for _, c := range changes {
--- a/internal/simfleet/session.go
+++ b/internal/simfleet/session.go
@@ -33,6 +33,8 @@
 	readOnly   bool
 	writing    bool
 	changes    []change
+	// last is the log entry of the last statement, which gets the position of the commit.
+	last *check.Statement
 	// tokens is what is left of transactionTokens.
 	tokens int
 }
@@ -127,7 +129,7 @@
 	case check.KindBegin:
 		return s.begin(ctx, st)
 	case check.KindCommit:
-		return s.commit(st)
+		return s.commit()
 	case check.KindRollback:
 		s.abort()
 		return result{tag: "ROLLBACK"}, nil
@@ -143,7 +145,9 @@
 
 // logged is the log entry of a statement.
 func (s *session) logged(st statement, connection uint64) check.Statement {
-	entry := check.Statement{Connection: connection, Text: st.text, Params: st.params, Customer: s.customer, Owner: s.owner}
+	entry := check.Statement{
+		Connection: connection, Transaction: connection, Text: st.text, Params: st.params, Customer: s.customer, Owner: s.owner,
+	}
 	if s.fleet.faults.Hit(WrongCustomer) {
 		entry.Customer = "somebody else"
 	}
@@ -292,7 +296,6 @@
 		}
 		return result{}, &sqlError{codeNotRun, "no primary: not run"}
 	}
-	s.database.finish(s.database.begin(t.member, s.logged(st, t.connection)))
 	s.tx = t
 	if !t.readOnly {
 		s.setOpen(t.connection)
@@ -317,6 +320,7 @@
 	defer free()
 	entry := s.database.begin(t.member, s.logged(st, t.connection))
 	time.Sleep(s.database.spec.ServiceTime.D())
+	t.last = entry
 	defer s.database.finish(entry)
 	if st.kind.IsRead() {
 		return result{"SELECT", s.visible(st.table, first(st.ids), second(st.ids))}, nil
@@ -326,18 +330,16 @@
 	return result{"UPDATE 1", []check.Value{v}}, nil
 }
 
-func (s *session) commit(st statement) (result, *sqlError) {
+func (s *session) commit() (result, *sqlError) {
 	if s.tx == nil {
 		return result{tag: "ROLLBACK"}, nil
 	}
 	t := s.tx
 	defer s.abort()
-	entry := s.database.begin(t.member, s.logged(st, t.connection))
 	if t.readOnly {
-		s.database.finish(entry)
 		return result{tag: "COMMIT"}, nil
 	}
-	if err := s.database.commit(t.member, entry, t.changes); err != nil {
+	if err := s.database.commit(t.member, t.last, t.changes); err != nil {
 		return result{}, err
 	}
 	return result{tag: "COMMIT"}, nil
