--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -22,6 +22,9 @@
 // minEntitled is the least number of entitled requests for which a customer's percentiles are compared.
 const minEntitled = 100
 
+// noCode stands for the SQLSTATE of a request whose connection broke or never came about.
+const noCode = "none"
+
 // Input is what the measures are computed from.
 type Input struct {
 	History *check.Input
@@ -53,11 +56,14 @@
 func Compute(in *Input) *Measures {
 	requests := in.requests()
 	seconds := (in.Duration - in.Warmup).Seconds()
-	m := &Measures{}
+	m := &Measures{FailedByCode: make(map[string]int)}
 	reads, writes, transactions := newHistogram(), newHistogram(), newHistogram()
 	for _, q := range requests {
 		m.Requests.add(q.Outcome)
-		if q.Outcome != check.OutcomeOK {
+		if q.Outcome != check.OutcomeOK && !refused(q.Outcome) {
+			m.FailedByCode[cmp.Or(q.Code, noCode)]++
+		}
+		if q.Outcome != check.OutcomeOK || !q.Entitled {
 			continue
 		}
 		switch {
@@ -107,7 +113,7 @@
 	replica bool
 }
 
-// servedReads returns each read once, by the execution that finished last: the one whose answer counted.
+// servedReads returns each read once, by the execution that began last: the one whose answer counted.
 func servedReads(in *Input) []servedRead {
 	eligible := make(map[check.StatementID]bool)
 	for i := range in.History.Operations {
@@ -121,10 +127,10 @@
 		s := &in.History.Statements[i]
 		id, ok := s.Marker()
 		at := in.offset(s.Start)
-		if !ok || !eligible[id] || s.Code != "" || s.End.IsZero() || at < in.Warmup || at >= in.Duration {
+		if !ok || !eligible[id] || s.Code != "" || at < in.Warmup || at >= in.Duration {
 			continue
 		}
-		if last[id] == nil || s.End.After(last[id].End) {
+		if last[id] == nil || s.Start.After(last[id].Start) {
 			last[id] = s
 		}
 	}
@@ -226,11 +232,11 @@
 			continue
 		}
 		r.Entitled++
-		if q.Outcome != check.OutcomeNotRun && q.Outcome != check.OutcomeNotSent {
+		if !refused(q.Outcome) {
 			continue
 		}
 		r.Wrongful++
-		r.ByCode[cmp.Or(q.Code, "none")]++
+		r.ByCode[cmp.Or(q.Code, noCode)]++
 		if !overlapsAny(in.History.Faults, q) {
 			r.WithoutFault++
 		}
--- a/internal/report/summary.go
+++ b/internal/report/summary.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -87,9 +88,32 @@
 			p.line("   %-26s %s", figures[i].name, NewSpread(v).format(figures[i].unit))
 		}
 	}
+	p.codes("wrongful refusals by code", s.results, func(m *measure.Measures) map[string]int { return m.Refusals.ByCode })
+	p.codes("failed requests by code", s.results, func(m *measure.Measures) map[string]int { return m.FailedByCode })
 	p.gaps(s.results)
 }
 
+// codes writes the sums over all repeats by SQLSTATE.
+func (p *printer) codes(title string, results []*measure.Result, get func(*measure.Measures) map[string]int) {
+	sums := make(map[string]int)
+	for _, r := range results {
+		if r.Measures == nil {
+			continue
+		}
+		for code, n := range get(r.Measures) {
+			sums[code] += n
+		}
+	}
+	if len(sums) == 0 {
+		return
+	}
+	text := ""
+	for _, code := range slices.Sorted(maps.Keys(sums)) {
+		text += fmt.Sprintf(" %s=%d", code, sums[code])
+	}
+	p.line("   %-26s%s", title, text)
+}
+
 // selfChecks writes the worst of what the tool measured about itself.
 func (p *printer) selfChecks(results []*measure.Result) {
 	var worst load.SelfCheck
@@ -97,11 +121,11 @@
 		worst.LagP99 = max(worst.LagP99, r.SelfCheck.LagP99)
 		worst.CPU = max(worst.CPU, r.SelfCheck.CPU)
 		worst.ServiceExcessP95 = max(worst.ServiceExcessP95, r.SelfCheck.ServiceExcessP95)
-		worst.SchedulerP99 = max(worst.SchedulerP99, r.SelfCheck.SchedulerP99)
+		worst.TimerLateP99 = max(worst.TimerLateP99, r.SelfCheck.TimerLateP99)
 	}
-	p.line("   tool: generator lag p99 %s ms, processors %s %% busy, stand-ins p95 %s ms over service time, scheduler wait p99 %s ms",
+	p.line("   tool: generator lag p99 %s ms, processors %s %% busy, stand-ins p95 %s ms over service time, timers p99 %s ms late",
 		number(milliseconds(worst.LagP99)), number(100*worst.CPU), number(milliseconds(worst.ServiceExcessP95)),
-		number(milliseconds(worst.SchedulerP99)))
+		number(milliseconds(worst.TimerLateP99)))
 }
 
 // format shows a spread with its unit.
