Wire entry, operators' service, audit and isolation into the daemon

Cause: the entry part, the operators' service and the audit trail were not connected; transaction numbers in the statement log were not passed on.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -21,6 +21,7 @@
 	"github.com/celerystep/celerystep/internal/membership"
 	"github.com/celerystep/celerystep/internal/peer"
 	"github.com/celerystep/celerystep/internal/platform"
+	"github.com/celerystep/celerystep/internal/upstream"
 )
 
 // storeCheckKey is read to learn whether the key-value service answers.
@@ -199,7 +200,7 @@
 type lateManager struct{ daemon *Daemon }
 
 // Admit implements homeManager.
-func (m lateManager) Admit(ctx context.Context, g groupID, items []home.AdmitItem) home.AdmitAnswer {
+func (m lateManager) Admit(ctx context.Context, g upstream.GroupID, items []home.AdmitItem) home.AdmitAnswer {
 	return m.daemon.manager.Admit(ctx, g, items)
 }
 
@@ -224,24 +225,26 @@
 func (d *Daemon) startServers(g *errgroup.Group) {
 	d.startPeers(g)
 	metrics := &http.Server{Handler: d.httpMux(), ReadHeaderTimeout: httpHeaderTimeout}
-	g.Go(func() error { return serveHTTP(metrics, d.httpAt) })
+	g.Go(func() error { return ignoreClosed(metrics.Serve(d.httpAt)) })
 	d.startOperators(g)
 }
 
 func (d *Daemon) startPeers(g *errgroup.Group) {
 	mux := http.NewServeMux()
 	d.peers.Mount(mux)
-	server := peer.NewServer(mux, d.peerCerts, d.log.Named("peer"))
-	d.peerServer = server
+	d.serve(g, peer.NewServer(mux, d.peerCerts, d.log.Named("peer")), d.peersAt)
+}
+
+// serve serves until the listener closes, with mutual TLS when the settings name certificates for peers.
+func (d *Daemon) serve(g *errgroup.Group, s *http.Server, l net.Listener) {
+	d.serversMu.Lock()
+	d.servers = append(d.servers, s)
+	d.serversMu.Unlock()
 	g.Go(func() error {
 		if d.peerCerts == nil {
-			return serveHTTP(server, d.peersAt)
+			return ignoreClosed(s.Serve(l))
 		}
-		err := server.ServeTLS(d.peersAt, "", "")
-		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		return err
+		return ignoreClosed(s.ServeTLS(l, "", ""))
 	})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,9 +71,12 @@
 	peers       *peer.Handler
 	locator     *locator
 	entry       *entry.Server
-	peerServer  *http.Server
+	serversMu   sync.Mutex
+	servers     []*http.Server
 
+	started  time.Time
 	ready    atomic.Bool
+	draining atomic.Bool
 	killed   chan struct{}
 	killOnce sync.Once
 }
@@ -91,6 +94,7 @@
 		settings: o.Settings,
 		log:      o.Logger.With("instance", o.Settings.InstanceID),
 		registry: o.Registry,
+		started:  time.Now(),
 		killed:   make(chan struct{}),
 	}
 	if err := d.build(); err != nil {
@@ -121,7 +125,12 @@
 func (d *Daemon) HTTPAddress() string { return d.httpAt.Addr().String() }
 
 // OperatorAddress returns the host:port for celerystepctl.
-func (d *Daemon) OperatorAddress() string { return d.operators.Addr().String() }
+func (d *Daemon) OperatorAddress() string {
+	if d.settings.Advertise.Operators != "" {
+		return d.settings.Advertise.Operators
+	}
+	return d.operators.Addr().String()
+}
 
 // Ready reports whether callers can be served.
 func (d *Daemon) Ready() bool { return d.ready.Load() }
@@ -155,7 +164,7 @@
 
 func (d *Daemon) startParts(g *errgroup.Group, ctx context.Context) {
 	parts := []func(context.Context) error{
-		d.service.Run, d.keeper.Run, d.coordinator.Run, d.trail.Run, d.becomeReady,
+		d.service.Run, d.keeper.Run, d.coordinator.Run, d.trail.Run, d.becomeReady, d.publishAddress,
 	}
 	for _, run := range parts {
 		g.Go(func() error {
@@ -176,7 +185,7 @@
 	}
 	d.ready.Store(true)
 	d.log.Info("ready", "version", d.Version(), "callers", d.info.CallerAddress, "peers", d.info.PeerAddress)
-	err := d.entry.Serve(ctx, d.callers)
+	err := d.entry.Serve(d.callers)
 	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -200,6 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Timeouts.Drain.Duration())
 	defer cancel()
 	began := time.Now()
+	d.draining.Store(true)
 	d.ready.Store(false)
 	d.log.Info("shutdown started")
 	d.trail.Record(audit.Record{Kind: audit.KindInstanceDraining, Cause: "stop was asked for"})
@@ -226,14 +236,7 @@
 func (d *Daemon) Kill() {
 	d.killOnce.Do(func() { close(d.killed) })
 	d.ready.Store(false)
-	d.closeListeners()
-	d.entry.Kill()
-}
-
-// applyConfig brings a configuration into force in the parts that keep a copy.
-func (d *Daemon) applyConfig(s *config.Snapshot) {
-	d.manager.ConfigChanged()
-	d.entry.Apply(s)
+	d.closeServers()
 }
 
 // describeMember returns the audit record for a change of a peer's state, or false for one that needs none.
@@ -251,7 +254,12 @@
 
 func (d *Daemon) closeServers() {
 	d.closeListeners()
-	d.entry.Kill()
+	d.serversMu.Lock()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.serversMu.Unlock()
+	d.entry.Close()
 }
 
 func (d *Daemon) closeListeners() {
@@ -262,9 +270,8 @@
 	}
 }
 
-// serveHTTP serves until the listener closes.
-func serveHTTP(s *http.Server, l net.Listener) error {
-	err := s.Serve(l)
+// ignoreClosed returns err unless it says that the server was closed.
+func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -135,10 +135,10 @@
 	calls   *peer.Client
 }
 
-// Announce implements config.Gossip. The root hash stands for the operation, so that two roots of one version, which a
-// store that lost a write can cause, are told apart.
+// Announce implements config.Gossip. OperationID stays empty, so that two roots of one version, which a store that lost
+// a write can cause, are ordered by their hash here as in the keeper.
 func (c *configNews) Announce(version uint64, root config.Hash) {
-	c.service.AnnounceConfig(membership.ConfigVersion{Version: version, OperationID: root.String(), Root: root.String()})
+	c.service.AnnounceConfig(membership.ConfigVersion{Version: version, Root: string(root[:])})
 }
 
 // AnnounceRevocations implements config.Gossip.
@@ -194,7 +194,7 @@
 // heard passes a version that was heard of to the keeper.
 func heard(k *config.Keeper, v membership.ConfigVersion) {
 	var root config.Hash
-	if v.Version == 0 || root.UnmarshalText([]byte(v.Root)) != nil {
+	if v.Version == 0 || copy(root[:], v.Root) != len(root) {
 		return
 	}
 	k.Heard(v.Version, root, anyPeer)
--- a/internal/fleet/groups.go
+++ b/internal/fleet/groups.go
@@ -9,7 +9,6 @@
 
 	"github.com/celerystep/celerystep/internal/check"
 	"github.com/celerystep/celerystep/internal/experiment"
-	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/standin/group"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -141,79 +140,26 @@
 		if dropped > 0 {
 			return nil, errors.Errorf("member %s did not keep %d statements", m.ID, dropped)
 		}
-		all = append(all, transactions(id, log)...)
-	}
-	return all, nil
-}
-
-// transactions turns a member's log, which names each statement's transaction, into statements with the BEGIN and the
-// end that the checkers read.
-func transactions(id upstream.GroupID, log []group.LoggedStatement) []check.Statement {
-	byID := make(map[uint64][]*group.LoggedStatement)
-	var order []uint64
-	for i := range log {
-		t := log[i].Transaction
-		if byID[t] == nil {
-			order = append(order, t)
+		for i := range log {
+			all = append(all, statement(id, &log[i]))
 		}
-		byID[t] = append(byID[t], &log[i])
-	}
-	var out []check.Statement
-	for _, t := range order {
-		out = append(out, transaction(id, byID[t])...)
-	}
-	return out
-}
-
-func transaction(id upstream.GroupID, log []*group.LoggedStatement) []check.Statement {
-	first, last := log[0], log[len(log)-1]
-	if len(log) == 1 && !first.Block {
-		return []check.Statement{single(id, first)}
 	}
-	begin := statement(id, first)
-	begin.Text, begin.Params, begin.Code, begin.Position = "BEGIN", nil, "", position.Position{}
-	begin.Start = first.Time.Add(-time.Nanosecond)
-	out := []check.Statement{begin}
-	for _, l := range log {
-		s := statement(id, l)
-		s.Position = position.Position{}
-		out = append(out, s)
-	}
-	if last.Outcome == group.OutcomeOpen {
-		return out
-	}
-	end := statement(id, last)
-	end.Text, end.Params, end.Code = "COMMIT", nil, ""
-	if last.Outcome == group.OutcomeRolledBack {
-		end.Text = "ROLLBACK"
-	}
-	end.Start = last.Time.Add(time.Nanosecond)
-	end.End = end.Start
-	return append(out, end)
-}
-
-// single returns a statement that was a transaction by itself.
-func single(id upstream.GroupID, l *group.LoggedStatement) check.Statement {
-	s := statement(id, l)
-	if l.Outcome == group.OutcomeOpen {
-		s.End = time.Time{}
-	}
-	return s
+	return all, nil
 }
 
 func statement(id upstream.GroupID, l *group.LoggedStatement) check.Statement {
 	s := check.Statement{
-		Group:      id,
-		Member:     l.Member,
-		Role:       l.Role,
-		Connection: uint64(l.Connection),
-		Owner:      l.Owner,
-		Customer:   l.Customer,
-		Text:       l.SQL,
-		Start:      l.Time,
-		End:        l.Time,
-		Position:   l.Position,
-		Code:       l.State,
+		Group:       id,
+		Member:      l.Member,
+		Role:        l.Role,
+		Connection:  uint64(l.Connection),
+		Transaction: l.Transaction,
+		Owner:       l.Owner,
+		Customer:    l.Customer,
+		Text:        l.SQL,
+		Start:       l.Time,
+		Position:    l.Position,
+		Code:        l.State,
 	}
 	for _, a := range l.Args {
 		s.Params = append(s.Params, fmt.Sprint(a))
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -73,7 +73,7 @@
 	s.Region = f.topology.Region
 	s.Listen = settings.Listen{Callers: callers, Peers: "127.0.0.1:0", HTTP: "127.0.0.1:0", Operators: "127.0.0.1:0"}
 	s.Platform.Address = f.platform.Addr()
-	s.TokenKeys = []settings.TokenKey{{ID: "local", Secret: tokenKey}}
+	s.TokenKeys = []settings.TokenKey{{ID: 1, Secret: tokenKey}}
 	return &s
 }
 
--- a/internal/standin/group/execute.go
+++ b/internal/standin/group/execute.go
@@ -341,7 +341,6 @@
 		Role:        m.role,
 		Connection:  s.pid,
 		Transaction: t.id,
-		Block:       t.explicit,
 		Customer:    s.customer(),
 		Owner:       s.claim.Owner,
 		Generation:  s.claim.Generation,
--- a/internal/standin/group/statementlog.go
+++ b/internal/standin/group/statementlog.go
@@ -29,8 +29,6 @@
 	Connection uint32 `json:"connection"`
 	// Transaction is unique within the member.
 	Transaction uint64 `json:"transaction"`
-	// Block is true when the statement ran in a block that BEGIN opened.
-	Block bool `json:"block,omitempty"`
 	// Customer is the value of celerystep.customer on the connection.
 	Customer string `json:"customer"`
 	// Owner and Generation are the claim that the connection was opened under; 0 means none.
