--- /dev/null
+++ b/internal/home/switchover.go
@@ -0,0 +1,87 @@
+package home
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/failover"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Switchover moves the primary of the group on an operator's order and waits until the new one is announced. target may
+// be empty. An error before the start says why the order was refused; nothing was changed then.
+func (m *Manager) Switchover(ctx context.Context, id upstream.GroupID, target upstream.MemberID, operator string) (Ownership, error) {
+	g := m.find(id)
+	if g == nil {
+		return Ownership{}, ErrNotOwned
+	}
+	done, err := g.startSwitchover(failover.SwitchoverRequest{Target: target, Operator: operator})
+	if err != nil {
+		return Ownership{}, err
+	}
+	select {
+	case end := <-done:
+		return end.ownership, end.err
+	case <-ctx.Done():
+		return Ownership{}, errors.Wrap(ctx.Err(), "wait for the new primary")
+	}
+}
+
+// switchoverEnd is what an operator who waits learns.
+type switchoverEnd struct {
+	ownership Ownership
+	err       error
+}
+
+func (g *Group) startSwitchover(r failover.SwitchoverRequest) (<-chan switchoverEnd, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.phase != phaseServing {
+		return nil, ErrNotOwned
+	}
+	actions, err := g.machine.Switchover(r, g.now())
+	if err != nil {
+		return nil, err
+	}
+	w := &switchoverWaiter{target: r.Target, from: g.primary, done: make(chan switchoverEnd, 1)}
+	g.switchovers = append(g.switchovers, w)
+	g.act(actions)
+	return w.done, nil
+}
+
+// switchoverWaiter is an operator who waits for a new primary: the target, or any other than from.
+type switchoverWaiter struct {
+	target upstream.MemberID
+	from   upstream.MemberID
+	done   chan switchoverEnd
+}
+
+// reached reports whether the present primary is what the operator asked for.
+func (w *switchoverWaiter) reached(primary upstream.MemberID) bool {
+	if w.target != "" {
+		return primary == w.target
+	}
+	return primary != w.from
+}
+
+// finishSwitchovers tells the operators who wait which primary was announced. The state machine may have promoted
+// another member than they asked for, for example the old primary when its log was ahead.
+func (g *Group) finishSwitchovers() {
+	for _, w := range g.switchovers {
+		end := switchoverEnd{ownership: g.ownership()}
+		if !w.reached(g.primary) {
+			end.err = errors.Errorf("the switchover ended with %s as the primary of term %d", g.primary, g.term)
+		}
+		w.done <- end
+	}
+	g.switchovers = nil
+}
+
+// failSwitchovers tells all operators who wait that no new primary follows.
+func (g *Group) failSwitchovers(err error) {
+	for _, w := range g.switchovers {
+		w.done <- switchoverEnd{ownership: g.ownership(), err: err}
+	}
+	g.switchovers = nil
+}
