Carry the transaction state of a session to the home

Cause: home refuses statements of a transaction that it does not hold only when InTransaction is set, which neither the entry nor the link did; and a session whose home had moved stayed in status E, because the old home cannot end its transaction. Change: the entry sets InTransaction and the link carries it; a transaction that no home answers for is given up at the entry, and a ROLLBACK of it succeeds in both protocols; lost reads have the code 08006, as the home gives them.

--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -250,9 +250,22 @@
 	one(t, c, "SELECT 1")
 
 	// A transaction whose loss shows with ROLLBACK has the outcome that the caller asked for.
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+		exec(t, c, "BEGIN")
+		is.True(!f.home.last().InTransaction)
+		_, err = c.Exec(context.Background(), "ROLLBACK", mode)
+		is.NoErr(err)
+		is.True(f.home.last().InTransaction)
+		is.Equal(c.PgConn().TxStatus(), byte(txIdle))
+	}
+	lost = request.Result{Outcome: request.OutcomeNotRun, TxStatus: txFailed, Code: "57P03", Home: "i2"}
 	exec(t, c, "BEGIN")
+	is.Equal(execError(t, c, "UPDATE t SET a = 'LOSE'"), "40000")
 	exec(t, c, "ROLLBACK")
-	is.Equal(c.PgConn().TxStatus(), byte(txIdle))
+	lost = request.Result{Outcome: request.OutcomeNotRun, TxStatus: txIdle, Code: "53400"}
+	exec(t, c, "BEGIN")
+	is.Equal(execError(t, c, "UPDATE t SET a = 'LOSE'"), "53400")
+	is.Equal(execError(t, c, "UPDATE t SET a = 2"), "25P02")
 }
 
 // TestOutcomes guards against refusals and unknown outcomes that callers cannot tell apart.
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -193,8 +193,9 @@
 		return result.Home != "" || result.Code == pgwire.CodeUnavailable
 	case request.OutcomeUnknown:
 		t.losses++
-		repeatable := r.Kind == request.KindRead || r.Idempotent
-		return result.Code == pgwire.CodeUnknownOutcome && repeatable && !r.Begins && t.losses <= maxLosses
+		read := r.Kind == request.KindRead && result.Code == pgwire.CodeConnectionFailure
+		declared := r.Idempotent && result.Code == pgwire.CodeUnknownOutcome
+		return (read || declared) && !r.Begins && !r.InTransaction && t.losses <= maxLosses
 	default:
 		return false
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/celerystep/celerystep/internal/classify"
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/exchange"
 	"github.com/celerystep/celerystep/internal/pgwire"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/request"
@@ -53,7 +54,7 @@
 		s.settle(e, &result, r)
 		return false, errCut
 	}
-	if result.Outcome != request.OutcomeDone && s.scanner.Errors == 0 && !s.rolledBack(e, &result) {
+	if result.Outcome != request.OutcomeDone && s.scanner.Errors == 0 && !s.rolledBack(e, &result, r) {
 		s.failed(e, &result, r.Trace)
 	}
 	s.settle(e, &result, r)
@@ -88,6 +89,7 @@
 		Kind:          e.kind,
 		Idempotent:    s.variables.idempotent,
 		Begins:        e.begins,
+		InTransaction: s.tx != txIdle,
 		MaxAge:        s.variables.maxAge,
 		Timeout:       s.server.settings.RequestTimeout,
 		Parameters:    s.variables.replayed,
@@ -127,38 +129,45 @@
 // the status of a failed one, so that the statements that were meant for it do not run outside it.
 func (s *session) settleStatus(e effect, result *request.Result) {
 	inside := s.tx != txIdle
-	holds := result.HoldsTransaction(inside, e.begins)
-	if result.TxStatus == 0 && result.Outcome == request.OutcomeNotRun {
-		// The home has not said that it still holds the transaction, so it is told to give it up.
-		holds = inside
-	}
-	if result.TxStatus == 0 && holds {
-		s.release()
-		holds = false
-	}
 	switch {
-	case holds:
-		s.tx = result.TxStatus
-	case inside && !e.ends && (result.Outcome != request.OutcomeDone || result.TxStatus == 0):
+	case s.abandoned(result):
+		s.release()
+		s.lost = !e.ends
 		s.tx = txFailed
-		s.lost = true
+		if e.ends {
+			s.tx = txIdle
+		}
+	case result.TxStatus != 0:
+		s.tx = result.TxStatus
 	default:
+		if result.HoldsTransaction(inside, e.begins) {
+			s.release()
+		}
 		s.tx = txIdle
-		s.lost = false
 	}
 }
 
-// rolledBack answers a lone ROLLBACK whose transaction was already gone, which is what the caller asked for.
-func (s *session) rolledBack(e effect, result *request.Result) bool {
-	if !e.rollback || e.statements != 1 || s.tx == txIdle || s.scanner.Bytes > 0 {
+// abandoned reports whether the caller's transaction is not held by a home any more, or may not be. A home that still
+// holds it, or answers for its loss, says so with the status.
+func (s *session) abandoned(result *request.Result) bool {
+	if s.tx == txIdle || result.Outcome == request.OutcomeDone && result.TxStatus != 0 {
 		return false
 	}
-	if result.Outcome != request.OutcomeNotRun || result.TxStatus == txOpen || result.TxStatus == txFailed {
+	held := result.TxStatus == txOpen || result.TxStatus == txFailed
+	notHome := result.Outcome == request.OutcomeNotRun && result.Code == pgwire.CodeUnavailable
+	return !held || notHome
+}
+
+// rolledBack answers a ROLLBACK whose transaction was already gone, which is what the caller asked for.
+func (s *session) rolledBack(e effect, result *request.Result, r *request.Request) bool {
+	if !e.rollback || s.scanner.Bytes > 0 || !s.abandoned(result) {
 		return false
 	}
-	b := s.buffer()
-	*b = pgwire.AppendComplete(*b, "ROLLBACK")
-	return true
+	answer, ended := exchange.EndLost(r)
+	if ended {
+		_, _ = s.Write(answer)
+	}
+	return ended
 }
 
 // settleVariables ends the effect of a transaction on the parameters: a rollback restores them.
@@ -211,14 +220,18 @@
 // link was lost: it did not end the block, so it is rolled back with it.
 func (s *session) failed(e effect, result *request.Result, trace request.TraceID) {
 	reported := resultError(result, trace)
-	inside := s.tx != txIdle && !e.ends && result.TxStatus == 0
-	if inside && reported.Code == pgwire.CodeUnknownOutcome {
+	if !e.ends && s.abandoned(result) && linkCodes[reported.Code] {
 		reported.Code = pgwire.CodeRolledBack
 		reported.Message = "transaction was rolled back: " + result.Message
 	}
 	s.fail(reported)
 }
 
+// linkCodes are the codes of results that were lost with their link or home.
+var linkCodes = map[string]bool{
+	pgwire.CodeUnavailable: true, pgwire.CodeConnectionFailure: true, pgwire.CodeUnknownOutcome: true,
+}
+
 // resultError describes a result that is not done. The text of a refusal says that nothing was run.
 func resultError(result *request.Result, trace request.TraceID) *pgwire.Error {
 	e := &pgwire.Error{
@@ -235,6 +248,10 @@
 	if e.Code == "" {
 		e.Code = code
 	}
+	if e.Code == pgwire.CodeConnectionFailure {
+		// A read whose answer was lost had no effect, so its outcome is not unknown to the caller.
+		marker = "read failed"
+	}
 	if !strings.Contains(e.Message, marker) {
 		e.Message = strings.TrimSuffix(marker+": "+e.Message, ": ")
 	}
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -172,7 +172,10 @@
 		return k.abort(r, err)
 	}
 	k.stream.forget(k, false)
-	return k.unknown(codeUnknownOutcome, err)
+	if r.Kind == request.KindRead {
+		return k.unknown(codeReadFailed, errors.Wrap(err, "read failed without effect"))
+	}
+	return k.unknown(codeUnknownOutcome, errors.Wrap(err, "outcome unknown"))
 }
 
 // abort gives up a call whose caller does not want the answer any more.
@@ -180,14 +183,14 @@
 	st := k.stream
 	st.forget(k, k.held || r.Begins)
 	st.sendCancel(k.id, r.Group, r.Session)
-	return k.unknown(codeQueryCanceled, err)
+	return k.unknown(codeQueryCanceled, errors.Wrap(err, "outcome unknown"))
 }
 
 func (k *call) unknown(code string, err error) request.Result {
 	return request.Result{
 		Outcome: request.OutcomeUnknown,
 		Code:    code,
-		Message: "outcome unknown: " + err.Error(),
+		Message: err.Error(),
 		Step:    "link",
 		Peer:    string(k.stream.slot.client.id),
 	}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -20,9 +20,11 @@
 const (
 	codeUnavailable    = "57P03"
 	codeUnknownOutcome = "08007"
-	codeRolledBack     = "40000"
-	codeQueryCanceled  = "57014"
-	codeLimitExceeded  = "54000"
+	// codeReadFailed reports a read whose answer was lost. A read has no effect, so repeating it is safe.
+	codeReadFailed    = "08006"
+	codeRolledBack    = "40000"
+	codeQueryCanceled = "57014"
+	codeLimitExceeded = "54000"
 )
 
 // frameOverhead is more than what a frame needs besides messages and texts of statements.
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -22,6 +22,7 @@
 	m.Kind = uint32(r.Kind)
 	m.Idempotent = r.Idempotent
 	m.Begins = r.Begins
+	m.InTransaction = r.InTransaction
 	m.Floor = encodePosition(r.Floor, r.HasFloor)
 	m.FloorFromToken = r.FloorFromToken
 	m.MaxAgeUs = microseconds(r.MaxAge)
@@ -48,6 +49,7 @@
 		Kind:           decodeKind(m.Kind),
 		Idempotent:     m.Idempotent,
 		Begins:         m.Begins,
+		InTransaction:  m.InTransaction,
 		FloorFromToken: m.FloorFromToken,
 		MaxAge:         duration(m.MaxAgeUs),
 		Timeout:        duration(m.TimeoutUs),
