Let instances that know little pull when a peer pulls

Cause: with about as many recent records as the threshold, instances below it neither pulled nor got pushes; the last of 400 knew 40 returning instances only after 10.4 s, by the exchange of states. Change: a pull with at least the threshold of hashes makes its receiver pull for 3 s; a pull is told from a digest by its salt, so that it may be empty.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -37,6 +37,7 @@
 	urgent     *newsQueue
 	news       *newsQueue
 	recent     recentNews
+	pullUntil  time.Time
 	budget     byteBudget
 	directory  directory
 	join       join
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -19,7 +19,8 @@
 	Digest   *Digest
 }
 
-// Digest summarises a state. Its fields are those of the protocol message of the same name.
+// Digest summarises a state, or recent news when Salt is not 0. Its fields are those of the protocol message of the
+// same name.
 type Digest struct {
 	Root    uint64
 	Buckets []uint64
--- a/internal/membership/pull.go
+++ b/internal/membership/pull.go
@@ -61,20 +61,23 @@
 	m.recent.add(now, k)
 }
 
-// pulling reports whether there is so much news that pulls spread it at less cost than pushes.
-func (m *Machine) pulling() bool { return len(m.recent.entries) >= PullThreshold }
+// pulling reports whether there is so much news, here or at a peer that pulled, that pulls spread it at less cost than
+// pushes. Instances that have not heard of most of it yet must pull as well.
+func (m *Machine) pulling(now time.Time) bool {
+	if len(m.recent.entries) >= PullThreshold && len(m.recent.newest(now)) >= PullThreshold {
+		m.pullUntil = now.Add(PullTime)
+	}
+	return now.Before(m.pullUntil)
+}
 
 // pulls asks a random peer for recent news. A record that most instances have reaches the rest sooner by pulls: the
 // share of instances without it is squared with each round of pulls, but only divided by a constant with each push.
 func (m *Machine) pulls(now time.Time) []Call {
-	if !m.pulling() {
+	if !m.pulling(now) {
 		return nil
 	}
 	m.budget.refill(now)
 	recent := m.recent.newest(now)
-	if len(recent) < PullThreshold {
-		return nil
-	}
 	cost := CallOverheadBytes + recentHashBytes*len(recent)
 	if m.budget.left() < cost {
 		return nil
@@ -121,6 +124,9 @@
 	for i := 0; i+recentHashBytes <= len(d.Recent); i += recentHashBytes {
 		known[binary.LittleEndian.Uint16(d.Recent[i:])] = true
 	}
+	if len(known) >= PullThreshold {
+		m.pullUntil = now.Add(PullTime)
+	}
 	recent := m.recent.newest(now)
 	if len(recent) == 0 {
 		return
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -42,7 +42,7 @@
 	switch left := m.budget.left(); {
 	case m.urgent.len() > 0:
 		return PushFanout
-	case m.pulling() && left >= full:
+	case m.pulling(now) && left >= full:
 		return 1
 	case left >= PushFanout*full:
 		return PushFanout
@@ -60,23 +60,25 @@
 		return false
 	}
 	m.budget.refill(now)
-	urgent := m.fill(m.urgent, msg, limit, copies, UrgentMargin, received)
+	urgent := m.fill(now, m.urgent, msg, limit, copies, UrgentMargin, received)
 	room := min(limit, m.budget.left()/copies)
 	if room <= 0 {
 		return urgent > 0
 	}
-	used := m.fill(m.news, msg, room, copies, NewsMargin, received)
+	used := m.fill(now, m.news, msg, room, copies, NewsMargin, received)
 	m.budget.spend(used * copies)
 	return urgent+used > 0
 }
 
 // fill adds records from the queue to the message and returns their bytes. The first record is added whatever its
 // size, so that none blocks the queue.
-func (m *Machine) fill(q *newsQueue, msg *Message, room, copies int, margin float64, received *Message) int {
+func (m *Machine) fill(
+	now time.Time, q *newsQueue, msg *Message, room, copies int, margin float64, received *Message,
+) int {
 	used := 0
 	total := retransmissions(m.peers.len()+1, margin)
 	below := total
-	if q == m.news && m.pulling() {
+	if q == m.news && m.pulling(now) {
 		below = PullFirstSends
 	}
 	q.take(copies, below, total, func(k newsKey) sendResult {
@@ -166,7 +168,7 @@
 	m.addDoubt(reply, msg.From)
 	switch {
 	case msg.Digest == nil:
-	case len(msg.Digest.Recent) > 0:
+	case msg.Digest.Salt != 0:
 		m.answerPull(now, reply, msg.Digest)
 	default:
 		m.answerDigest(reply, msg)
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -56,6 +56,8 @@
 	// records many times. With random pushes alone each record must reach an instance about ten times on average
 	// until all have it.
 	PullThreshold = 40
+	// PullTime is how long an instance goes on pulling after it or a peer that pulled had that many.
+	PullTime = 3 * time.Second
 	// PullFirstSends is how often an instance pushes a record while it pulls.
 	PullFirstSends = 1
 	// MaxPullRecords bounds the hashes in one pull.
