--- a/internal/admission/bucket.go
+++ b/internal/admission/bucket.go
@@ -153,7 +153,7 @@
 // Available returns the number of granted tokens that are not taken.
 func (g *Grants) Available() int { return g.tokens }
 
-// Drop removes tokens beyond the n that waiting work can use, so that grants are never hoarded, and returns how many
+// Drop removes tokens beyond the n that waiting work can use, so that none is kept for later work, and returns how many
 // were dropped.
 func (g *Grants) Drop(n int) int {
 	dropped := max(g.tokens-max(n, 0), 0)
--- a/internal/admission/bucket_test.go
+++ b/internal/admission/bucket_test.go
@@ -123,7 +123,7 @@
 	is.Equal(NewBucket(contract(-1, -2), 9*Token, start).Level(at(time.Hour)), MicroTokens(0))
 }
 
-// Guards against hoarding granted tokens for later work.
+// Guards against keeping granted tokens for later work.
 func TestGrants(t *testing.T) {
 	is := is.New(t)
 	var g Grants
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -109,7 +109,7 @@
 
 // hasToken reports whether the customer has tokens for the item now.
 func (it *itemBase) hasToken(now time.Time) bool {
-	if it.lane == lanePrepaid {
+	if it.priority == priorityPrepaid {
 		return true
 	}
 	at, known := it.flow.account.source.Next(it.tokens, now)
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -10,18 +10,18 @@
 	costWeight = 8
 )
 
-// lane orders the work of one flow.
-type lane uint8
+// priority orders the work of one flow.
+type priority uint8
 
-// Lanes in the order in which they are served.
+// Priorities in the order in which they are served.
 const (
-	// lanePrepaid holds work that needs no token. It is first, so that it never waits behind work without a token.
-	lanePrepaid lane = iota
-	// laneFirst holds statements of open transactions.
-	laneFirst
-	// laneRest holds all other work.
-	laneRest
-	laneCount
+	// priorityPrepaid holds work that needs no token. It is first, so that it never waits behind work without a token.
+	priorityPrepaid priority = iota
+	// priorityFirst holds statements of open transactions.
+	priorityFirst
+	// priorityRest holds all other work.
+	priorityRest
+	priorityCount
 )
 
 // account is one customer in a queue.
@@ -58,8 +58,8 @@
 	account *account
 	class   Class
 	state   flowState
-	heads   [laneCount]item
-	tails   [laneCount]item
+	heads   [priorityCount]item
+	tails   [priorityCount]item
 	// start is the tag of the head item and finish the end of the work charged so far.
 	start, finish uint64
 	// arrival breaks ties between equal start tags in favour of the flow that came first.
@@ -80,7 +80,7 @@
 type itemBase struct {
 	next, prev item
 	flow       *flow
-	lane       lane
+	priority   priority
 	tokens     int
 	cost       time.Duration
 	// id and generation make up the Handle; waiting is false while the item is free.
@@ -107,23 +107,23 @@
 }
 
 func (f *flow) append(it item) {
-	it.next, it.prev = nil, f.tails[it.lane]
+	it.next, it.prev = nil, f.tails[it.priority]
 	if it.prev == nil {
-		f.heads[it.lane] = it
+		f.heads[it.priority] = it
 	} else {
 		it.prev.next = it
 	}
-	f.tails[it.lane] = it
+	f.tails[it.priority] = it
 }
 
 func (f *flow) unlink(it item) {
 	if it.prev == nil {
-		f.heads[it.lane] = it.next
+		f.heads[it.priority] = it.next
 	} else {
 		it.prev.next = it.next
 	}
 	if it.next == nil {
-		f.tails[it.lane] = it.prev
+		f.tails[it.priority] = it.prev
 	} else {
 		it.next.prev = it.prev
 	}
@@ -233,7 +233,7 @@
 // throttle sets a flow aside until its customer has tokens for the head.
 func (s *scheduler) throttle(f *flow, head item, at time.Time, known bool) {
 	s.detach(f)
-	if head.lane == laneFirst {
+	if head.priority == priorityFirst {
 		f.reserve(head.tokens)
 	}
 	if !known {
@@ -254,11 +254,11 @@
 
 // takeToken takes the tokens of the flow's head. Without them it sets the flow aside and returns false.
 func (s *scheduler) takeToken(f *flow, head item, now time.Time) bool {
-	if head.lane == lanePrepaid {
+	if head.priority == priorityPrepaid {
 		return true
 	}
 	a := f.account
-	if head.lane == laneRest && a.reserved > 0 {
+	if head.priority == priorityRest && a.reserved > 0 {
 		at, known := a.source.Next(head.tokens+a.reserved, now)
 		if !known || at.After(now) {
 			s.throttle(f, head, at, known)
@@ -296,13 +296,13 @@
 // forget takes the item out of its flow and of the heap of deadlines.
 func (s *scheduler) forget(it item) {
 	f := it.flow
-	releases := f.reserved > 0 && f.heads[laneFirst] == it
+	releases := f.reserved > 0 && f.heads[priorityFirst] == it
 	f.unlink(it)
 	if it.index != notPlaced {
 		s.expiring.remove(expiringItem{it})
 	}
 	f.account.waiting--
-	if it.lane != lanePrepaid {
+	if it.priority != priorityPrepaid {
 		f.account.tokens -= it.tokens
 	}
 	s.length--
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -153,7 +153,7 @@
 	n := q.allocate()
 	n.value = it.Value
 	n.flow = &a.flows[it.Class]
-	n.lane = laneOf(it.First, it.Prepaid)
+	n.priority = priorityOf(it.First, it.Prepaid)
 	n.tokens = max(it.Tokens, 1)
 	n.cost = it.Cost
 	n.pushed = pushed
@@ -163,14 +163,14 @@
 	return Handle{id: n.id, generation: n.generation}, nil
 }
 
-func laneOf(first, prepaid bool) lane {
+func priorityOf(first, prepaid bool) priority {
 	switch {
 	case prepaid:
-		return lanePrepaid
+		return priorityPrepaid
 	case first:
-		return laneFirst
+		return priorityFirst
 	default:
-		return laneRest
+		return priorityRest
 	}
 }
 
@@ -208,13 +208,13 @@
 	f := it.flow
 	it.waiting = true
 	f.account.waiting++
-	if it.lane != lanePrepaid {
+	if it.priority != priorityPrepaid {
 		f.account.tokens += it.tokens
 	}
 	s.length++
 	f.append(it)
 	it.expiry = it.deadline
-	if it.lane != lanePrepaid {
+	if it.priority != priorityPrepaid {
 		it.expiry = min(it.deadline, it.tokenDeadline)
 	}
 	if it.expiry != noDeadline {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -49,7 +49,7 @@
 	heads := map[string]*naiveItem{}
 	for _, it := range n.items {
 		h := heads[it.Customer]
-		if it.Class == c && (h == nil || laneOf(it.First, it.Prepaid) < laneOf(h.First, h.Prepaid)) {
+		if it.Class == c && (h == nil || priorityOf(it.First, it.Prepaid) < priorityOf(h.First, h.Prepaid)) {
 			heads[it.Customer] = it
 		}
 	}
@@ -128,7 +128,7 @@
 					Tokens: rapid.IntRange(1, 2).Draw(t, "tokens"), Cost: time.Duration(rapid.IntRange(1, 9).Draw(t, "cost")) * ms,
 					Deadline: now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "deadline")) * ms)}
 				// Reservations across classes are tested by themselves, so First is drawn in single-class queues only.
-				l := rapid.IntRange(0, 2).Draw(t, "lane")
+				l := rapid.IntRange(0, 2).Draw(t, "priority")
 				it.First, it.Prepaid = l == 1 && classes == 1, l == 2
 				if rapid.Bool().Draw(t, "token deadline") {
 					it.TokenDeadline = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "token wait")) * ms)
--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -93,15 +93,15 @@
 		return
 	}
 	for _, k := range m.members {
-		if m.outranked(k) {
+		if m.refusesAttempt(k) {
 			m.backOff(CauseStaleTerm, now)
 			return
 		}
 	}
 }
 
-// outranked reports whether the member accepted a term that rules out this attempt on it.
-func (m *Machine) outranked(k *memberState) bool {
+// refusesAttempt reports whether the member accepted a term that rules out this attempt on it.
+func (m *Machine) refusesAttempt(k *memberState) bool {
 	if k.status == nil || k.status.Term < m.attempt.term {
 		return false
 	}
@@ -170,7 +170,7 @@
 		m.attempt.progressAt = now
 	}
 	switch {
-	case m.outranked(c):
+	case m.refusesAttempt(c):
 		m.backOff(CauseStaleTerm, now)
 	case c.status.Role == upstream.RolePrimary && c.status.Term == m.attempt.term:
 		m.promoted(now)
@@ -200,7 +200,7 @@
 	m.enter(PhaseSteady, m.cause, now)
 }
 
-// backOff leaves the field to another promoter for a random time that grows with each attempt in a row.
+// backOff waits for the result of another promoter, for a random time that grows with each attempt in a row.
 func (m *Machine) backOff(cause Cause, now time.Time) {
 	if !m.held {
 		m.hold(HoldWrites{})
@@ -234,7 +234,7 @@
 		m.searchPrimary(CauseStaleTerm, now)
 		return
 	}
-	// The old primary was not replaced after all, and it is not heard: decide anew whether it is lost. Writes stay held.
+	// The old primary was not replaced after all, and it is not heard: decide anew whether it is lost. Writes repromote held.
 	m.primary = p
 	m.term = p.status.Term
 	m.suspect(now)
--- a/internal/failover/cells_test.go
+++ b/internal/failover/cells_test.go
@@ -12,15 +12,15 @@
 // scenario makes the machines go through a chain of steps, beginning at 1 s.
 type scenario struct {
 	name  string
-	begin func(w *world)
+	begin func(w *model)
 	// end heals what begin broke.
-	end func(w *world)
+	end func(w *model)
 }
 
 var scenarios = []scenario{
-	{"crash", func(w *world) { w.members[0].alive = false }, func(w *world) { w.members[0].alive = true }},
-	{"partition", func(w *world) { w.isolate("a", true) }, func(w *world) { w.isolate("a", false) }},
-	{"switchover", func(w *world) {
+	{"crash", func(w *model) { w.members[0].alive = false }, func(w *model) { w.members[0].alive = true }},
+	{"partition", func(w *model) { w.isolate("a", true) }, func(w *model) { w.isolate("a", false) }},
+	{"switchover", func(w *model) {
 		p := w.promoters[0]
 		p.post(func() {
 			actions, err := p.machine.Switchover(SwitchoverRequest{Target: "b", Operator: "op"}, p.at())
@@ -28,14 +28,14 @@
 			p.do(actions)
 		})
 	}, nil},
-	{"domain out", func(w *world) { w.configure(Member{ID: "a", DomainOut: true}) }, nil},
-	{"home replaced", func(w *world) { w.takeOver() }, nil},
-	{"member fenced by a promoter that died", func(w *world) {
+	{"domain out", func(w *model) { w.configure(Member{ID: "a", DomainOut: true}) }, nil},
+	{"home replaced", func(w *model) { w.takeOver() }, nil},
+	{"member fenced by a promoter that died", func(w *model) {
 		w.member("c").accept(w.member("c").Term+3, "dead", upstream.RoleFenced, "")
 	}, nil},
 }
 
-func (w *world) isolate(id string, cut bool) {
+func (w *model) isolate(id string, cut bool) {
 	for _, m := range w.members {
 		w.cut[[2]string{id, string(m.Member)}] = cut
 	}
@@ -44,14 +44,14 @@
 	}
 }
 
-func (w *world) configure(first Member) {
+func (w *model) configure(first Member) {
 	for _, p := range w.promoters {
 		p.post(func() { p.do(p.machine.Configure([]Member{first, {ID: "b"}, {ID: "c"}}, p.at())) })
 	}
 }
 
 // takeOver makes the second promoter the home, as peers do that believe the first one dead.
-func (w *world) takeOver() {
+func (w *model) takeOver() {
 	w.promoters[0].wants = false
 	w.promoters[1].wants = true
 }
@@ -59,67 +59,69 @@
 // faultCase injects a fault into one call. first is true for the call that the cell is about.
 type faultCase struct {
 	name   string
-	inject func(w *world, p *promoter, m *fakeMember, first bool, since time.Duration) fate
+	inject func(w *model, p *promoter, m *fakeMember, first bool, since time.Duration) callFault
 }
 
-// window is how long a lasting fault holds on after the first call.
-const window = 700 * ms
+// faultWindow is how long a lasting fault holds on after the first call.
+const faultWindow = 700 * ms
 
-func once(f func(w *world, p *promoter, m *fakeMember) fate) func(*world, *promoter, *fakeMember, bool, time.Duration) fate {
-	return func(w *world, p *promoter, m *fakeMember, first bool, _ time.Duration) fate {
+func once(f func(w *model, p *promoter, m *fakeMember) callFault) func(*model, *promoter, *fakeMember, bool, time.Duration) callFault {
+	return func(w *model, p *promoter, m *fakeMember, first bool, _ time.Duration) callFault {
 		if !first {
-			return fate{}
+			return callFault{}
 		}
 		return f(w, p, m)
 	}
 }
 
-func crash(w *world, m *fakeMember) func() {
+func crash(w *model, m *fakeMember) func() {
 	return func() { m.alive = false; w.after(2*time.Second, func() { m.alive = true }) }
 }
 
-func partition(w *world, p *promoter, m *fakeMember) func() {
+func partition(w *model, p *promoter, m *fakeMember) func() {
 	return func() {
 		w.cut[[2]string{p.name, string(m.Member)}] = true
 		w.after(2*time.Second, func() { w.cut[[2]string{p.name, string(m.Member)}] = false })
 	}
 }
 
-func pause(w *world, p *promoter) func() {
+func pause(w *model, p *promoter) func() {
 	return func() {
 		p.pausedUntil = w.now + 2500*ms
 		w.after(time.Second, w.takeOver)
 	}
 }
 
-func restart(w *world, p *promoter) func() {
-	return func() { p.boot(); p.claimAt = w.now + 300*ms }
+func restart(w *model, p *promoter) func() {
+	return func() { p.start(); p.claimAt = w.now + 300*ms }
 }
 
 var faultCases = []faultCase{
-	{"request lost", once(func(*world, *promoter, *fakeMember) fate { return fate{loseRequest: true} })},
-	{"answer lost", once(func(*world, *promoter, *fakeMember) fate { return fate{loseAnswer: true} })},
-	{"request late", once(func(*world, *promoter, *fakeMember) fate { return fate{late: time.Second} })},
-	{"request repeated late", once(func(*world, *promoter, *fakeMember) fate { return fate{again: 1200 * ms} })},
-	{"all requests lost for a while", func(_ *world, _ *promoter, _ *fakeMember, _ bool, since time.Duration) fate {
-		return fate{loseRequest: since < window}
+	{"request lost", once(func(*model, *promoter, *fakeMember) callFault { return callFault{loseRequest: true} })},
+	{"answer lost", once(func(*model, *promoter, *fakeMember) callFault { return callFault{loseAnswer: true} })},
+	{"request late", once(func(*model, *promoter, *fakeMember) callFault { return callFault{late: time.Second} })},
+	{"request repeated late", once(func(*model, *promoter, *fakeMember) callFault { return callFault{again: 1200 * ms} })},
+	{"all requests lost for a while", func(_ *model, _ *promoter, _ *fakeMember, _ bool, since time.Duration) callFault {
+		return callFault{loseRequest: since < faultWindow}
 	}},
-	{"all answers lost for a while", func(_ *world, _ *promoter, _ *fakeMember, _ bool, since time.Duration) fate {
-		return fate{loseAnswer: since < window}
+	{"all answers lost for a while", func(_ *model, _ *promoter, _ *fakeMember, _ bool, since time.Duration) callFault {
+		return callFault{loseAnswer: since < faultWindow}
 	}},
-	{"promoter paused before", once(func(w *world, p *promoter, _ *fakeMember) fate { return fate{late: 2600 * ms, sent: pause(w, p)} })},
-	{"promoter paused after effect", once(func(w *world, p *promoter, _ *fakeMember) fate { return fate{effect: pause(w, p)} })},
-	{"promoter restarted before", once(func(w *world, p *promoter, _ *fakeMember) fate { return fate{late: ms, sent: restart(w, p)} })},
-	{"promoter restarted after effect", once(func(w *world, p *promoter, _ *fakeMember) fate { return fate{effect: restart(w, p)} })},
-	{"member crashed before", once(func(w *world, _ *promoter, m *fakeMember) fate { return fate{sent: crash(w, m)} })},
-	{"member crashed after effect", once(func(w *world, _ *promoter, m *fakeMember) fate { return fate{effect: crash(w, m)} })},
-	{"member cut off before", once(func(w *world, p *promoter, m *fakeMember) fate { return fate{sent: partition(w, p, m)} })},
-	{"member cut off after effect", once(func(w *world, p *promoter, m *fakeMember) fate { return fate{effect: partition(w, p, m)} })},
-	{"other promoter fences the member", once(func(_ *world, _ *promoter, m *fakeMember) fate {
-		return fate{effect: func() { m.accept(m.Term+1, "other", upstream.RoleFenced, "") }}
+	{"promoter paused before", once(func(w *model, p *promoter, _ *fakeMember) callFault {
+		return callFault{late: 2600 * ms, sent: pause(w, p)}
 	})},
-	{"second home takes over", once(func(w *world, _ *promoter, _ *fakeMember) fate {
-		return fate{effect: func() { w.promoters[1].wants = true }}
+	{"promoter paused after effect", once(func(w *model, p *promoter, _ *fakeMember) callFault { return callFault{effect: pause(w, p)} })},
+	{"promoter restarted before", once(func(w *model, p *promoter, _ *fakeMember) callFault { return callFault{late: ms, sent: restart(w, p)} })},
+	{"promoter restarted after effect", once(func(w *model, p *promoter, _ *fakeMember) callFault { return callFault{effect: restart(w, p)} })},
+	{"member crashed before", once(func(w *model, _ *promoter, m *fakeMember) callFault { return callFault{sent: crash(w, m)} })},
+	{"member crashed after effect", once(func(w *model, _ *promoter, m *fakeMember) callFault { return callFault{effect: crash(w, m)} })},
+	{"member cut off before", once(func(w *model, p *promoter, m *fakeMember) callFault { return callFault{sent: partition(w, p, m)} })},
+	{"member cut off after effect", once(func(w *model, p *promoter, m *fakeMember) callFault { return callFault{effect: partition(w, p, m)} })},
+	{"other promoter fences the member", once(func(_ *model, _ *promoter, m *fakeMember) callFault {
+		return callFault{effect: func() { m.accept(m.Term+1, "other", upstream.RoleFenced, "") }}
+	})},
+	{"second home takes over", once(func(w *model, _ *promoter, _ *fakeMember) callFault {
+		return callFault{effect: func() { w.promoters[1].wants = true }}
 	})},
 }
 
@@ -127,22 +129,22 @@
 
 // cell runs a scenario with a fault at the n-th call of a kind. It returns whether the call took place and what went wrong.
 func cell(sc scenario, f faultCase, kind string, n int) (ran bool, wrong []string) {
-	w := newWorld(uint64(n), 2)
+	w := newModel(uint64(n), 2)
 	begin := time.Second
 	if kind == "claim" || kind == "probe" {
 		begin = 0 // the first claims and probes are part of the start
 	}
 	calls, hit := 0, time.Duration(-1)
-	w.fate = func(p *promoter, k string, m *fakeMember) fate {
+	w.callFault = func(p *promoter, k string, m *fakeMember) callFault {
 		if k != kind || w.now < begin {
-			return fate{}
+			return callFault{}
 		}
 		calls++
 		if calls == n {
 			hit = w.now
 		}
 		if hit < 0 {
-			return fate{}
+			return callFault{}
 		}
 		return f.inject(w, p, m, calls == n, w.now-hit)
 	}
@@ -165,7 +167,7 @@
 
 // settles runs until one home serves a group whose members all follow one primary and whose writes are acknowledged, and
 // says what is missing at the time limit.
-func (w *world) settles(limit time.Duration) []string {
+func (w *model) settles(limit time.Duration) []string {
 	var missing []string
 	for w.now < limit {
 		acked := w.acked
@@ -181,7 +183,7 @@
 	return missing
 }
 
-func (w *world) unsettled() []string {
+func (w *model) unsettled() []string {
 	var missing []string
 	i := slices.IndexFunc(w.promoters, func(p *promoter) bool { return p.wants })
 	v := w.promoters[i].machine.View()
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -20,7 +20,7 @@
 }
 
 // owner returns the name under which this home fences members. It contains the generation of the claim, which a majority
-// accepted from this instance only, so that no two lives of an instance share it.
+// accepted from this instance only, so that no two processes of an instance share it.
 func (m *Machine) owner() instance.ID {
 	if m.attempt.term > 0 {
 		return m.attempt.owner
@@ -33,7 +33,7 @@
 func (m *Machine) evaluateClaim(now time.Time) bool {
 	c := &m.claim
 	if c.claim.Generation == 0 && !m.readMajority(now) {
-		return m.patient(now)
+		return m.checkReachable(now)
 	}
 	if m.claimedOver() >= m.majority() {
 		m.release(CauseClaimLost, now, "a majority of members accepted the claim of another home")
@@ -46,7 +46,7 @@
 		m.newClaim(CauseStepTimeout, now)
 	}
 	m.claimMembers(now)
-	return m.patient(now)
+	return m.checkReachable(now)
 }
 
 // readMajority asks the members for their status until a majority has answered, and then chooses the generation.
@@ -112,10 +112,10 @@
 	}
 }
 
-// patient releases the role when no majority was reachable for too long, and returns false then.
-func (m *Machine) patient(now time.Time) bool {
+// checkReachable releases the role when no majority was reachable for too long, and returns false then.
+func (m *Machine) checkReachable(now time.Time) bool {
 	switch {
-	case m.phase == PhaseClaiming && now.Sub(m.since) >= claimPatience*m.timing.CutOff:
+	case m.phase == PhaseClaiming && now.Sub(m.since) >= claimLimit*m.timing.CutOff:
 		m.release(CauseNoMajority, now, "no majority of members accepted the claim in time")
 	case m.phase != PhaseClaiming && m.reachable(now) < m.majority():
 		m.release(CauseNoMajority, now, "no majority of members was reachable for the cut-off time")
--- a/internal/failover/evaluate.go
+++ b/internal/failover/evaluate.go
@@ -82,11 +82,11 @@
 		m.probeEvery(k, m.timing.ProbeTimeout, now)
 		found = found && m.lost(k, now)
 	}
-	if found && m.deaf(now) >= m.majority() {
+	if found && m.countWithoutPrimary(now) >= m.majority() {
 		m.startFailover(cause, now, "no member leads and a majority hears no primary")
 		return
 	}
-	if m.hearing(now) && now.Sub(m.since) >= m.timing.CutOff {
+	if m.anyHearsPrimary(now) && now.Sub(m.since) >= m.timing.CutOff {
 		m.release(CauseHomeCutOff, now, "members hear a primary that this home cannot reach")
 	}
 }
@@ -176,29 +176,29 @@
 	if !m.lost(p, now) {
 		return false
 	}
-	if m.deaf(now) >= m.majority() {
+	if m.countWithoutPrimary(now) >= m.majority() {
 		return m.startFailover(m.cause, now, "the home cannot reach the primary and a majority of members does not hear it")
 	}
-	if m.hearing(now) && now.Sub(p.heardAt) >= m.timing.CutOff {
+	if m.anyHearsPrimary(now) && now.Sub(p.heardAt) >= m.timing.CutOff {
 		m.release(CauseHomeCutOff, now, "members hear the primary, which this home cannot reach")
 		return true
 	}
 	return false
 }
 
-// deaf counts the members that currently report to hear no primary. Members of lower terms do not count, because they
+// countWithoutPrimary counts the members that currently report to hear no primary. Members of lower terms do not count, because they
 // do not follow the present primary.
-func (m *Machine) deaf(now time.Time) int {
+func (m *Machine) countWithoutPrimary(now time.Time) int {
 	n := 0
 	for _, k := range m.members {
-		if m.current(k, now) && k.status.Term >= m.term && m.isDeaf(k.status) {
+		if m.current(k, now) && k.status.Term >= m.term && m.hearsNoPrimary(k.status) {
 			n++
 		}
 	}
 	return n
 }
 
-func (m *Machine) isDeaf(s *upstream.MemberStatus) bool {
+func (m *Machine) hearsNoPrimary(s *upstream.MemberStatus) bool {
 	switch s.Role {
 	case upstream.RolePrimary:
 		return false
@@ -209,10 +209,10 @@
 	}
 }
 
-// hearing reports whether some replica currently hears its primary.
-func (m *Machine) hearing(now time.Time) bool {
+// anyHearsPrimary reports whether some replica currently hears its primary.
+func (m *Machine) anyHearsPrimary(now time.Time) bool {
 	for _, k := range m.members {
-		if m.current(k, now) && k.status.Role == upstream.RoleReplica && !m.isDeaf(k.status) {
+		if m.current(k, now) && k.status.Role == upstream.RoleReplica && !m.hearsNoPrimary(k.status) {
 			return true
 		}
 	}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -272,7 +272,7 @@
 	return m.evaluate(now)
 }
 
-// setMembers replaces the members and keeps what is known of those that stay.
+// setMembers replaces the members and keeps what is known of those that repromote.
 func (m *Machine) setMembers(members []Member) {
 	old := m.members
 	m.members = make([]*memberState, 0, len(members))
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -15,10 +15,10 @@
 
 // home returns a model with one home that has served for a second. It guards against a failover at the start of a home
 // and against a wrong first primary.
-func home(t *testing.T, seed uint64) (*world, *promoter, *is.I) {
+func home(t *testing.T, seed uint64) (*model, *promoter, *is.I) {
 	t.Helper()
 	is := is.New(t)
-	w := newWorld(seed, 1)
+	w := newModel(seed, 1)
 	p := w.promoters[0]
 	p.wants = true
 	w.run(time.Second)
@@ -29,7 +29,7 @@
 }
 
 // gap breaks something and returns the time until a write is acknowledged by another primary.
-func (w *world) gap(breakIt func()) time.Duration {
+func (w *model) gap(breakIt func()) time.Duration {
 	p := w.promoters[0]
 	old, began := p.primary, w.now
 	breakIt()
@@ -61,11 +61,11 @@
 		name    string
 		limit   time.Duration
 		cause   Cause
-		breakIt func(w *world)
+		breakIt func(w *model)
 	}{
-		{"crash", 2 * time.Second, CausePrimaryRefused, func(w *world) { w.member("a").alive = false }},
-		{"partition", 5 * time.Second, CausePrimarySilent, func(w *world) { w.isolate("a", true) }},
-		{"cut off from the replicas only", 5 * time.Second, CausePrimaryIsolated, func(w *world) {
+		{"crash", 2 * time.Second, CausePrimaryRefused, func(w *model) { w.member("a").alive = false }},
+		{"partition", 5 * time.Second, CausePrimarySilent, func(w *model) { w.isolate("a", true) }},
+		{"cut off from the replicas only", 5 * time.Second, CausePrimaryIsolated, func(w *model) {
 			w.cut[[2]string{"a", "b"}], w.cut[[2]string{"a", "c"}] = true, true
 		}},
 	} {
@@ -175,11 +175,11 @@
 func TestDomainOutMovesPrimaryByForce(t *testing.T) {
 	w, p, is := home(t, 5)
 	a := w.member("a")
-	w.fate = func(_ *promoter, kind string, _ *fakeMember) fate {
+	w.callFault = func(_ *promoter, kind string, _ *fakeMember) callFault {
 		if kind != "fence" {
-			return fate{}
+			return callFault{}
 		}
-		return fate{sent: func() {
+		return callFault{sent: func() {
 			if p.undrained {
 				a.append() // a transaction that was not drained commits
 			}
@@ -274,7 +274,7 @@
 }
 
 func BenchmarkStatus(b *testing.B) {
-	w := newWorld(1, 1)
+	w := newModel(1, 1)
 	w.promoters[0].wants = true
 	w.run(time.Second)
 	m, s, now := w.promoters[0].machine, w.members[1].status(), w.promoters[0].at()
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -30,7 +30,7 @@
 // fakeMember follows the rules of design sections 5, 6 and 12. Its status, follows and log are durable.
 type fakeMember struct {
 	upstream.MemberStatus
-	w              *world
+	w              *model
 	follows        upstream.MemberID
 	log            []entry
 	alive, matched bool
@@ -158,8 +158,8 @@
 	}
 }
 
-// fate says what becomes of one call; the functions run when the call is sent and after its effect.
-type fate struct {
+// callFault says what becomes of one call; the functions run when the call is sent and after its effect.
+type callFault struct {
 	loseRequest, loseAnswer bool
 	late, again             time.Duration
 	sent, effect            func()
@@ -170,15 +170,15 @@
 	f  func()
 }
 
-type world struct {
-	random    *rand.Rand
-	now       time.Duration
-	members   []*fakeMember
-	promoters []*promoter
-	mail      []delivery
-	cut       map[[2]string]bool
-	fate      func(p *promoter, kind string, m *fakeMember) fate
-	promoted  map[position.Term]upstream.MemberID
+type model struct {
+	random     *rand.Rand
+	now        time.Duration
+	members    []*fakeMember
+	promoters  []*promoter
+	deliveries []delivery
+	cut        map[[2]string]bool
+	callFault  func(p *promoter, kind string, m *fakeMember) callFault
+	promoted   map[position.Term]upstream.MemberID
 	// committed is the longest log prefix that a majority had received in the term of its last record, and committedIn
 	// the term in which this was first so, by record.
 	committed   []entry
@@ -189,9 +189,9 @@
 	refused error
 }
 
-func newWorld(seed uint64, promoters int) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, promoted: map[position.Term]upstream.MemberID{}}
-	w.fate = func(*promoter, string, *fakeMember) fate { return fate{} }
+func newModel(seed uint64, promoters int) *model {
+	w := &model{random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, promoted: map[position.Term]upstream.MemberID{}}
+	w.callFault = func(*promoter, string, *fakeMember) callFault { return callFault{} }
 	for _, id := range []upstream.MemberID{"a", "b", "c"} {
 		m := &fakeMember{w: w, alive: true, follows: "a", log: []entry{{1, 0}}}
 		m.MemberStatus = upstream.MemberStatus{Member: id, Term: 1, Role: upstream.RoleReplica}
@@ -200,30 +200,32 @@
 	w.members[0].Role = upstream.RolePrimary
 	for i := range promoters {
 		p := &promoter{w: w, name: fmt.Sprint("p", i)}
-		p.boot()
+		p.start()
 		w.promoters = append(w.promoters, p)
 	}
 	return w
 }
 
-func (w *world) isCut(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
+func (w *model) isCut(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
 
-func (w *world) member(id upstream.MemberID) *fakeMember {
+func (w *model) member(id upstream.MemberID) *fakeMember {
 	return w.members[slices.IndexFunc(w.members, func(m *fakeMember) bool { return m.Member == id })]
 }
 
-func (w *world) violate(format string, args ...any) {
+func (w *model) violate(format string, args ...any) {
 	w.violations = append(w.violations, fmt.Sprintf("at %v: ", w.now)+fmt.Sprintf(format, args...))
 }
 
-func (w *world) after(d time.Duration, f func()) { w.mail = append(w.mail, delivery{w.now + d, f}) }
+func (w *model) after(d time.Duration, f func()) {
+	w.deliveries = append(w.deliveries, delivery{w.now + d, f})
+}
 
 // run advances the model.
-func (w *world) run(until time.Duration) {
+func (w *model) run(until time.Duration) {
 	for w.now < until {
 		w.now += step
-		due := slices.Clone(w.mail)
-		w.mail = slices.DeleteFunc(w.mail, func(d delivery) bool { return d.at <= w.now })
+		due := slices.Clone(w.deliveries)
+		w.deliveries = slices.DeleteFunc(w.deliveries, func(d delivery) bool { return d.at <= w.now })
 		for _, d := range due {
 			if d.at <= w.now {
 				d.f()
@@ -240,7 +242,7 @@
 }
 
 // commit extends the committed prefix and checks that it never changes.
-func (w *world) commit() {
+func (w *model) commit() {
 	for _, m := range w.members {
 		t, n := m.log[len(m.log)-1].term, len(m.log)
 		have := 0
@@ -266,15 +268,15 @@
 
 // promoter runs a machine as a home does.
 type promoter struct {
-	w               *world
+	w               *model
 	name            string
 	machine         *Machine
 	tracker         *quorum.Tracker
-	life            int
+	incarnation     int
 	wants, idle     bool
 	claimAt         time.Duration
 	pausedUntil     time.Duration
-	inbox           []func()
+	events          []func()
 	claim           upstream.Claim
 	primary         upstream.MemberID
 	held, drain     bool
@@ -287,11 +289,11 @@
 	undrained bool
 }
 
-// boot starts the process without any memory of its former life.
-func (p *promoter) boot() {
+// start starts the process without any memory of its former incarnation.
+func (p *promoter) start() {
 	ids := []upstream.MemberID{"a", "b", "c"}
-	p.life++
-	p.inbox = nil
+	p.incarnation++
+	p.events = nil
 	p.end()
 	p.streams = map[upstream.MemberID]bool{}
 	p.waiting = map[position.Position]entry{}
@@ -305,11 +307,11 @@
 
 func (p *promoter) at() time.Time { return epoch.Add(p.w.now) }
 
-// post delivers an event to this life of the process.
+// post delivers an event to this incarnation of the process.
 func (p *promoter) post(f func()) {
-	life := p.life
-	p.inbox = append(p.inbox, func() {
-		if p.life == life {
+	incarnation := p.incarnation
+	p.events = append(p.events, func() {
+		if p.incarnation == incarnation {
 			f()
 		}
 	})
@@ -333,9 +335,9 @@
 	if w.now < p.pausedUntil {
 		return
 	}
-	for len(p.inbox) > 0 && w.now >= p.pausedUntil {
-		f := p.inbox[0]
-		p.inbox = p.inbox[1:]
+	for len(p.events) > 0 && w.now >= p.pausedUntil {
+		f := p.events[0]
+		p.events = p.events[1:]
 		f()
 	}
 	if p.wants && p.idle && w.now >= p.claimAt {
@@ -432,10 +434,10 @@
 	})
 }
 
-// call carries an action to a member and its result back, with the fate that the test chose for it.
+// call carries an action to a member and its result back, with the callFault that the test chose for it.
 func (p *promoter) call(kind string, id upstream.MemberID, timeout time.Duration, a Action, done func(*upstream.MemberStatus, *upstream.MemberError) []Action) {
 	w, m := p.w, p.w.member(id)
-	f := w.fate(p, kind, m)
+	f := w.callFault(p, kind, m)
 	if f.sent != nil {
 		f.sent()
 	}
@@ -446,10 +448,10 @@
 			p.post(func() { p.do(done(s, err)) })
 		}
 	}
-	life := p.life
-	gone := func() bool { return w.isCut(p.name, string(id)) || p.life != life }
+	incarnation := p.incarnation
+	gone := func() bool { return w.isCut(p.name, string(id)) || p.incarnation != incarnation }
 	w.after(timeout, func() {
-		if p.life == life {
+		if p.incarnation == incarnation {
 			answer(nil, errLost)
 		}
 	})
@@ -457,7 +459,7 @@
 		return
 	}
 	arrive := func() {
-		if w.isCut(p.name, string(id)) || p.life != life && f.late == 0 && f.again == 0 {
+		if w.isCut(p.name, string(id)) || p.incarnation != incarnation && f.late == 0 && f.again == 0 {
 			return
 		}
 		err, s := errRefused, (*upstream.MemberStatus)(nil)
--- a/internal/failover/move.go
+++ b/internal/failover/move.go
@@ -36,11 +36,11 @@
 	target *memberState
 	// forced moves go on at the time limit, because the primary has to leave its member.
 	forced bool
-	// stay is true when the same member is promoted again in a higher term, to take back members that another promoter
+	// repromote is true when the same member is promoted again in a higher term, to take back members that another promoter
 	// fenced.
-	stay     bool
-	rounds   int
-	deadline time.Time
+	repromote bool
+	rounds    int
+	deadline  time.Time
 	// drainedAt is when the home reported that no write transaction runs; zero before.
 	drainedAt time.Time
 }
@@ -56,7 +56,7 @@
 	if k == m.primary || k.mustLeave() || k.broken || !m.current(k, now) {
 		return false
 	}
-	return k.status.Role == upstream.RoleReplica && k.status.Term == m.term && !m.isDeaf(k.status)
+	return k.status.Role == upstream.RoleReplica && k.status.Term == m.term && !m.hearsNoPrimary(k.status)
 }
 
 // Switchover starts a planned move of the primary. The error says why the order is refused; nothing was changed then.
@@ -106,7 +106,7 @@
 		if !k.beyondSince.IsZero() && now.Sub(k.beyondSince) >= m.timing.CutOff && m.current(k, now) {
 			k.beyondSince = time.Time{}
 			m.delayMoves(now)
-			m.startMove(&move{cause: CauseMemberFenced, stay: true}, now, "a member was fenced by another promoter and cannot follow in the present term")
+			m.startMove(&move{cause: CauseMemberFenced, repromote: true}, now, "a member was fenced by another promoter and cannot follow in the present term")
 			return
 		}
 	}
@@ -200,7 +200,7 @@
 
 // bestTarget returns the eligible member with the latest log end, or nil.
 func (m *Machine) bestTarget(now time.Time) *memberState {
-	if m.move.stay {
+	if m.move.repromote {
 		return m.primary
 	}
 	var best *memberState
--- a/internal/failover/random_test.go
+++ b/internal/failover/random_test.go
@@ -10,11 +10,11 @@
 
 var schedules = flag.Int("schedules", 200, "random schedules of TestRandomSchedules")
 
-// chaos makes calls fail and changes the world at random for the given time.
-func (w *world) chaos(until time.Duration) {
+// injectFaults makes calls fail and changes the model at random for the given time.
+func (w *model) injectFaults(until time.Duration) {
 	r := w.random
-	w.fate = func(*promoter, string, *fakeMember) fate {
-		f := fate{loseRequest: r.IntN(12) == 0, loseAnswer: r.IntN(12) == 0}
+	w.callFault = func(*promoter, string, *fakeMember) callFault {
+		f := callFault{loseRequest: r.IntN(12) == 0, loseAnswer: r.IntN(12) == 0}
 		if r.IntN(12) == 0 {
 			f.late = time.Duration(r.IntN(1500)) * ms
 		}
@@ -46,7 +46,7 @@
 		case 4:
 			p.pausedUntil = w.now + back
 		case 5:
-			p.boot()
+			p.start()
 			p.claimAt = w.now + back/4
 		case 6:
 			p.wants = !p.wants
@@ -65,8 +65,8 @@
 }
 
 // heal ends all faults and leaves the first promoter as the only one that wants to be home.
-func (w *world) heal() {
-	w.fate = func(*promoter, string, *fakeMember) fate { return fate{} }
+func (w *model) heal() {
+	w.callFault = func(*promoter, string, *fakeMember) callFault { return callFault{} }
 	w.run(w.now + 4*time.Second)
 	clear(w.cut)
 	for _, m := range w.members {
@@ -88,11 +88,11 @@
 	var promoted, acked int
 	terms := map[upstream.MemberID]int{}
 	for seed := range *schedules {
-		w := newWorld(uint64(seed)+1000, 2+seed%2)
+		w := newModel(uint64(seed)+1000, 2+seed%2)
 		for _, p := range w.promoters {
 			p.wants = true
 		}
-		w.chaos(20 * time.Second)
+		w.injectFaults(20 * time.Second)
 		w.heal()
 		wrong := append(w.violations, w.settles(w.now+25*time.Second)...)
 		if len(wrong) > 0 {
--- a/internal/failover/timing.go
+++ b/internal/failover/timing.go
@@ -15,7 +15,8 @@
 	// member being promoted may make no progress before a higher term is fenced.
 	StepTimeout time.Duration
 	// CutOff is how long the home may miss a primary that the replicas hear, or a majority, before it releases the
-	// role. It is also the patience with members that another home or promoter left behind in a minority.
+	// role. It is also how long members are left
+	// alone that another home claimed or another promoter fenced, as long as they are a minority.
 	CutOff time.Duration
 	// BackoffMin and BackoffMax bound the wait before a new attempt after a stale term.
 	BackoffMin time.Duration
@@ -57,8 +58,8 @@
 	rollBackMargin = time.Second
 	// lostMargin is added to an operation's timeout before its result counts as lost for good.
 	lostMargin = 50 * time.Millisecond
-	// claimPatience is how many times CutOff a claim may take before the instance gives up.
-	claimPatience = 2
+	// claimLimit is how many times CutOff a claim may take before the instance gives up.
+	claimLimit = 2
 )
 
 func (t Timing) withDefaults() Timing {
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -81,7 +81,7 @@
 		return x.wait(ReasonFloorUnknown, 0)
 	}
 	for i := range x.c {
-		x.judge(i, r.policy.CatchUpAge)
+		x.check(i, r.policy.CatchUpAge)
 	}
 	switch {
 	case q.Kind == KindWrite:
@@ -100,17 +100,17 @@
 	}
 }
 
-// judge sets the verdict on a candidate and counts it.
-func (x *choice) judge(i int, catchUpAge time.Duration) {
+// check sets the verdict on a candidate and counts it.
+func (x *choice) check(i int, catchUpAge time.Duration) {
 	c := &x.c[i]
 	if c.Primary {
 		x.primary = i
-		x.d.Verdicts[i] = x.judgePrimary(c)
+		x.d.Verdicts[i] = x.checkPrimary(c)
 		return
 	}
 	v := VerdictNotPrimary
 	if x.q.Kind == KindRead && !x.q.PrimaryOnly {
-		v = x.judgeReplica(c)
+		v = x.checkReplica(c)
 	}
 	x.d.Verdicts[i] = v
 	switch v {
@@ -140,7 +140,7 @@
 	}
 }
 
-func (x *choice) judgePrimary(c *Candidate) Verdict {
+func (x *choice) checkPrimary(c *Candidate) Verdict {
 	if c.Unreachable {
 		return VerdictUnreachable
 	}
@@ -157,10 +157,10 @@
 	if x.q.Floor.Term != c.Status.Term && !contains(c.Status, x.q.Floor) {
 		return VerdictBehindFloor
 	}
-	return x.judgeAge(c)
+	return x.checkAge(c)
 }
 
-func (x *choice) judgeReplica(c *Candidate) Verdict {
+func (x *choice) checkReplica(c *Candidate) Verdict {
 	switch {
 	case c.Unreachable:
 		return VerdictUnreachable
@@ -175,7 +175,7 @@
 	case !contains(c.Status, x.q.Floor):
 		return VerdictBehindFloor
 	}
-	if v := x.judgeAge(c); v != VerdictEligible {
+	if v := x.checkAge(c); v != VerdictEligible {
 		return v
 	}
 	switch {
@@ -188,7 +188,7 @@
 	}
 }
 
-func (x *choice) judgeAge(c *Candidate) Verdict {
+func (x *choice) checkAge(c *Candidate) Verdict {
 	switch {
 	case x.q.MaxAge == 0:
 		return VerdictEligible
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -28,7 +28,7 @@
 	if i == x.primary {
 		i = x.nextEligible(i)
 	}
-	if r.sitsOut(&x.c[i]) && x.primaryServes() {
+	if r.skipped(&x.c[i]) && x.primaryServes() {
 		p := &x.c[x.primary]
 		if p.Slots == 0 || p.Running+r.policy.PrimaryReserve < p.Slots {
 			return x.toPrimary(ReasonRamp)
@@ -46,8 +46,8 @@
 	return -1
 }
 
-// sitsOut draws whether a ramping member takes no part in this choice.
-func (r *Router) sitsOut(c *Candidate) bool {
+// skipped draws whether a ramping member takes no part in this choice.
+func (r *Router) skipped(c *Candidate) bool {
 	if c.Ramp <= 0 || c.Ramp >= fullWeight {
 		return false
 	}
@@ -57,7 +57,7 @@
 // applyRamp takes ramping replicas out of this choice in proportion to their weight, but never the last one.
 func (r *Router) applyRamp(x *choice) {
 	for i := range x.c {
-		if !x.serves(i) || x.free == 1 || !r.sitsOut(&x.c[i]) {
+		if !x.serves(i) || x.free == 1 || !r.skipped(&x.c[i]) {
 			continue
 		}
 		x.d.Verdicts[i] = VerdictRamping
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -158,7 +158,7 @@
 	VerdictBusy
 	// VerdictNotPrimary: the request needs the primary.
 	VerdictNotPrimary
-	// VerdictRamping: the member returned lately and sat out this choice.
+	// VerdictRamping: the member returned lately and takes no part in this choice.
 	VerdictRamping
 )
 
