Send callers away while their instance's failure domain is out

Change: entry.Server.Evict ends callers between requests and refuses new ones until the domain is back, /readyz follows, and the 57P01 texts say that a request that crosses them was not run. TestEvict passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,8 +77,10 @@
 	started  time.Time
 	ready    atomic.Bool
 	draining atomic.Bool
-	killed   chan struct{}
-	killOnce sync.Once
+	// domainOut is true while operators have taken the failure domain of the instance out.
+	domainOut atomic.Bool
+	killed    chan struct{}
+	killOnce  sync.Once
 }
 
 // New listens on the addresses of the settings and builds the parts. Run starts them.
@@ -132,8 +134,8 @@
 	return d.operators.Addr().String()
 }
 
-// Ready reports whether callers can be served.
-func (d *Daemon) Ready() bool { return d.ready.Load() }
+// Ready reports whether the platform should send callers.
+func (d *Daemon) Ready() bool { return d.ready.Load() && !d.domainOut.Load() }
 
 // Home returns the announced home of a group.
 func (d *Daemon) Home(g upstream.GroupID) (instance.ID, bool) { return d.locator.Home(g) }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -118,4 +118,7 @@
 func (d *Daemon) applyConfig(s *config.Snapshot) {
 	d.manager.ConfigChanged()
 	d.entry.Apply(s)
+	out := s.DomainOut(d.info.FailureDomain)
+	d.domainOut.Store(out)
+	d.entry.Evict(out)
 }
--- a/internal/entry/handshake.go
+++ b/internal/entry/handshake.go
@@ -86,6 +86,8 @@
 	switch {
 	case v.draining.Load():
 		return nil, &pgwire.Error{Code: pgwire.CodeShutdown, Message: "the instance is stopping"}
+	case v.evicting.Load():
+		return nil, &pgwire.Error{Code: pgwire.CodeUnavailable, Message: "the failure domain of the instance was taken out"}
 	case v.callers.Load() > int64(v.settings.MaxCallers):
 		return nil, &pgwire.Error{Code: pgwire.CodeTooManyConnections, Message: "too many callers on this instance"}
 	case v.settings.RequireTLS && !h.secure:
--- a/internal/entry/raw_test.go
+++ b/internal/entry/raw_test.go
@@ -386,3 +386,24 @@
 		t.Fatalf("got %d bytes, %v", len(rest), err)
 	}
 }
+
+// Guards against callers that stay on an instance whose failure domain was taken out, against a cut transaction, and
+// against an instance that admits nobody after its domain came back.
+func TestEvict(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, Settings{})
+	idle, inTransaction := f.dialOpen(t), f.dialOpen(t)
+	inTransaction.send(&pgproto3.Query{String: "BEGIN"})
+	inTransaction.expect("TDCZ")
+	f.server.Evict(true)
+	idle.expectEnd("57P01")
+	inTransaction.send(&pgproto3.Query{String: "COMMIT"})
+	inTransaction.expect("TDCZ")
+	inTransaction.expectEnd("57P01")
+	_, err := f.connect("", "", "open")
+	is.Equal(code(t, err), "57P03")
+	f.server.Evict(false)
+	back := f.dialOpen(t)
+	back.send(&pgproto3.Query{String: "SELECT 1"})
+	back.expect("TDCZ")
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,6 +36,8 @@
 	number   uint16
 	snapshot atomic.Pointer[config.Snapshot]
 	draining atomic.Bool
+	// evicting is set while callers are sent away although the server goes on.
+	evicting atomic.Bool
 	callers  atomic.Int64
 	// ctx ends when the server is closed; the contexts of all sessions come from it.
 	ctx    context.Context
@@ -182,6 +184,15 @@
 	s.serve()
 }
 
+// Evict sends callers away while the failure domain of the instance is out: it ends them between requests and outside
+// transactions, and refuses new ones until it is called with false.
+func (v *Server) Evict(on bool) {
+	if v.evicting.Swap(on) == on || !on {
+		return
+	}
+	v.index.each((*session).drain)
+}
+
 // Drain stops accepting, ends callers between requests, and waits until transactions and requests have finished. When
 // ctx ends first, it ends the sessions that wait inside a transaction, and returns ctx's error if requests still run.
 func (v *Server) Drain(ctx context.Context) error {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -180,18 +180,31 @@
 
 // checkDraining ends the session when it became idle after Drain had looked at it.
 func (s *session) checkDraining(idle sessionState) {
-	if idle == stateIdle && s.server.draining.Load() {
+	if idle == stateIdle && (s.server.draining.Load() || s.server.evicting.Load()) {
 		s.drain()
 	}
 }
 
 var errDraining = &pgwire.Error{
-	Code:    pgwire.CodeShutdown,
-	Message: "terminating connection: the instance is stopping; no request was cut",
+	Code: pgwire.CodeShutdown,
+	Message: "terminating connection: the instance is stopping; no request was cut, and one that crosses this message " +
+		"was not run",
+}
+
+var errEvicted = &pgwire.Error{
+	Code: pgwire.CodeShutdown,
+	Message: "terminating connection: the failure domain of the instance was taken out; no request was cut, and one " +
+		"that crosses this message was not run",
 }
 
 // drain ends the session if it is idle outside a transaction. Otherwise it ends itself when it becomes so.
-func (s *session) drain() { s.endFrom(stateIdle, errDraining) }
+func (s *session) drain() {
+	reason := errDraining
+	if !s.server.draining.Load() {
+		reason = errEvicted
+	}
+	s.endFrom(stateIdle, reason)
+}
 
 // drainTransaction ends the session if it is idle inside a transaction, which is rolled back.
 func (s *session) drainTransaction() {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -157,7 +157,7 @@
 // missing names what the instance still waits for.
 func (n *node) missing(t *experiment.Topology) string {
 	var list []string
-	if !n.daemon.Ready() {
+	if n.daemon.Version() == 0 {
 		list = append(list, "configuration")
 	}
 	for i := range t.Groups {
