--- a/internal/failover/cells_test.go
+++ b/internal/failover/cells_test.go
@@ -45,8 +45,12 @@
 }
 
 func (w *model) configure(first Member) {
+	members := []Member{first}
+	for _, m := range w.members[1:] {
+		members = append(members, Member{ID: m.Member})
+	}
 	for _, p := range w.promoters {
-		p.post(func() { p.do(p.machine.Configure([]Member{first, {ID: "b"}, {ID: "c"}}, p.at())) })
+		p.post(func() { p.do(p.machine.Configure(members, p.at())) })
 	}
 }
 
@@ -129,7 +133,7 @@
 
 // cell runs a scenario with a fault at the n-th call of a kind. It returns whether the call took place and what went wrong.
 func cell(sc scenario, f faultCase, kind string, n int) (ran bool, wrong []string) {
-	w := newModel(uint64(n), 2)
+	w := newModel(uint64(n), 2, 3)
 	begin := time.Second
 	if kind == "claim" || kind == "probe" {
 		begin = 0 // the first claims and probes are part of the start
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -22,8 +22,9 @@
 // Config describes the group and the instance.
 type Config struct {
 	Group upstream.GroupID
-	// Owner is the instance. Fences carry it together with the generation of its claim, so that an instance that was
-	// restarted never passes for the one before.
+	// Owner names this process in claims. It must differ between two processes of the same instance that may run at the
+	// same time: members take the same generation from the same owner. Fences carry it together with the generation of
+	// the claim, so that a process that was restarted never passes for the one before.
 	Owner   instance.ID
 	Members []Member
 	Timing  Timing
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -18,7 +18,7 @@
 func home(t *testing.T, seed uint64) (*model, *promoter, *is.I) {
 	t.Helper()
 	is := is.New(t)
-	w := newModel(seed, 1)
+	w := newModel(seed, 1, 3)
 	p := w.promoters[0]
 	p.wants = true
 	w.run(time.Second)
@@ -274,7 +274,7 @@
 }
 
 func BenchmarkStatus(b *testing.B) {
-	w := newModel(1, 1)
+	w := newModel(1, 1, 3)
 	w.promoters[0].wants = true
 	w.run(time.Second)
 	m, s, now := w.promoters[0].machine, w.members[1].status(), w.promoters[0].at()
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -189,10 +189,10 @@
 	refused error
 }
 
-func newModel(seed uint64, promoters int) *model {
+func newModel(seed uint64, promoters, members int) *model {
 	w := &model{random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]bool{}, promoted: map[position.Term]upstream.MemberID{}}
 	w.callFault = func(*promoter, string, *fakeMember) callFault { return callFault{} }
-	for _, id := range []upstream.MemberID{"a", "b", "c"} {
+	for _, id := range []upstream.MemberID{"a", "b", "c", "d", "e"}[:members] {
 		m := &fakeMember{w: w, alive: true, follows: "a", log: []entry{{1, 0}}}
 		m.MemberStatus = upstream.MemberStatus{Member: id, Term: 1, Role: upstream.RoleReplica}
 		w.members = append(w.members, m)
@@ -291,17 +291,18 @@
 
 // start starts the process without any memory of its former incarnation.
 func (p *promoter) start() {
-	ids := []upstream.MemberID{"a", "b", "c"}
+	var ids []upstream.MemberID
+	c := Config{Group: "g", Owner: instance.ID(p.name)}
+	for _, m := range p.w.members {
+		ids = append(ids, m.Member)
+		c.Members = append(c.Members, Member{ID: m.Member})
+	}
 	p.incarnation++
 	p.events = nil
 	p.end()
 	p.streams = map[upstream.MemberID]bool{}
 	p.waiting = map[position.Position]entry{}
 	p.tracker = quorum.New(ids)
-	c := Config{Group: "g", Owner: instance.ID(p.name)}
-	for _, id := range ids {
-		c.Members = append(c.Members, Member{ID: id})
-	}
 	p.machine = New(c, rand.NewPCG(p.w.random.Uint64(), 2))
 }
 
--- a/internal/failover/random_test.go
+++ b/internal/failover/random_test.go
@@ -82,13 +82,13 @@
 }
 
 // Guards against two primaries in one term, lost records, acknowledgements without a majority and a group that stays
-// without primary, under random schedules of two or three competing promoters with lost, late and repeated calls, pauses,
-// restarts, crashes and partitions.
+// without primary, under random schedules: two or three competing promoters, three or (in a quarter of them) five
+// members, with lost, late and repeated calls, pauses, restarts, crashes and partitions.
 func TestRandomSchedules(t *testing.T) {
 	var promoted, acked int
 	terms := map[upstream.MemberID]int{}
 	for seed := range *schedules {
-		w := newModel(uint64(seed)+1000, 2+seed%2)
+		w := newModel(uint64(seed)+1000, 2+seed%2, 3+2*(seed%4/3))
 		for _, p := range w.promoters {
 			p.wants = true
 		}
