--- a/internal/admission/bucket_test.go
+++ b/internal/admission/bucket_test.go
@@ -144,3 +144,34 @@
 		k.Take(1, now)
 	}
 }
+
+// Guards against more than burst + rate*t admissions in any window, also over a handover and a change of contract.
+func TestBucketWindows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, burst = 50.0, 10
+		now := start
+		b := NewBucket(contract(rate, burst), 0, now)
+		var taken []time.Time
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40_000_000).Draw(t, "gap")))
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				b = NewBucket(contract(rate, burst), b.Level(now), now)
+			case 1:
+				b.Set(contract(rate/2, burst/2), now)
+				b.Set(contract(rate, burst), now)
+			}
+			for b.Take(1, now) {
+				taken = append(taken, now)
+			}
+		}
+		for i, from := range taken {
+			for j := i; j < len(taken); j++ {
+				allowed := burst + rate*taken[j].Sub(from).Seconds()
+				if float64(j-i+1) > allowed+1e-9 {
+					t.Fatalf("%d admitted in %v", j-i+1, taken[j].Sub(from))
+				}
+			}
+		}
+	})
+}
