--- a/internal/failover/cells_test.go
+++ b/internal/failover/cells_test.go
@@ -243,7 +243,7 @@
 // Guards against promoting a primary again that its replicas cannot hear: its unacknowledged records make its log the
 // longest, so writes would stay unacknowledged until the partition heals. The bound is the stated write gap of 5 s.
 func TestPrimaryThatReplicasCannotHearIsReplaced(t *testing.T) {
-	w := newModel(1, 1)
+	w := newModel(1, 1, 3)
 	w.promoters[0].wants = true
 	w.run(time.Second)
 	w.isolateFromMembers("a", true)
