--- a/internal/failover/cells_test.go
+++ b/internal/failover/cells_test.go
@@ -20,8 +20,6 @@
 var scenarios = []scenario{
 	{"crash", func(w *model) { w.members[0].alive = false }, func(w *model) { w.members[0].alive = true }},
 	{"partition", func(w *model) { w.isolate("a", true) }, func(w *model) { w.isolate("a", false) }},
-	{"primary cut off from the replicas only", func(w *model) { w.isolateFromMembers("a", true) },
-		func(w *model) { w.isolateFromMembers("a", false) }},
 	{"switchover", func(w *model) {
 		p := w.promoters[0]
 		p.post(func() {
@@ -35,6 +33,8 @@
 	{"member fenced by a promoter that died", func(w *model) {
 		w.member("c").accept(w.member("c").Term+3, "dead", upstream.RoleFenced, "")
 	}, nil},
+	{"primary cut off from the replicas only", func(w *model) { w.isolateFromMembers("a", true) },
+		func(w *model) { w.isolateFromMembers("a", false) }},
 }
 
 func (w *model) isolateFromMembers(id string, cut bool) {
