--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -22,6 +22,9 @@
 	excluded *memberState
 	// chosen is the only member that is ever promoted in the term.
 	chosen *memberState
+	// applied and progressAt tell how far the chosen member has applied its log, and since when.
+	applied    position.LSN
+	progressAt time.Time
 }
 
 // workTerm returns the term in which members are fenced now.
@@ -90,15 +93,15 @@
 		return
 	}
 	for _, k := range m.members {
-		if m.outranked(k) {
+		if m.refusesAttempt(k) {
 			m.backOff(CauseStaleTerm, now)
 			return
 		}
 	}
 }
 
-// outranked reports whether the member accepted a term that rules out this attempt on it.
-func (m *Machine) outranked(k *memberState) bool {
+// refusesAttempt reports whether the member accepted a term that rules out this attempt on it.
+func (m *Machine) refusesAttempt(k *memberState) bool {
 	if k.status == nil || k.status.Term < m.attempt.term {
 		return false
 	}
@@ -110,6 +113,8 @@
 func (m *Machine) choose(fenced []*memberState, now time.Time) {
 	best := slices.MinFunc(fenced, m.compareCandidates)
 	m.attempt.chosen = best
+	m.attempt.applied = best.status.Applied
+	m.attempt.progressAt = now
 	m.enter(PhasePromoting, m.attempt.cause, now)
 	m.record(StepChoose, m.attempt.cause, best, now, "promoting %s, whose log ends at %s, among the fenced members %s",
 		best.ID, best.status.LogEnd(), names(fenced))
@@ -156,15 +161,20 @@
 }
 
 // stepPromoting waits for the chosen member to lead. No other member is promoted in the same term: after a timeout a
-// higher term is fenced first.
+// higher term is fenced first. The timeout counts from the last progress, because a member applies its whole log before
+// it leads, and a new term would make it begin again.
 func (m *Machine) stepPromoting(now time.Time) {
 	c := m.attempt.chosen
+	if c.status.Applied > m.attempt.applied {
+		m.attempt.applied = c.status.Applied
+		m.attempt.progressAt = now
+	}
 	switch {
-	case m.outranked(c):
+	case m.refusesAttempt(c):
 		m.backOff(CauseStaleTerm, now)
 	case c.status.Role == upstream.RolePrimary && c.status.Term == m.attempt.term:
 		m.promoted(now)
-	case now.Sub(m.since) >= m.timing.StepTimeout:
+	case now.Sub(m.attempt.progressAt) >= m.timing.StepTimeout:
 		m.startAttempt(CauseStepTimeout, "the chosen member did not answer in time", now)
 	case c.broken || c.refused:
 		m.probeEvery(c, m.timing.ProbeTimeout, now)
@@ -190,7 +200,7 @@
 	m.enter(PhaseSteady, m.cause, now)
 }
 
-// backOff leaves the field to another promoter for a random time that grows with each attempt in a row.
+// backOff waits for the result of another promoter, for a random time that grows with each attempt in a row.
 func (m *Machine) backOff(cause Cause, now time.Time) {
 	if !m.held {
 		m.hold(HoldWrites{})
@@ -224,7 +234,7 @@
 		m.searchPrimary(CauseStaleTerm, now)
 		return
 	}
-	// The old primary was not replaced after all, and it is not heard: decide anew whether it is lost. Writes stay held.
+	// The old primary was not replaced after all, and it is not heard: decide anew whether it is lost. Writes repromote held.
 	m.primary = p
 	m.term = p.status.Term
 	m.suspect(now)
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -15,10 +15,10 @@
 
 // home returns a model with one home that has served for a second. It guards against a failover at the start of a home
 // and against a wrong first primary.
-func home(t *testing.T, seed uint64) (*world, *promoter, *is.I) {
+func home(t *testing.T, seed uint64) (*model, *promoter, *is.I) {
 	t.Helper()
 	is := is.New(t)
-	w := newWorld(seed, 1)
+	w := newModel(seed, 1, 3)
 	p := w.promoters[0]
 	p.wants = true
 	w.run(time.Second)
@@ -29,7 +29,7 @@
 }
 
 // gap breaks something and returns the time until a write is acknowledged by another primary.
-func (w *world) gap(breakIt func()) time.Duration {
+func (w *model) gap(breakIt func()) time.Duration {
 	p := w.promoters[0]
 	old, began := p.primary, w.now
 	breakIt()
@@ -61,11 +61,11 @@
 		name    string
 		limit   time.Duration
 		cause   Cause
-		breakIt func(w *world)
+		breakIt func(w *model)
 	}{
-		{"crash", 2 * time.Second, CausePrimaryRefused, func(w *world) { w.member("a").alive = false }},
-		{"partition", 5 * time.Second, CausePrimarySilent, func(w *world) { w.isolate("a", true) }},
-		{"cut off from the replicas only", 5 * time.Second, CausePrimaryIsolated, func(w *world) {
+		{"crash", 2 * time.Second, CausePrimaryRefused, func(w *model) { w.member("a").alive = false }},
+		{"partition", 5 * time.Second, CausePrimarySilent, func(w *model) { w.isolate("a", true) }},
+		{"cut off from the replicas only", 5 * time.Second, CausePrimaryIsolated, func(w *model) {
 			w.cut[[2]string{"a", "b"}], w.cut[[2]string{"a", "c"}] = true, true
 		}},
 	} {
@@ -160,6 +160,11 @@
 	w.member("b").follows = "c"
 	w.run(8 * time.Second)
 	is.Equal(p.failed, []Cause{CauseNoTarget})
+	w.member("b").follows, w.member("b").applying = "a", 500*ms // b has everything but has not applied it
+	w.run(9 * time.Second)
+	is.NoErr(order("b"))
+	w.run(12 * time.Second)
+	is.Equal(p.failed, []Cause{CauseNoTarget, CauseNotCaughtUp})
 	is.Equal([]any{p.primary, p.held, len(w.promoted)}, []any{upstream.MemberID("a"), false, 0})
 	last := p.records[len(p.records)-1]
 	is.Equal([]any{last.Operator, last.Step}, []any{"op", StepSwitchover})
@@ -170,11 +175,11 @@
 func TestDomainOutMovesPrimaryByForce(t *testing.T) {
 	w, p, is := home(t, 5)
 	a := w.member("a")
-	w.fate = func(_ *promoter, kind string, _ *fakeMember) fate {
+	w.callFault = func(_ *promoter, kind string, _ *fakeMember) callFault {
 		if kind != "fence" {
-			return fate{}
+			return callFault{}
 		}
-		return fate{sent: func() {
+		return callFault{sent: func() {
 			if p.undrained {
 				a.append() // a transaction that was not drained commits
 			}
@@ -203,6 +208,17 @@
 	is.Equal(p.causes(StepRelease), []Cause{CauseClaimLost})
 }
 
+// Guards against a promotion that begins again in term after term while the member still applies its log.
+func TestSlowPromotionIsAwaited(t *testing.T) {
+	w, p, is := home(t, 9)
+	for _, m := range w.members {
+		m.applying = 1800 * ms
+	}
+	w.member("a").alive = false
+	w.run(9 * time.Second)
+	is.Equal([]int{len(w.promoted), len(p.causes(StepFence))}, []int{1, 1})
+}
+
 // Guards against a failover without authority, a fence without the generation in its owner, a stale answer that is not
 // followed by reading the member, and a removed primary that keeps its place.
 func TestAuthorityAndOwner(t *testing.T) {
@@ -258,7 +274,7 @@
 }
 
 func BenchmarkStatus(b *testing.B) {
-	w := newWorld(1, 1)
+	w := newModel(1, 1, 3)
 	w.promoters[0].wants = true
 	w.run(time.Second)
 	m, s, now := w.promoters[0].machine, w.members[1].status(), w.promoters[0].at()
