--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -44,6 +44,7 @@
 	is := is.New(t)
 	sent := newRequest("s1")
 	sent.ConfigVersion, sent.Idempotent, sent.Begins, sent.HasFloor, sent.FloorFromToken = 7, true, true, true, true
+	sent.InTransaction = true
 	sent.Floor.Term, sent.Floor.LSN, sent.MaxAge = 3, 99, 2500*time.Millisecond
 	sent.Prepared = []request.Prepared{{Name: "p", Query: "SELECT $1", ParamOIDs: []uint32{23}}}
 	sent.Parameters = map[string]string{"timezone": "UTC"}
@@ -119,6 +120,19 @@
 	is.NoErr(near.Close())
 }
 
+// TestTooLarge guards against a request that ends the stream of other sessions because it does not fit in a frame.
+func TestTooLarge(t *testing.T) {
+	is := is.New(t)
+	c := newTestClient(t, &fakeRunner{}, slow)
+	r := newRequest("s")
+	r.Messages = make([]byte, 16<<20)
+	is.Equal(c.Run(context.Background(), r, discard{}), status('I'))
+	r.Prepared = []request.Prepared{{Query: string(make([]byte, 32<<20))}}
+	result := c.Run(context.Background(), r, discard{})
+	is.Equal(result.Outcome, request.OutcomeNotRun)
+	is.Equal(result.Code, codeLimitExceeded)
+}
+
 // TestNotRunWithoutPeer guards against a request that never left and is reported as if it may have run.
 func TestNotRunWithoutPeer(t *testing.T) {
 	is := is.New(t)
@@ -159,7 +173,7 @@
 	is.NoErr(s.server.Close())
 	result := <-done
 	is.Equal(result.Outcome, request.OutcomeUnknown)
-	is.Equal(result.Code, codeUnknownOutcome)
+	is.Equal(result.Code, codeReadFailed)
 	result = c.Run(context.Background(), newRequest("transaction"), discard{})
 	is.Equal(result.Outcome, request.OutcomeNotRun)
 	is.Equal(result.Code, codeRolledBack)
