Measure the worst five seconds of control traffic

Cause: the budget of 26 KB a second needs a figure between the mean of a scenario and its worst second. Change: WindowBytesPerSecond in the gossip measurement.

--- a/internal/capacity/gossip.go
+++ b/internal/capacity/gossip.go
@@ -30,6 +30,8 @@
 	scenarioLimit = 2 * time.Minute
 	// cutTime is how long a failure domain stays cut off.
 	cutTime = 30 * time.Second
+	// peakWindow is the number of seconds of WindowBytesPerSecond.
+	peakWindow = 5
 	// claimDelay is the time after which the homes of lost instances are announced anew: detection and a claim.
 	claimDelay = 1500 * time.Millisecond
 	// restartDrain and restartGap are the times between leaving, end and new start of a restarted instance.
@@ -43,16 +45,18 @@
 	Scenario  string
 	// Virtual is the virtual time that the figures cover.
 	Virtual time.Duration
-	// BytesPerSecond is the mean of an instance; PeakBytesPerSecond is the mean in the worst second, and
-	// WorstBytesPerSecond that of the worst instance in its worst second.
-	BytesPerSecond      float64
-	PeakBytesPerSecond  float64
-	WorstBytesPerSecond float64
+	// BytesPerSecond is the mean of an instance, WindowBytesPerSecond its mean in the worst peakWindow seconds,
+	// PeakBytesPerSecond in the worst second, and WorstBytesPerSecond that of the worst instance in its worst second.
+	BytesPerSecond       float64
+	WindowBytesPerSecond float64
+	PeakBytesPerSecond   float64
+	WorstBytesPerSecond  float64
 	CallsPerSecond      float64
 	// CPU is the processor time of an instance for each second of virtual time, the network of the measurement and
 	// the garbage collector included, encoding and sockets not included.
 	CPU time.Duration
-	// Spread is the time until all instances knew and MostSpread until 99 % knew; 0 when the scenario has none.
+	// Spread is the time until all instances knew and MostSpread until 99 % knew; 0 when the scenario has none. With
+	// restarts it counts from the last start, with a cut or a death from its beginning.
 	Spread     time.Duration
 	MostSpread time.Duration
 	// WrongDeaths counts live, connected instances that some instance took for dead, once for each pair.
@@ -87,11 +91,11 @@
 // WriteGossip prints results as a table.
 func WriteGossip(w io.Writer, results []GossipResult) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "instances\tscenario\tvirtual s\tbytes/s\tpeak bytes/s\tworst bytes/s\tcalls/s\tCPU us/s\t99 % ms\tall ms\twrong deaths\t")
+	fmt.Fprintln(t, "instances\tscenario\tvirtual s\tbytes/s\tworst 5 s\tpeak bytes/s\tworst bytes/s\tcalls/s\tCPU us/s\t99 % ms\tall ms\twrong deaths\t")
 	for _, r := range results {
-		fmt.Fprintf(t, "%d\t%s\t%.1f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%d\t%d\t%d\t\n",
-			r.Instances, r.Scenario, r.Virtual.Seconds(), r.BytesPerSecond, r.PeakBytesPerSecond,
-			r.WorstBytesPerSecond, r.CallsPerSecond, float64(r.CPU.Nanoseconds())/1000,
+		fmt.Fprintf(t, "%d\t%s\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%d\t%d\t%d\t\n",
+			r.Instances, r.Scenario, r.Virtual.Seconds(), r.BytesPerSecond, r.WindowBytesPerSecond,
+			r.PeakBytesPerSecond, r.WorstBytesPerSecond, r.CallsPerSecond, float64(r.CPU.Nanoseconds())/1000,
 			r.MostSpread.Milliseconds(), r.Spread.Milliseconds(), r.WrongDeaths)
 	}
 	if err := t.Flush(); err != nil {
@@ -113,7 +117,7 @@
 	cpuStart    time.Duration
 	total       Traffic
 	last        []Traffic
-	peak        float64
+	seconds     []float64
 	worst       float64
 	nextSecond  time.Time
 }
@@ -333,7 +337,7 @@
 // begin starts the meters of a scenario.
 func (f *gossipFleet) begin() {
 	f.spread, f.mostSpread, f.wrongDeaths = 0, 0, 0
-	f.peak, f.worst = 0, 0
+	f.seconds, f.worst = nil, 0
 	f.last = make([]Traffic, len(f.Nodes))
 	f.total = f.sum()
 	for i, node := range f.Nodes {
@@ -357,7 +361,21 @@
 		sum += b
 		f.worst = max(f.worst, b)
 	}
-	f.peak = max(f.peak, sum/float64(f.n))
+	f.seconds = append(f.seconds, sum/float64(f.n))
+}
+
+// peak returns the highest mean over a number of seconds in a row.
+func (f *gossipFleet) peak(window int) float64 {
+	highest := 0.0
+	for i := range f.seconds {
+		part := f.seconds[i:min(i+window, len(f.seconds))]
+		sum := 0.0
+		for _, b := range part {
+			sum += b
+		}
+		highest = max(highest, sum/float64(window))
+	}
+	return highest
 }
 
 // end returns the figures since begin.
@@ -368,17 +386,18 @@
 	now := f.sum()
 	calls := now.CallsSent + now.CallsReceived - f.total.CallsSent - f.total.CallsReceived
 	return GossipResult{
-		Instances:           f.n,
-		Scenario:            name,
-		Virtual:             virtual,
-		BytesPerSecond:      (wireBytes(now) - wireBytes(f.total)) / share,
-		PeakBytesPerSecond:  f.peak,
-		WorstBytesPerSecond: f.worst,
-		CallsPerSecond:      float64(calls) / share,
-		CPU:                 time.Duration(float64(cpu) / share),
-		Spread:              f.spread,
-		MostSpread:          f.mostSpread,
-		WrongDeaths:         f.wrongDeaths,
+		Instances:            f.n,
+		Scenario:             name,
+		Virtual:              virtual,
+		BytesPerSecond:       (wireBytes(now) - wireBytes(f.total)) / share,
+		WindowBytesPerSecond: f.peak(peakWindow),
+		PeakBytesPerSecond:   f.peak(1),
+		WorstBytesPerSecond:  f.worst,
+		CallsPerSecond:       float64(calls) / share,
+		CPU:                  time.Duration(float64(cpu) / share),
+		Spread:               f.spread,
+		MostSpread:           f.mostSpread,
+		WrongDeaths:          f.wrongDeaths,
 	}
 }
 
