--- /dev/null
+++ b/internal/home/dispatch.go
@@ -0,0 +1,316 @@
+package home
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/admission"
+	"github.com/celerystep/celerystep/internal/failover"
+	"github.com/celerystep/celerystep/internal/pool"
+	"github.com/celerystep/celerystep/internal/request"
+	"github.com/celerystep/celerystep/internal/retry"
+	"github.com/celerystep/celerystep/internal/router"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Queue classes of new work. The classes from firstMemberClass on are for statements of open transactions, which wait
+// for a token only and go first: they hold connections and locks that others wait for.
+const (
+	// classWrites needs a slot and an idle connection of the primary.
+	classWrites admission.Class = iota
+	// classPrimaryReads needs the same, for reads that no replica can serve.
+	classPrimaryReads
+	// classReads needs a slot and an idle connection of some replica.
+	classReads
+	// firstMemberClass is the class of the first member's open transactions.
+	firstMemberClass
+)
+
+// maxParked bounds the reads that left the fair queue and wait for a particular member.
+const maxParked = 8
+
+// dispatch lets waiting work leave the queue as far as authority, slots and connections allow. The group must be
+// locked.
+func (g *Group) dispatch(now time.Time) {
+	if g.phase != phaseServing && g.phase != phaseDraining || !g.tracker.HasAuthority(now) {
+		return
+	}
+	g.askRemote(now)
+	if g.queue.Len() == 0 && len(g.parked) == 0 {
+		return
+	}
+	g.dispatchPinned(now)
+	g.dispatchParked(now)
+	g.dispatchPrimary(now)
+	g.dispatchReads(now)
+}
+
+// pop takes the next call of the class.
+func (g *Group) pop(class admission.Class, now time.Time) (*call, bool) {
+	p, ok := g.queue.Pop(class, now)
+	if !ok {
+		return nil, false
+	}
+	c := p.Value
+	c.ticket = p.Ticket
+	c.prepaid = true
+	g.metrics.queueWait.Observe(now.Sub(c.arrived).Seconds())
+	return c, true
+}
+
+// dispatchPinned lets the statements of open transactions leave without waiting for a slot: statements that wait for the
+// locks of such a transaction may hold all slots, and only its end frees them.
+func (g *Group) dispatchPinned(now time.Time) {
+	for _, m := range g.members {
+		for {
+			c, ok := g.pop(m.class, now)
+			if !ok {
+				break
+			}
+			cn := c.session.conn
+			if cn == nil || !g.pool.Resume(cn.id) {
+				g.queue.Done(c.ticket, 0, now)
+				g.refuse(c, c.notRun(retry.CodeTransactionLost, "transaction", errTransactionLost))
+				continue
+			}
+			g.grant(c, cn, now)
+		}
+	}
+}
+
+// primaryServes reports whether new work may go to the primary: it is announced, no majority reports a higher term, its
+// status is fresh, and it is not suspect. What a suspect primary is sent ends as outcome unknown.
+func (g *Group) primaryServes(now time.Time) bool {
+	id, term, ok := g.tracker.Primary()
+	if !ok || id != g.primary || term != g.term {
+		return false
+	}
+	if p := g.machine.View().Phase; p != failover.PhaseSteady && p != failover.PhaseHolding {
+		return false
+	}
+	m := g.member(id)
+	return m != nil && m.usable(now)
+}
+
+// dispatchPrimary lets writes and reads that need the primary leave in turns. Writes stay while a switchover holds them
+// and while commits get no quorum receipt; reads need neither.
+func (g *Group) dispatchPrimary(now time.Time) {
+	if !g.primaryServes(now) {
+		return
+	}
+	writes := !g.writesHeld && !g.commitsStalled(now)
+	for {
+		load := g.pool.Load(g.primary)
+		if load.Free == 0 {
+			g.want(load, classWrites, now)
+			g.want(load, classPrimaryReads, now)
+			return
+		}
+		c, ok := g.popPrimary(writes, now)
+		if !ok {
+			return
+		}
+		if c.r.Kind == request.KindRead {
+			g.placeRead(c, now)
+			continue
+		}
+		g.acquire(c, g.primary, now)
+	}
+}
+
+// popPrimary takes a write or a read, the other kind than last time if both wait.
+func (g *Group) popPrimary(writes bool, now time.Time) (*call, bool) {
+	order := [2]admission.Class{classWrites, classPrimaryReads}
+	if g.readsTurn {
+		order[0], order[1] = order[1], order[0]
+	}
+	for _, class := range order {
+		if class == classWrites && !writes {
+			continue
+		}
+		if c, ok := g.pop(class, now); ok {
+			g.readsTurn = class == classWrites
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+// want asks the pool for a connection when work waits for one.
+func (g *Group) want(load pool.Load, class admission.Class, now time.Time) {
+	if load.FreeSlots > 0 && g.queue.Ready(class, now) {
+		g.wantConn(load.Member)
+	}
+}
+
+func (g *Group) wantConn(id upstream.MemberID) {
+	if g.pool.Want(id) && !g.inPass {
+		g.wakeLoop()
+	}
+}
+
+func (g *Group) dispatchReads(now time.Time) {
+	for len(g.parked) < maxParked && g.readCapacity(now) {
+		c, ok := g.pop(classReads, now)
+		if !ok {
+			return
+		}
+		g.placeRead(c, now)
+	}
+}
+
+// readCapacity reports whether some member could take a read now. Reads overflow to the primary only beyond the slots
+// that the router reserves there for writes.
+func (g *Group) readCapacity(now time.Time) bool {
+	for _, m := range g.members {
+		load := g.pool.Load(m.spec.ID)
+		if !m.usable(now) {
+			continue
+		}
+		if m.spec.ID == g.primary {
+			if load.Free > router.DefaultPolicy().PrimaryReserve {
+				return true
+			}
+			continue
+		}
+		if m.draining() {
+			continue
+		}
+		if load.Free > 0 {
+			return true
+		}
+		g.want(load, classReads, now)
+	}
+	return false
+}
+
+// placeRead gives a read that took its token to a member, or parks it until one can serve it.
+func (g *Group) placeRead(c *call, now time.Time) {
+	if !g.tryRead(c, now) {
+		c.state = callParked
+		g.parked = append(g.parked, c)
+	}
+}
+
+// tryRead routes the read and reports whether it left for a member.
+func (g *Group) tryRead(c *call, now time.Time) bool {
+	c.route.Waited = 0
+	if !c.waitFrom.IsZero() {
+		c.route.Waited = now.Sub(c.waitFrom)
+	}
+	d := g.choose(c, now)
+	c.retryAt = c.deadline
+	switch d.Outcome {
+	case router.OutcomeReplica, router.OutcomePrimary:
+		m := g.members[d.Index]
+		if g.pool.Load(m.spec.ID).Free == 0 {
+			g.wantConn(m.spec.ID)
+			return false
+		}
+		g.acquire(c, m.spec.ID, now)
+		return true
+	case router.OutcomeWait:
+		if d.Reason == router.ReasonFloorNotReached && c.waitFrom.IsZero() {
+			c.waitFrom = now
+		}
+		if d.Retry > 0 {
+			c.retryAt = now.Add(d.Retry)
+			g.wakeBy(c.retryAt)
+		}
+	}
+	return false
+}
+
+// choose routes the read, if possible not to the member on which its last attempt failed.
+func (g *Group) choose(c *call, now time.Time) router.Decision {
+	d := g.router.Choose(&c.route, g.buildCandidates(c, now), now)
+	placed := d.Outcome == router.OutcomeReplica || d.Outcome == router.OutcomePrimary
+	if placed || c.avoid == "" {
+		return d
+	}
+	c.avoid = ""
+	return g.router.Choose(&c.route, g.buildCandidates(c, now), now)
+}
+
+// buildCandidates describes the members to the router. A member without an idle connection counts as busy.
+func (g *Group) buildCandidates(c *call, now time.Time) []router.Candidate {
+	out := g.candidates[:0]
+	for _, m := range g.members {
+		id := m.spec.ID
+		status, _ := g.tracker.Status(id)
+		fresh, _ := g.tracker.FreshAsOf(id)
+		load := g.pool.Load(id)
+		out = append(out, router.Candidate{
+			Member:      id,
+			Status:      status,
+			FreshAsOf:   fresh,
+			Primary:     id == g.primary,
+			Unreachable: !m.usable(now) || id == c.avoid,
+			Leaving:     m.spec.State == upstream.MemberLeaving,
+			DomainOut:   m.out,
+			Running:     g.spec.Slots - load.Free,
+			Slots:       g.spec.Slots,
+			Idle:        load.Idle,
+			Latency:     m.latency.Value(),
+			Ramp:        int(g.pool.Weight(id, now) * 100),
+		})
+	}
+	g.candidates = out
+	return out
+}
+
+// acquire takes a connection to the member, which has a free one, for the call.
+func (g *Group) acquire(c *call, id upstream.MemberID, now time.Time) {
+	connID, ok := g.pool.Acquire(id, c.r.Customer)
+	cn := g.conns[connID]
+	if !ok || cn == nil {
+		g.queue.Done(c.ticket, 0, now)
+		g.refuse(c, c.notRun(retry.CodeUnavailable, "acquire", errors.Errorf("no connection to member %s", id)))
+		return
+	}
+	g.grant(c, cn, now)
+}
+
+// dispatchParked routes the parked reads again.
+func (g *Group) dispatchParked(now time.Time) {
+	left := g.parked[:0]
+	for _, c := range g.parked {
+		if !g.tryRead(c, now) {
+			left = append(left, c)
+		}
+	}
+	clear(g.parked[len(left):])
+	g.parked = left
+}
+
+func (g *Group) unpark(c *call) {
+	for i, other := range g.parked {
+		if other == c {
+			g.parked = append(g.parked[:i], g.parked[i+1:]...)
+			break
+		}
+	}
+	g.queue.Done(c.ticket, 0, g.now())
+}
+
+func (g *Group) expireParked(now time.Time) {
+	for _, c := range append([]*call(nil), g.parked...) {
+		if now.Before(c.deadline) {
+			continue
+		}
+		g.unpark(c)
+		g.refuse(c, c.notRun(retry.CodeQueueDeadline, "route", errors.New("no member could serve the read in time")))
+	}
+}
+
+// parkedWake returns when a parked read must be routed again or expires.
+func (g *Group) parkedWake() (time.Time, bool) {
+	var wake time.Time
+	for _, c := range g.parked {
+		if wake.IsZero() || c.retryAt.Before(wake) {
+			wake = c.retryAt
+		}
+	}
+	return wake, !wake.IsZero()
+}
