--- a/internal/capacity/gossip.go
+++ b/internal/capacity/gossip.go
@@ -51,7 +51,7 @@
 	WindowBytesPerSecond float64
 	PeakBytesPerSecond   float64
 	WorstBytesPerSecond  float64
-	CallsPerSecond      float64
+	CallsPerSecond       float64
 	// CPU is the processor time of an instance for each second of virtual time, the network of the measurement and
 	// the garbage collector included, encoding and sockets not included.
 	CPU time.Duration
--- a/internal/gossip/coordinator.go
+++ b/internal/gossip/coordinator.go
@@ -118,7 +118,11 @@
 	now := time.Now()
 	c.observe(now)
 	decisions := c.planner.Decide(now)
+	notices := c.planner.Notices()
 	c.mu.Unlock()
+	for _, d := range notices {
+		c.log.Info("home decision", d.Fields()...)
+	}
 	for _, d := range decisions {
 		if d.Action == homes.ActionDisown {
 			c.disown(d)
--- a/internal/homes/planner.go
+++ b/internal/homes/planner.go
@@ -68,6 +68,7 @@
 	groups    map[upstream.GroupID]*groupState
 	// active lists the groups about which this instance may have to act, sorted.
 	active     []upstream.GroupID
+	notices    []Decision
 	claims     int
 	rebalances int
 	evictions  int
@@ -85,6 +86,7 @@
 	yieldUntil  time.Time
 	movedAt     time.Time
 	refused     map[instance.ID]time.Time
+	noticed     Cause
 	running     Decision
 	busy        bool
 }
@@ -186,6 +188,7 @@
 			state.failures = 0
 		}
 		d := p.Explain(now, id)
+		p.notice(state, d)
 		if d.Action == ActionNothing {
 			continue
 		}
@@ -195,6 +198,24 @@
 	return actions
 }
 
+// notice keeps the decision for Notices when an operator must be able to see why this instance does not act. Each cause
+// is reported once until another one applies.
+func (p *Planner) notice(state *groupState, d Decision) {
+	hindered := d.Cause == CauseNoCandidate || d.Cause == CauseBackoff || d.Cause == CauseSuperseded ||
+		(d.Cause == CauseMayNotClaim && d.First == p.self)
+	if d.Action == ActionNothing && hindered && state.noticed != d.Cause {
+		p.notices = append(p.notices, d)
+	}
+	state.noticed = d.Cause
+}
+
+// Notices returns the decisions since the last call in which this instance would have acted but was hindered.
+func (p *Planner) Notices() []Decision {
+	notices := p.notices
+	p.notices = nil
+	return notices
+}
+
 // noteBetter tracks since when another instance has been first for a group that this one owns.
 func (p *Planner) noteBetter(now time.Time, id upstream.GroupID, state *groupState) {
 	first, _ := p.ranking.First(id)
--- a/internal/homes/planner_test.go
+++ b/internal/homes/planner_test.go
@@ -123,6 +123,11 @@
 	for _, least := range []time.Duration{1, 1, 2, 4, 8, 16, 22, 22} {
 		is.Equal(len(p.Decide(now)), 1)
 		p.ClaimDone(now, "g0", false)
+		p.Decide(now)
+		p.Decide(now)
+		notices := p.Notices()
+		is.Equal(len(notices), 1) // an operator sees the backoff, once
+		is.Equal(notices[0].Cause, CauseBackoff)
 		d := p.Explain(now, "g0")
 		is.Equal(d.Cause, CauseBackoff)
 		is.True(d.RetryIn >= MinBackoff && d.RetryIn <= MaxBackoff)
