Compare the planner's update with its first one

Cause: the bound of 10 ms on an update depended on the machine's load (7 ms under the race detector); it guards against ranking everything anew on each change. Change: the footprint test requires an update to cost at most a fifth of the first one, measured in the same process.

--- a/internal/capacity/footprint.go
+++ b/internal/capacity/footprint.go
@@ -16,6 +16,8 @@
 	Groups    int
 	// HeapBytes is the heap held by the membership state and the planner.
 	HeapBytes uint64
+	// FirstUpdate is the processor time of the first update of the planner, which ranks all instances for all groups.
+	FirstUpdate time.Duration
 	// Update is the processor time of one update of the planner after an instance left or came back.
 	Update time.Duration
 	// Decide is the processor time of one round of decisions when nothing changed.
@@ -37,10 +39,12 @@
 	for _, m := range view.Live() {
 		situation.Candidates = append(situation.Candidates, homes.Candidate{ID: m.ID, Domain: m.Info.FailureDomain})
 	}
+	start := processorTime()
 	p.Update(f.Now, situation)
-	result := Footprint{Instances: n, Groups: f.groups(), HeapBytes: heapBytes() - before}
+	result := Footprint{Instances: n, Groups: f.groups(), FirstUpdate: processorTime() - start}
+	result.HeapBytes = heapBytes() - before
 	result.Update = f.measureUpdates(p, situation)
-	start := processorTime()
+	start = processorTime()
 	for range footprintUpdates {
 		p.Decide(f.Now)
 	}
--- a/internal/capacity/gossip_test.go
+++ b/internal/capacity/gossip_test.go
@@ -50,8 +50,8 @@
 func TestMeasureFootprint(t *testing.T) {
 	is := is.New(t)
 	f := MeasureFootprint(1200)
-	fmt.Printf("%d instances, %d groups: heap %d KB, planner update %s, decide %s\n",
-		f.Instances, f.Groups, f.HeapBytes/1024, f.Update, f.Decide)
+	fmt.Printf("%d instances, %d groups: heap %d KB, planner first update %s, further %s, decide %s\n",
+		f.Instances, f.Groups, f.HeapBytes/1024, f.FirstUpdate, f.Update, f.Decide)
 	is.True(f.HeapBytes <= budgetBytesHeap)
-	is.True(f.Update <= 10*time.Millisecond)
+	is.True(f.Update*5 <= f.FirstUpdate) // a change must not rank everything anew
 }
