--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/celerystep/celerystep/internal/keys"
 	"github.com/celerystep/celerystep/internal/load"
 	"github.com/celerystep/celerystep/internal/platform/client"
+	"github.com/celerystep/celerystep/internal/settings"
 	"github.com/celerystep/celerystep/internal/standin/group"
 	standin "github.com/celerystep/celerystep/internal/standin/platform"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -36,6 +37,10 @@
 	PlatformAddress string
 	// Plain connects the parts without relays. Pauses and latencies have no effect then.
 	Plain bool
+	// CallerTLS names the certificate that the instances show to callers. Without files they serve plain connections.
+	CallerTLS settings.CallerTLS
+	// FaultFunctions lets clients of the groups switch faults with the SQL function group_fault.
+	FaultFunctions bool
 	// Mode selects what stands before the groups; empty means celerystep.
 	Mode experiment.Mode
 }
@@ -235,6 +240,16 @@
 	return out
 }
 
+// CallerAddresses returns the host:port at which each instance itself listens for callers, in their order. Connections
+// to them pass no relay.
+func (f *Fleet) CallerAddresses() []string {
+	var out []string
+	for _, n := range f.list() {
+		out = append(out, n.info().CallerAddress)
+	}
+	return out
+}
+
 func (f *Fleet) node(i int) (server, error) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/internal/fleet/groups.go
+++ b/internal/fleet/groups.go
@@ -18,15 +18,16 @@
 	for i := range f.topology.Groups {
 		t := &f.topology.Groups[i]
 		o := group.Options{
-			ID:           t.ID,
-			Slots:        t.Slots,
-			Connections:  t.Connections,
-			ConnectDelay: t.ConnectTime.D(),
-			ServiceTime:  t.ServiceTime.D(),
-			ReceiveLag:   f.topology.DomainLatency.D() / 2,
-			ApplyLag:     t.ReplicaLag.D(),
-			Capture:      f.options.Capture,
-			Logger:       f.log.Named("group"),
+			ID:             t.ID,
+			Slots:          t.Slots,
+			Connections:    t.Connections,
+			ConnectDelay:   t.ConnectTime.D(),
+			ServiceTime:    t.ServiceTime.D(),
+			ReceiveLag:     f.topology.DomainLatency.D() / 2,
+			ApplyLag:       t.ReplicaLag.D(),
+			Capture:        f.options.Capture,
+			FaultFunctions: f.options.FaultFunctions,
+			Logger:         f.log.Named("group"),
 		}
 		for _, m := range t.Members {
 			o.Members = append(o.Members, group.MemberOptions{ID: m.ID, FailureDomain: m.FailureDomain})
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -73,6 +73,7 @@
 	s.Region = f.topology.Region
 	s.Listen = settings.Listen{Callers: callers, Peers: "127.0.0.1:0", HTTP: "127.0.0.1:0", Operators: "127.0.0.1:0"}
 	s.Platform.Address = f.platform.Addr()
+	s.TLS.Callers = f.options.CallerTLS
 	s.TokenKeys = []settings.TokenKey{{ID: 1, Secret: tokenKey}}
 	return &s
 }
