Speak HTTP/2 to the instances in celerystepctl

The instances serve operators over HTTP/2 only, while celerystepctl opened HTTP/1.1 connections unless the standard library negotiated otherwise. Without TLS every call was reset: 'celerystepctl status' printed 'no answer ... connection reset by peer' for all three instances of celerystep-local. The transport now names the protocols.

go test ./internal/ctl: ok, 14.1 s

--- a/internal/ctl/connect.go
+++ b/internal/ctl/connect.go
@@ -20,7 +20,10 @@
 
 // Connect prepares connections to the key-value service and, with mutual TLS if files are given, to the instances.
 func Connect(c Connection) (*Services, error) {
-	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
+	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1, Protocols: new(http.Protocols)}
+	// The instances speak HTTP/2 only; HTTP/1.1 connections are reset (plaintext) or fail in the handshake (TLS).
+	transport.Protocols.SetHTTP2(c.CertificateFile != "")
+	transport.Protocols.SetUnencryptedHTTP2(c.CertificateFile == "")
 	scheme := "http://"
 	if c.CertificateFile != "" {
 		store, err := certs.Load(certs.Files{Certificate: c.CertificateFile, Key: c.KeyFile, Roots: c.AuthorityFile})
