--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -250,6 +250,17 @@
 	return out
 }
 
+// HTTPAddresses returns the host:port at which each instance of celerystep serves metrics.
+func (f *Fleet) HTTPAddresses() []string {
+	var out []string
+	for _, at := range f.list() {
+		if n, ok := at.(*node); ok {
+			out = append(out, n.daemon.HTTPAddress())
+		}
+	}
+	return out
+}
+
 func (f *Fleet) node(i int) (server, error) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/internal/local/command.go
+++ b/internal/local/command.go
@@ -113,8 +113,8 @@
 {{range .URLs}}  psql '{{.}}'
 {{end}}
 operators:
-  celerystepctl --platform {{.Platform}} status
-  celerystepctl --platform {{.Platform}} explain --group {{.Group}}
+  go run ./cmd/celerystepctl --platform {{.Platform}} --operator NAME status
+  go run ./cmd/celerystepctl --platform {{.Platform}} --operator NAME explain --group {{.Group}}
 
 kill the primary of group {{.Group}}, now {{.Primary}} (any other member takes the call):
 {{range .Members}}  psql 'postgres://celerystep@{{.Address}}/{{$.Group}}?sslmode=disable' -c "SELECT group_fault('kill', '{{$.Primary}}')"
