--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -110,6 +110,7 @@
 		Seed:       d.options.Seed,
 	})
 	service.Subscribe(d.membershipListener())
+	d.registerMetrics()
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/celerystep/celerystep/internal/config"
 	"github.com/celerystep/celerystep/internal/experiment"
@@ -261,6 +262,17 @@
 	return out
 }
 
+// Registries returns the metrics of each instance of celerystep.
+func (f *Fleet) Registries() []*prometheus.Registry {
+	var out []*prometheus.Registry
+	for _, at := range f.list() {
+		if n, ok := at.(*node); ok {
+			out = append(out, n.registry)
+		}
+	}
+	return out
+}
+
 func (f *Fleet) node(i int) (server, error) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/celerystep/celerystep/internal/daemon"
 	"github.com/celerystep/celerystep/internal/experiment"
@@ -33,7 +34,9 @@
 	fleet  *Fleet
 	self   instance.Info
 	daemon *daemon.Daemon
-	store  *client.Client
+	// registry holds the metrics of the instance.
+	registry *prometheus.Registry
+	store    *client.Client
 
 	stopped chan struct{}
 	cancel  context.CancelFunc
@@ -47,12 +50,13 @@
 // newNode builds an instance at place i. Its id differs from that of the instance that it replaces.
 func (f *Fleet) newNode(i int, callers string) (server, error) {
 	id := f.nextID(i)
-	n := &node{fleet: f, stopped: make(chan struct{})}
+	n := &node{fleet: f, stopped: make(chan struct{}), registry: prometheus.NewRegistry()}
 	here := end{string(id), f.domain(i)}
 	n.store = client.New(client.Options{Address: f.network.route(here, end{name: platformEnd, domain: here.domain}, f.platform.Addr())})
 	d, err := daemon.New(daemon.Options{
 		Settings:  f.settings(id, here.domain, callers),
 		Logger:    f.log,
+		Registry:  n.registry,
 		Store:     n.store,
 		Directory: n.store,
 		Port:      func(g upstream.Group) upstream.Port { return f.port(here, g) },
