--- a/cmd/celerystep-load/main.go
+++ b/cmd/celerystep-load/main.go
@@ -33,9 +33,14 @@
 	run    func(ctx context.Context, log hclog.Logger) error
 }
 
-func main() {
+// newCommandLine declares the commands.
+func newCommandLine() (*kingpin.Application, []command) {
 	app := kingpin.New("celerystep-load", "Measures a fleet under load and faults, and checks its guarantees.")
-	commands := []command{runCommand(app), compareCommand(app), reportCommand(app), listCommand(app)}
+	return app, []command{runCommand(app), compareCommand(app), reportCommand(app), listCommand(app)}
+}
+
+func main() {
+	app, commands := newCommandLine()
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	log := hclog.New(&hclog.LoggerOptions{Name: "load", Output: os.Stderr})
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -24,31 +24,44 @@
 	exitUsage = 2
 )
 
-// Main runs the command line of celerystepd and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+// commandLine holds the declared commands with their arguments.
+type commandLine struct {
+	app                  *kingpin.Application
+	run, check, defaults *kingpin.CmdClause
+	runFile, checkFile   *string
+}
+
+func newCommandLine() *commandLine {
 	app := kingpin.New("celerystepd", "Proxy daemon: session consistency, fair shares and failover for database groups.")
 	app.Version(version.String())
-	app.UsageWriter(stderr)
-	run := app.Command("run", "Run the daemon until SIGTERM, which starts a graceful shutdown.")
-	runFile := run.Arg("FILE", "Settings file in JSON.").Required().String()
-	check := app.Command("check", "Check a settings file and list every mistake with its JSON path and line.")
-	checkFile := check.Arg("FILE", "Settings file in JSON.").Required().String()
-	defaults := app.Command("defaults", "Print the settings with their defaults.")
-	command, err := app.Parse(args)
+	c := &commandLine{app: app}
+	c.run = app.Command("run", "Run the daemon until SIGTERM, which starts a graceful shutdown.")
+	c.runFile = c.run.Arg("FILE", "Settings file in JSON.").Required().String()
+	c.check = app.Command("check", "Check a settings file and list every mistake with its JSON path and line.")
+	c.checkFile = c.check.Arg("FILE", "Settings file in JSON.").Required().String()
+	c.defaults = app.Command("defaults", "Print the settings with their defaults.")
+	return c
+}
+
+// Main runs the command line of celerystepd and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	c := newCommandLine()
+	c.app.UsageWriter(stderr)
+	command, err := c.app.Parse(args)
 	if err != nil {
-		app.Errorf("%s, try --help", err)
+		c.app.Errorf("%s, try --help", err)
 		return exitUsage
 	}
 	switch command {
-	case run.FullCommand():
-		err = runDaemon(*runFile, stderr)
-	case check.FullCommand():
-		err = settings.RunCheck(stdout, *checkFile)
-	case defaults.FullCommand():
+	case c.run.FullCommand():
+		err = runDaemon(*c.runFile, stderr)
+	case c.check.FullCommand():
+		err = settings.RunCheck(stdout, *c.checkFile)
+	case c.defaults.FullCommand():
 		err = settings.RunDefaults(stdout)
 	}
 	if err != nil {
-		app.Errorf("%s", err)
+		c.app.Errorf("%s", err)
 		return exitError
 	}
 	return exitOK
