--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/celerystep/celerystep/internal/config"
 	"github.com/celerystep/celerystep/internal/experiment"
@@ -18,6 +19,7 @@
 	"github.com/celerystep/celerystep/internal/keys"
 	"github.com/celerystep/celerystep/internal/load"
 	"github.com/celerystep/celerystep/internal/platform/client"
+	"github.com/celerystep/celerystep/internal/settings"
 	"github.com/celerystep/celerystep/internal/standin/group"
 	standin "github.com/celerystep/celerystep/internal/standin/platform"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -36,6 +38,10 @@
 	PlatformAddress string
 	// Plain connects the parts without relays. Pauses and latencies have no effect then.
 	Plain bool
+	// CallerTLS names the certificate that the instances show to callers. Without files they serve plain connections.
+	CallerTLS settings.CallerTLS
+	// FaultFunctions lets clients of the groups switch faults with the SQL function group_fault.
+	FaultFunctions bool
 	// Mode selects what stands before the groups; empty means celerystep.
 	Mode experiment.Mode
 }
@@ -235,6 +241,38 @@
 	return out
 }
 
+// CallerAddresses returns the host:port at which each instance itself listens for callers, in their order. Connections
+// to them pass no relay.
+func (f *Fleet) CallerAddresses() []string {
+	var out []string
+	for _, n := range f.list() {
+		out = append(out, n.info().CallerAddress)
+	}
+	return out
+}
+
+// HTTPAddresses returns the host:port at which each instance of celerystep serves metrics.
+func (f *Fleet) HTTPAddresses() []string {
+	var out []string
+	for _, at := range f.list() {
+		if n, ok := at.(*node); ok {
+			out = append(out, n.daemon.HTTPAddress())
+		}
+	}
+	return out
+}
+
+// Registries returns the metrics of each instance of celerystep.
+func (f *Fleet) Registries() []*prometheus.Registry {
+	var out []*prometheus.Registry
+	for _, at := range f.list() {
+		if n, ok := at.(*node); ok {
+			out = append(out, n.registry)
+		}
+	}
+	return out
+}
+
 func (f *Fleet) node(i int) (server, error) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
