--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -361,3 +361,14 @@
 func instanceID(i, generation int) instance.ID {
 	return instance.ID(fmt.Sprintf("i%d-%d", i+1, generation))
 }
+
+// Home returns the instance that is the home of the group, as the first instance of celerystep knows it. It returns
+// false for the baselines, which have no homes.
+func (f *Fleet) Home(id upstream.GroupID) (instance.ID, bool) {
+	for _, s := range f.list() {
+		if n, ok := s.(*node); ok {
+			return n.daemon.Home(id)
+		}
+	}
+	return "", false
+}
