Test the modes of the path measurement without a time window

Change: TestModes runs each workload through each mode to its end, and TestWrite checks the rows of given samples; the pause after the start is left to the measurements.

--- a/internal/pathbench/idle.go
+++ b/internal/pathbench/idle.go
@@ -52,6 +52,7 @@
 		return result, err
 	}
 	defer func() { err = errors.Join(err, e.close(ctx)) }()
+	wait(ctx, startTime)
 	// The first callers warm up what all callers share.
 	warm, err := e.connect(ctx, dialers)
 	if err != nil {
--- a/internal/pathbench/pathbench.go
+++ b/internal/pathbench/pathbench.go
@@ -72,9 +72,9 @@
 }
 
 const (
-	groupID  upstream.GroupID = "g1"
-	database                  = "bench"
-	customer                  = "bench"
+	groupID  = upstream.GroupID("g1")
+	database = "bench"
+	customer = "bench"
 	// memberUser is the user of direct connections to members.
 	memberUser = "celerystep"
 	// unlimited is a rate and burst that no run reaches, so that admission is on the path but refuses nothing.
@@ -131,7 +131,6 @@
 			return nil, errors.Join(err, e.close(ctx))
 		}
 	}
-	wait(ctx, startTime)
 	return e, nil
 }
 
@@ -195,6 +194,7 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, e.close(ctx)) }()
+	wait(ctx, startTime)
 	for _, w := range o.Works {
 		for _, n := range o.Concurrency {
 			cell := Cell{Service: service, Work: w, Concurrency: n, Runs: make(map[Mode][]Sample)}
--- a/internal/pathbench/pathbench_test.go
+++ b/internal/pathbench/pathbench_test.go
@@ -36,21 +36,34 @@
 	is.True(err != nil)
 }
 
-// TestRun guards against modes that do not reach the group and against rows that leave out a mode.
-func TestRun(t *testing.T) {
+// TestModes guards against modes that do not reach the group, and workloads that a mode answers with an error.
+func TestModes(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	o := Options{
-		Concurrency: []int{2}, ServiceTimes: []time.Duration{0}, Works: Works(), Modes: Modes(), Repeats: 1,
-		Warmup: 10 * time.Millisecond, Duration: 50 * time.Millisecond, Slots: 3, Connections: 6,
+	e, err := newEnvironment(ctx, &Options{Slots: 3, Connections: 6}, 0, 1)
+	is.NoErr(err)
+	defer func() { is.NoErr(e.close(ctx)) }()
+	for _, m := range Modes() {
+		for _, w := range Works() {
+			c, err := newCaller(ctx, &e.clients, e.targets[m], w, 0)
+			is.NoErr(err)
+			is.NoErr(c.run())
+			is.NoErr(c.conn.Close())
+		}
+	}
+}
+
+// TestWrite guards against rows that leave out a mode or compare runs of different turns.
+func TestWrite(t *testing.T) {
+	is := is.New(t)
+	c := Cell{Work: WorkRead, Concurrency: 1, Runs: make(map[Mode][]Sample)}
+	for _, m := range Modes() {
+		c.Runs[m] = []Sample{{PerSecond: 100}, {PerSecond: 300}}
 	}
+	c.Runs[ModeHop] = []Sample{{PerSecond: 50}, {PerSecond: 150}}
 	var out strings.Builder
-	cells := 0
-	is.NoErr(Run(ctx, o, func(c Cell) {
-		cells++
-		is.NoErr(c.Write(&out))
-	}))
-	is.Equal(cells, len(Works()))
-	is.Equal(strings.Count(out.String(), "\n"), len(Works())*len(Modes()))
+	is.NoErr(c.Write(&out))
+	is.Equal(strings.Count(out.String(), "\n"), len(Modes()))
+	is.Equal(c.ratios(ModeHop), spread[float64]{0.5, 0.5, 0.5})
 }
