--- a/cmd/celerystep-load/main.go
+++ b/cmd/celerystep-load/main.go
@@ -36,7 +36,9 @@
 // newCommandLine declares the commands.
 func newCommandLine() (*kingpin.Application, []command) {
 	app := kingpin.New("celerystep-load", "Measures a fleet under load and faults, and checks its guarantees.")
-	return app, []command{runCommand(app), compareCommand(app), reportCommand(app), listCommand(app)}
+	return app, []command{
+		runCommand(app), compareCommand(app), reportCommand(app), listCommand(app), pathCommand(app),
+	}
 }
 
 func main() {
