Keep nil errors nil in the capacity measurements; check that failovers happened

errors.Wrap of go-faster/errors returns an error for nil, so all parts with sockets failed. Failover now checks that each group has another primary, and the loss of a failure domain is measured in virtual time.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -78,12 +78,20 @@
 		}
 		fmt.Fprintln(t)
 	}
-	return errors.Wrap(t.Flush(), "write table")
+	return wrap(t.Flush(), "write table")
 }
 
 // WriteJSON prints the slopes as one JSON array.
 func WriteJSON(w io.Writer, slopes []Slope) error {
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
-	return errors.Wrap(e.Encode(slopes), "write JSON")
+	return wrap(e.Encode(slopes), "write JSON")
+}
+
+// wrap names the step of an error; a nil error stays nil, which errors.Wrap does not promise.
+func wrap(err error, step string) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(err, step)
 }
--- a/internal/capacity/live.go
+++ b/internal/capacity/live.go
@@ -97,13 +97,13 @@
 func (f *liveFleet) connect(ctx context.Context, address string, group int) (*pgconn.PgConn, error) {
 	url := fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", f.credential.User, f.credential.Password, address, database(group))
 	c, err := pgconn.Connect(ctx, url)
-	return c, errors.Wrapf(err, "connect to %s", address)
+	return c, wrap(err, "connect to "+address)
 }
 
 // read runs the read on a connection.
 func read(ctx context.Context, c *pgconn.PgConn) error {
 	_, err := c.Exec(ctx, readStatement).ReadAll()
-	return errors.Wrap(err, "read")
+	return wrap(err, "read")
 }
 
 // pause waits for d.
@@ -159,7 +159,7 @@
 	for line := range strings.Lines(string(p)) {
 		if v, ok := strings.CutPrefix(line, "wchar: "); ok {
 			n, err := strconv.ParseUint(strings.TrimSpace(v), 10, 64)
-			return n, errors.Wrap(err, "parse written bytes")
+			return n, wrap(err, "parse written bytes")
 		}
 	}
 	return 0, errors.New("/proc/self/io has no wchar")
--- a/internal/capacity/live_slopes.go
+++ b/internal/capacity/live_slopes.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"runtime"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,6 +13,7 @@
 
 	"github.com/celerystep/celerystep/internal/experiment"
 	"github.com/celerystep/celerystep/internal/fleet"
+	"github.com/celerystep/celerystep/internal/upstream"
 )
 
 const (
@@ -45,7 +45,7 @@
 	idle := &series{name: "memory, idle caller", unit: "B", per: "caller", note: "plain TCP, heap and stacks, callers' sockets included"}
 	used := &series{name: "memory, session after a read", unit: "B", per: "caller", note: "as idle caller"}
 	for _, l := range []*series{idle, used} {
-		for _, n := range []int{250, 500, 1000, 2000} {
+		for _, n := range []int{500, 1000, 2000} {
 			s.Log.Info("callers", "callers", n, "read", l == used)
 			m, err := callerMemory(ctx, n, l == used)
 			if err != nil {
@@ -249,7 +249,7 @@
 // failoverSlopes kills the primaries of all groups of one home at once and measures until the last group takes a write.
 func failoverSlopes(ctx context.Context, s *Suite) error {
 	last := &series{name: "failover, last write again", unit: "ms", per: "group at once", note: "all homes at one instance, primaries reset"}
-	for _, n := range []int{1, 4, 8, 16} {
+	for _, n := range []int{1, 4, 8, 16, 1, 4, 8, 16} {
 		s.Log.Info("failover", "groups", n)
 		err := withFleet(ctx, experiment.ModeCelerystep, 1, n, func(f *liveFleet) error {
 			took, err := f.failAll(ctx)
@@ -267,26 +267,45 @@
 	ctx, cancel := context.WithTimeout(ctx, failoverTimeout)
 	defer cancel()
 	address := f.Instances()[0].Address
-	primaries := make([]func() error, f.groups)
+	primaries := make([]upstream.MemberID, f.groups)
 	for i := range primaries {
 		p, err := f.Primary(groupID(i))
 		if err != nil {
 			return 0, err
 		}
-		primaries[i] = func() error { return f.KillMember(ctx, groupID(i), p.ID) }
+		primaries[i] = p.ID
 	}
 	began := time.Now()
-	var kills sync.WaitGroup
-	for _, kill := range primaries {
-		kills.Go(func() { _ = kill() })
+	kills, killing := errgroup.WithContext(ctx)
+	for i, p := range primaries {
+		kills.Go(func() error { return f.KillMember(killing, groupID(i), p) })
 	}
-	kills.Wait()
-	g, ctx := errgroup.WithContext(ctx)
+	if err := kills.Wait(); err != nil {
+		return 0, err
+	}
+	g, writing := errgroup.WithContext(ctx)
 	for i := range f.groups {
-		g.Go(func() error { return f.untilWritten(ctx, address, i) })
+		g.Go(func() error { return f.untilWritten(writing, address, i) })
+	}
+	if err := g.Wait(); err != nil {
+		return 0, err
+	}
+	took := time.Since(began)
+	return took, f.checkReplaced(primaries)
+}
+
+// checkReplaced returns an error if a group still has its old primary.
+func (f *liveFleet) checkReplaced(old []upstream.MemberID) error {
+	for i, p := range old {
+		now, err := f.Primary(groupID(i))
+		if err != nil {
+			return err
+		}
+		if now.ID == p {
+			return errors.Errorf("group %d still has primary %s", i, p)
+		}
 	}
-	err := g.Wait()
-	return time.Since(began), err
+	return nil
 }
 
 // untilWritten repeats a write until it succeeds.
--- a/internal/capacity/pure.go
+++ b/internal/capacity/pure.go
@@ -26,6 +26,8 @@
 	cpu := &series{name: "gossip processor time", unit: "us/s", per: "instance", note: "virtual time, without encoding and sockets"}
 	spread := &series{name: "spread of a configuration", unit: "ms", per: "instance", note: "virtual time, 1 ms each way"}
 	heap := &series{name: "membership heap", unit: "B", per: "instance", note: "view and planner of one instance"}
+	lost := &series{name: "failure domain lost: all homes known", unit: "ms", per: "instance", note: "virtual time, claims 1.5 s after the loss, 10 domains"}
+	peak := &series{name: "failure domain lost: peak gossip bytes", unit: "B/s", per: "instance", note: "virtual time, mean of an instance in the worst second"}
 	for _, n := range GossipSizes {
 		if err := ctx.Err(); err != nil {
 			return err
@@ -45,10 +47,17 @@
 			return err
 		}
 		spread.add(n, float64(f.end("one configuration").Spread.Milliseconds()))
+		f.begin()
+		if err := f.cutDomain(); err != nil {
+			return err
+		}
+		r = f.end("domain cut off")
+		lost.add(n, float64(r.Spread.Milliseconds()))
+		peak.add(n, r.PeakBytesPerSecond)
 		f = nil
 		heap.add(n, float64(MeasureFootprint(n).HeapBytes))
 	}
-	return s.keep(bytes, calls, cpu, spread, heap)
+	return s.keep(bytes, calls, cpu, spread, lost, peak, heap)
 }
 
 // clusterOf returns a valid configuration with a route and two keys for each customer.
