--- a/internal/capacity/live_slopes.go
+++ b/internal/capacity/live_slopes.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/celerystep/celerystep/internal/experiment"
-	"github.com/celerystep/celerystep/internal/fleet"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -336,7 +335,9 @@
 
 // instanceSlopes measures idle fleets of real daemons: calls to the key-value service, processor time, bytes, memory.
 func instanceSlopes(ctx context.Context, s *Suite) error {
-	calls := &series{name: "key-value calls", unit: "1/s", per: "instance", note: "waiting watches counted once when they end"}
+	calls := &series{name: "key-value calls", unit: "1/s", per: "instance", note: "watches that begin included"}
+	lists := &series{name: "key-value calls, instance list", unit: "1/s", per: "instance"}
+	gets := &series{name: "key-value calls, Get", unit: "1/s", per: "instance"}
 	watches := &series{name: "key-value waiting watches", unit: "watches", per: "instance"}
 	cpu := &series{name: "daemon idle: processor time", unit: "us/s", per: "instance", note: "whole process; the slope is one daemon and its calls"}
 	bytes := &series{name: "daemon idle: written bytes", unit: "B/s", per: "instance", note: "as processor time; TLS included"}
@@ -344,31 +345,32 @@
 	for _, n := range []int{3, 6, 12} {
 		s.Log.Info("instances", "instances", n)
 		err := withFleet(ctx, experiment.ModeCelerystep, n, 1, func(f *liveFleet) error {
-			before := callCount(f.Fleet)
+			before, _ := f.Platform().Calls()
 			c, b, err := watch(ctx, instanceTime)
-			calls.add(n, (callCount(f.Fleet)-before)/instanceTime.Seconds())
-			_, waiting := f.Platform().Calls()
+			after, waiting := f.Platform().Calls()
+			grown := func(method string) float64 { return float64(after[method]-before[method]) / instanceTime.Seconds() }
+			calls.add(n, float64(total(after)-total(before))/instanceTime.Seconds())
+			lists.add(n, grown("Instances"))
+			gets.add(n, grown("Get"))
 			watches.add(n, float64(waiting))
 			cpu.add(n, c)
 			bytes.add(n, b)
 			heap.add(n, memory())
-			s.Log.Info("key-value calls since start", "instances", n, "calls", fmt.Sprint(first(f.Platform().Calls())))
+			s.Log.Info("key-value calls since start", "instances", n, "calls", fmt.Sprint(after))
 			return err
 		})
 		if err != nil {
 			return err
 		}
 	}
-	return s.keep(calls, watches, cpu, bytes, heap)
+	return s.keep(calls, lists, gets, watches, cpu, bytes, heap)
 }
 
-func first(calls map[string]uint64, _ int) map[string]uint64 { return calls }
-
-func callCount(f *fleet.Fleet) float64 {
-	calls, _ := f.Platform().Calls()
-	total := uint64(0)
+// total adds the calls of all methods.
+func total(calls map[string]uint64) uint64 {
+	sum := uint64(0)
 	for _, n := range calls {
-		total += n
+		sum += n
 	}
-	return float64(total)
+	return sum
 }
