--- a/internal/capacity/suite.go
+++ b/internal/capacity/suite.go
@@ -26,6 +26,7 @@
 		{"audit", auditSlopes},
 		{"callers", callerSlopes},
 		{"groups", groupSlopes},
+		{"links", linkSlopes},
 		{"statements", statementSlopes},
 		{"failover", failoverSlopes},
 		{"instances", instanceSlopes},
