--- a/internal/capacity/live_slopes.go
+++ b/internal/capacity/live_slopes.go
@@ -60,39 +60,46 @@
 	grown := 0.0
 	err := withFleet(ctx, experiment.ModeCelerystep, 1, 1, func(f *liveFleet) error {
 		before := memory()
-		sockets := make([]net.Conn, n)
+		sockets, err := f.openCallers(ctx, n, withRead)
 		defer closeAll(sockets)
-		g, ctx := errgroup.WithContext(ctx)
-		g.SetLimit(dialers)
-		address := f.Instances()[0].Address
-		for i := range sockets {
-			g.Go(func() error {
-				c, err := f.connect(ctx, address, 0)
-				if err != nil {
-					return err
-				}
-				if withRead {
-					if err := read(ctx, c); err != nil {
-						return err
-					}
-				}
-				h, err := c.Hijack()
-				if err != nil {
-					return errors.Wrap(err, "take socket")
-				}
-				sockets[i] = h.Conn
-				return nil
-			})
-		}
-		if err := g.Wait(); err != nil {
-			return err
-		}
 		grown = memory() - before
-		return nil
+		return err
 	})
 	return grown, err
 }
 
+// openCallers connects n callers to the first instance and returns their sockets, which stay open.
+func (f *liveFleet) openCallers(ctx context.Context, n int, withRead bool) ([]net.Conn, error) {
+	sockets := make([]net.Conn, n)
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(dialers)
+	address := f.Instances()[0].Address
+	for i := range sockets {
+		g.Go(func() (err error) {
+			sockets[i], err = f.openCaller(ctx, address, withRead)
+			return err
+		})
+	}
+	return sockets, g.Wait()
+}
+
+func (f *liveFleet) openCaller(ctx context.Context, address string, withRead bool) (net.Conn, error) {
+	c, err := f.connect(ctx, address, 0)
+	if err != nil {
+		return nil, err
+	}
+	if withRead {
+		if err := read(ctx, c); err != nil {
+			return nil, err
+		}
+	}
+	h, err := c.Hijack()
+	if err != nil {
+		return nil, errors.Wrap(err, "take socket")
+	}
+	return h.Conn, nil
+}
+
 func closeAll(sockets []net.Conn) {
 	for _, c := range sockets {
 		if c != nil {
