Add deliberate faults behind the build tag mutants

Each guarantee needs a proof that its check catches a breach. mutation.On is the constant false in normal builds, so the request path does not pay for the hooks.

--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -106,7 +107,7 @@
 		return nil, false
 	}
 	for i := range c.Keys {
-		if c.Keys[i].Name == key && !c.Keys[i].Withdrawn {
+		if c.Keys[i].Name == key && (!c.Keys[i].Withdrawn || mutation.On(mutation.AcceptWithdrawnKeys)) {
 			return &c.Keys[i], true
 		}
 	}
--- a/internal/exchange/frontend.go
+++ b/internal/exchange/frontend.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/request"
 )
 
@@ -85,8 +86,12 @@
 // 'E'). It returns an error for malformed messages and for types that an exchange may not contain.
 func Build(s *State, r *request.Request, txStatus byte) (*Exchange, error) {
 	x := &Exchange{}
+	customer := r.Customer
+	if mutation.On(mutation.KeyToUpstream) {
+		customer += "." + r.Key
+	}
 	if txStatus != 'E' { // a failed transaction refuses SET
-		if err := x.addSettings(s.Changes(r.Customer, r.Parameters)); err != nil {
+		if err := x.addSettings(s.Changes(customer, r.Parameters)); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/celerystep/celerystep/internal/mutation"
 )
 
 // CustomerSetting is the connection setting that names the customer whose work runs, for the upstream's logs.
@@ -44,7 +46,8 @@
 // Settings of an earlier session that are not wanted return to their defaults.
 func (s *State) Changes(customer string, wanted map[string]string) []Setting {
 	var changes []Setting
-	if s.settings[CustomerSetting] != customer {
+	skipTag := mutation.On(mutation.SkipCustomerTag) && s.settings[CustomerSetting] != ""
+	if s.settings[CustomerSetting] != customer && !skipTag {
 		changes = append(changes, Setting{Name: CustomerSetting, Value: customer})
 	}
 	if len(wanted) == 0 && len(s.settings) <= 1 {
--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -72,7 +73,7 @@
 			fenced = append(fenced, k)
 		}
 	}
-	if len(fenced) >= m.majority() {
+	if len(fenced) >= m.majority() || mutation.On(mutation.PromoteWithoutMajority) && len(fenced) > 0 {
 		m.choose(fenced, now)
 		return
 	}
--- a/internal/home/admit.go
+++ b/internal/home/admit.go
@@ -8,6 +8,7 @@
 
 	"github.com/celerystep/celerystep/internal/admission"
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/quorum"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -147,6 +148,9 @@
 		if !moved {
 			refillFrom = g.refillAfterTakeover(c.name)
 		}
+		if mutation.On(mutation.FullBucket) {
+			level = admission.MicroTokens(c.contract.Burst) * admission.Token
+		}
 		c.bucket = admission.NewBucket(c.contract, level, refillFrom)
 		g.setQueueCustomer(c, now)
 	}
--- a/internal/home/execute.go
+++ b/internal/home/execute.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/exchange"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/request"
 	"github.com/celerystep/celerystep/internal/retry"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -248,6 +249,9 @@
 
 // unknown builds the error of a request that may have run. A lost read has no effect.
 func (c *call) unknown(step string, member upstream.MemberID, err error) *retry.Error {
+	if mutation.On(mutation.UnknownAsNotRun) {
+		return c.failure(request.OutcomeNotRun, retry.CodeUnavailable, step, string(member), err)
+	}
 	code := retry.CodeUnknown
 	if c.r.Kind == request.KindRead {
 		code = retry.CodeReadFailed
@@ -266,6 +270,11 @@
 		c.session.conn = nil
 	}
 	g.queue.Done(c.ticket, now.Sub(c.granted), now)
+	if mutation.On(mutation.ReuseUnfinished) && isTimeout(err) {
+		g.pool.Release(e.cn.id, now)
+		g.mu.Unlock()
+		return
+	}
 	g.mu.Unlock()
 	g.broken(e.cn, err)
 }
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -14,6 +14,7 @@
 	"github.com/celerystep/celerystep/internal/config"
 	"github.com/celerystep/celerystep/internal/exchange"
 	"github.com/celerystep/celerystep/internal/failover"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/pool"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/quorum"
@@ -170,7 +171,12 @@
 func (g *Group) now() time.Time { return g.o.Now() }
 
 // confirmed reports, without the lock, whether the home's authority is confirmed at now.
-func (g *Group) confirmed(now time.Time) bool { return int64(now.Sub(g.base)) < g.authority.Load() }
+func (g *Group) confirmed(now time.Time) bool {
+	if mutation.On(mutation.IgnoreAuthority) {
+		return true
+	}
+	return int64(now.Sub(g.base)) < g.authority.Load()
+}
 
 // updateAuthority copies the end of the authority to where the request path reads it, and tells the failover state
 // machine when it is lost or regained.
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -8,6 +8,8 @@
 
 	"github.com/celerystep/celerystep/internal/config"
 	"github.com/celerystep/celerystep/internal/exchange"
+	"github.com/celerystep/celerystep/internal/mutation"
+	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/request"
 	"github.com/celerystep/celerystep/internal/retry"
 	"github.com/celerystep/celerystep/internal/router"
@@ -124,6 +126,9 @@
 // the session is then served by the primary.
 func (g *Group) setFloor(c *call, f session.Floor) {
 	p, fault := session.Resolve(g.id, f, g.tracker.History())
+	if mutation.On(mutation.IgnoreFloor) {
+		p, fault = position.Position{}, nil
+	}
 	c.floor = f
 	c.route.Floor = p
 	c.route.HasFloor = true
--- a/internal/home/session.go
+++ b/internal/home/session.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/request"
 	"github.com/celerystep/celerystep/internal/retry"
 )
@@ -88,6 +89,10 @@
 		return
 	}
 	g.pool.Reset(cn.id)
+	if mutation.On(mutation.SkipReset) {
+		g.pool.Release(cn.id, g.now())
+		return
+	}
 	g.task(func() { g.check(cn, g.resetConn) })
 }
 
@@ -158,7 +163,7 @@
 	if g.phase != phaseDraining && g.phase != phaseClosed {
 		return
 	}
-	if g.phase == phaseDraining && (g.active > 0 || g.openTransactions() > 0) {
+	if g.phase == phaseDraining && (g.active > 0 || g.openTransactions() > 0) && !mutation.On(mutation.CutDrain) {
 		return
 	}
 	select {
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -91,6 +92,9 @@
 // Merge returns the higher version. Two operations with the same version occur only after the key-value service lost
 // a write; the greater operation id wins everywhere.
 func (c ConfigVersion) Merge(o ConfigVersion) ConfigVersion {
+	if mutation.On(mutation.AcceptLowerVersion) {
+		return o
+	}
 	if cmp.Or(
 		cmp.Compare(c.Version, o.Version),
 		cmp.Compare(c.OperationID, o.OperationID),
--- a/internal/quorum/round.go
+++ b/internal/quorum/round.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -188,7 +189,12 @@
 func (t *Tracker) AuthorityUntil() time.Time { return t.authorityUntil }
 
 // HasAuthority reports whether the claim is confirmed at now.
-func (t *Tracker) HasAuthority(now time.Time) bool { return now.Before(t.authorityUntil) }
+func (t *Tracker) HasAuthority(now time.Time) bool {
+	if mutation.On(mutation.IgnoreAuthority) {
+		return true
+	}
+	return now.Before(t.authorityUntil)
+}
 
 // FreshAsOf returns the latest moment as of which the member is known to hold all data, and false when there is none.
 // For a replica it is the send time of the latest sampled round whose primary log end the replica has applied; for the
--- a/internal/quorum/tracker.go
+++ b/internal/quorum/tracker.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -251,6 +252,9 @@
 // Received reports whether a majority of the members have reported a log whose last term is p.Term and that reaches
 // p.LSN, so that a commit at p may be acknowledged. It is false for every term before the one of Acknowledged.
 func (t *Tracker) Received(p position.Position) bool {
+	if mutation.On(mutation.AcknowledgeWithoutQuorum) {
+		return true
+	}
 	return p.Term == t.acknowledged.Term && p.LSN <= t.acknowledged.LSN
 }
 
--- a/internal/retry/decision.go
+++ b/internal/retry/decision.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/request"
 )
 
@@ -87,7 +88,7 @@
 		return ReasonTransaction
 	case c.Canceled:
 		return ReasonCanceled
-	case c.Sent && c.Kind != request.KindRead && !c.Idempotent:
+	case c.Sent && c.Kind != request.KindRead && !c.Idempotent && !mutation.On(mutation.RetryWrite):
 		return ReasonMayHaveRun
 	default:
 		return ""
