--- /dev/null
+++ b/internal/matrix/judge.go
@@ -0,0 +1,175 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/home"
+	"github.com/celerystep/celerystep/internal/standin/group"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Assertions on what package check does not see.
+const (
+	// AssertService: after all faults are healed, every entitled caller is served again.
+	AssertService = "service after healing"
+	// AssertGoroutines: all goroutines of the homes end.
+	AssertGoroutines = "goroutines end"
+	// AssertAuthority: a home whose claim was taken over grants no token once its authority must have ended (G7).
+	AssertAuthority = "G7 no grant without authority"
+	// AssertWithdrawn: no request that is sent after a withdrawal was put in force succeeds (G6). In one process the
+	// homes see it at once, so the bound of the design does not apply.
+	AssertWithdrawn = "G6 withdrawn key refused at the home"
+	// AssertTagged: every statement of a caller carries a customer in the group's log (G4).
+	AssertTagged = "G4 statement without customer"
+	// AssertOwner: no statement starts under a claim that a majority has replaced (G2).
+	AssertOwner = "G2 statement under a replaced claim"
+	// AssertPlanned: a planned change without any fault refuses and cuts nothing (G13).
+	AssertPlanned = "G13 request cut by a planned change"
+	// AssertStandin: the stand-in group itself works.
+	AssertStandin = "stand-in group"
+	// AssertStart: the cell can be set up.
+	AssertStart = "start of the cell"
+)
+
+// Problem is what a check found wrong with a cell.
+type Problem struct {
+	Check  string
+	Detail string
+}
+
+func (w *world) problem(name, format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.problems = append(w.problems, Problem{name, fmt.Sprintf(format, args...)})
+}
+
+// assertNoAuthority asks a home that was replaced for tokens.
+func (w *world) assertNoAuthority(h *homeInstance, id upstream.GroupID) {
+	a := h.manager.Admit(context.Background(), id, []home.AdmitItem{{Customer: plainCustomer, Tokens: 1}})
+	if a.Authoritative {
+		w.problem(AssertAuthority, "home %s of %s grants tokens after another home claimed", h.id, id)
+	}
+}
+
+// judge collects the history and runs all checks.
+func (w *world) judge(started time.Time, clients []*client) {
+	in := &check.Input{Start: started, End: time.Now(), Tagged: true}
+	for _, c := range clients {
+		in.Operations = append(in.Operations, c.log...)
+	}
+	w.mu.Lock()
+	in.Contracts = w.contracts
+	in.Withdrawals = w.withdrawals
+	w.mu.Unlock()
+	for name := range contracts {
+		in.Secrets = append(in.Secrets, keyOf(name))
+	}
+	for _, id := range w.order {
+		w.collect(in, id)
+	}
+	for _, r := range check.Run(in) {
+		if r.Status != check.StatusViolated {
+			continue
+		}
+		w.problem(string(r.Guarantee)+" "+r.Checker, "%d broken: %s %v", r.Broken, r.Violations[0].Detail, r.Violations[0].Statements)
+	}
+	w.assertWithdrawn(in)
+	w.assertTagged(in)
+}
+
+// collect adds the statement log and the final state of a group.
+func (w *world) collect(in *check.Input, id upstream.GroupID) {
+	g := w.groups[id]
+	for _, m := range g.Upstream().Members {
+		log, dropped := g.StatementLog(m.ID)
+		if dropped > 0 {
+			w.problem(AssertStandin, "%d statements of member %s were not logged", dropped, m.ID)
+		}
+		in.Statements = append(in.Statements, statementsOf(id, log)...)
+	}
+	primary := primaryOf(w, id)
+	s := g.Status(primary)
+	final := check.Final{Group: id, Primary: primary, History: s.History, End: s.Received}
+	rows, err := g.Read(primary, "SELECT id, version, writer FROM "+table)
+	if err != nil {
+		w.problem(AssertStandin, "final rows: %s", err)
+		return
+	}
+	for _, r := range rows {
+		final.Rows = append(final.Rows, rowValue(fmt.Sprint(r[0]), fmt.Sprint(r[1]), fmt.Sprint(r[2])))
+	}
+	in.Finals = append(in.Finals, final)
+}
+
+// statementsOf converts a member's log. Members do not log BEGIN and COMMIT, so a transaction of several statements gets
+// them here, because package check finds the borders of transactions by them.
+func statementsOf(id upstream.GroupID, log []group.LoggedStatement) []check.Statement {
+	count := make(map[uint64]int)
+	for _, s := range log {
+		count[s.Transaction]++
+	}
+	seen := make(map[uint64]int)
+	var out []check.Statement
+	for _, s := range log {
+		x := convert(id, s)
+		total := count[s.Transaction]
+		seen[s.Transaction]++
+		if total > 1 && seen[s.Transaction] == 1 {
+			out = append(out, border(x, "BEGIN"))
+		}
+		out = append(out, x)
+		if total > 1 && seen[s.Transaction] == total {
+			out = append(out, lastBorder(x, s.Outcome))
+		}
+	}
+	return out
+}
+
+func convert(id upstream.GroupID, s group.LoggedStatement) check.Statement {
+	x := check.Statement{Group: id, Member: s.Member, Connection: uint64(s.Connection), Owner: s.Owner,
+		Customer: s.Customer, Text: s.SQL, Start: s.Time, Position: s.Position, Code: s.State}
+	for _, a := range s.Args {
+		x.Params = append(x.Params, fmt.Sprint(a))
+	}
+	if s.Outcome != group.OutcomeOpen {
+		x.End = s.Time
+	}
+	return x
+}
+
+func border(x check.Statement, text string) check.Statement {
+	x.Text, x.Params, x.Code = text, nil, ""
+	return x
+}
+
+func lastBorder(x check.Statement, o group.Outcome) check.Statement {
+	if o == group.OutcomeCommitted {
+		return border(x, "COMMIT")
+	}
+	return border(x, "ROLLBACK")
+}
+
+func (w *world) assertWithdrawn(in *check.Input) {
+	for _, wd := range in.Withdrawals {
+		for i := range in.Operations {
+			op := &in.Operations[i]
+			if op.Customer == wd.Customer && op.Invoke.After(wd.At) && op.Outcome == check.OutcomeOK && op.Kind != check.KindRollback {
+				w.problem(AssertWithdrawn, "statement %s of kind %d succeeded %s after the withdrawal", op.Statement, op.Kind, op.Invoke.Sub(wd.At))
+				return
+			}
+		}
+	}
+}
+
+func (w *world) assertTagged(in *check.Input) {
+	for i := range in.Statements {
+		s := &in.Statements[i]
+		if _, ok := s.Marker(); ok && s.Customer == "" {
+			w.problem(AssertTagged, "on member %s: %s", s.Member, s.Text)
+			return
+		}
+	}
+}
