--- a/internal/matrix/conn.go
+++ b/internal/matrix/conn.go
@@ -88,7 +88,7 @@
 	messages(p, func(typ byte, body []byte) {
 		switch typ {
 		case 'Q':
-			kind = kindOf(string(body))
+			kind = kindOf(string(bytes.TrimRight(body, "\x00")))
 		case 'P':
 			name, rest, _ := bytes.Cut(body, []byte{0})
 			query, _, _ := bytes.Cut(rest, []byte{0})
--- a/internal/matrix/workload.go
+++ b/internal/matrix/workload.go
@@ -12,9 +12,13 @@
 	clientCount = 4
 	// rounds is the number of rounds that each caller runs at least.
 	rounds = 3
+	// roundPause keeps the histories of cells that wait for a slow step short, because judging them takes longer than
+	// running them.
+	roundPause = 10 * time.Millisecond
 	// reachLimit bounds the time that a workload goes on until the fault has fired.
 	reachLimit = 2500 * time.Millisecond
-	// settle is how long the workload goes on after the fault, so that it meets its consequences.
+	// settle is how long the workload goes on after the fault, so that it meets its consequences. A fault of the primary
+	// or of replication is given its whole outage, because a failover takes longer than settle.
 	settle = 150 * time.Millisecond
 	// healLimit bounds the return to service after all faults are healed.
 	healLimit = 8 * time.Second
@@ -133,16 +137,16 @@
 	started := time.Now()
 	done := make(chan struct{})
 	var firedAt time.Time
-	var once sync.Mutex
+	var mu sync.Mutex
 	enough := func() bool {
-		once.Lock()
-		defer once.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
 		now := time.Now()
 		if firedAt.IsZero() && len(w.in.unfired()) == 0 {
 			firedAt = now
 		}
 		if !firedAt.IsZero() {
-			return now.Sub(firedAt) >= settle
+			return now.Sub(firedAt) >= w.cell.settle()
 		}
 		return now.Sub(started) >= reachLimit
 	}
@@ -158,6 +162,7 @@
 			plain.Go(func() {
 				for n := 0; n < rounds || !enough(); n++ {
 					c.round(n)
+					wait(w.ctx, roundPause)
 				}
 			})
 		}
@@ -227,3 +232,14 @@
 	defer w.mu.Unlock()
 	return len(w.withdrawals) > 0
 }
+
+// settle returns how long the workload of the cell goes on after its last fault.
+func (c Cell) settle() time.Duration {
+	for _, in := range c.Injections {
+		switch in.Fault {
+		case FaultKillPrimary, FaultIsolate, FaultLag:
+			return outage + settle
+		}
+	}
+	return settle
+}
