--- a/cmd/celerystep-load/main.go
+++ b/cmd/celerystep-load/main.go
@@ -35,7 +35,8 @@
 
 func main() {
 	app := kingpin.New("celerystep-load", "Measures a fleet under load and faults, and checks its guarantees.")
-	commands := []command{runCommand(app), compareCommand(app), reportCommand(app), listCommand(app), matrixCommand(app)}
+	commands := []command{runCommand(app), compareCommand(app), reportCommand(app), listCommand(app), matrixCommand(app),
+		mutantsCommand(app)}
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	log := hclog.New(&hclog.LoggerOptions{Name: "load", Output: os.Stderr})
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -127,7 +127,9 @@
 }
 
 // DomainOut reports whether operators have taken the failure domain out.
-func (s *Snapshot) DomainOut(d instance.FailureDomain) bool { return s.out[d] }
+func (s *Snapshot) DomainOut(d instance.FailureDomain) bool {
+	return s.out[d] && !mutation.On(mutation.IgnoreDomainOut)
+}
 
 // MainGroup returns the group at whose home the customer's bucket lives.
 func (s *Snapshot) MainGroup(customer string) (upstream.GroupID, bool) {
--- a/internal/home/configure.go
+++ b/internal/home/configure.go
@@ -6,6 +6,7 @@
 	"github.com/celerystep/celerystep/internal/admission"
 	"github.com/celerystep/celerystep/internal/config"
 	"github.com/celerystep/celerystep/internal/failover"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/quorum"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -49,6 +50,9 @@
 
 // keepOrAdd returns the runtime of the member, a new one when it is new or its address changed.
 func (g *Group) keepOrAdd(old []*member, spec upstream.Member) *member {
+	if mutation.On(mutation.IgnoreLeaving) {
+		spec.State = upstream.MemberActive
+	}
 	for _, m := range old {
 		if m.spec.ID == spec.ID && m.spec.Address == spec.Address {
 			m.spec = spec
--- a/internal/home/members.go
+++ b/internal/home/members.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/admission"
-	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/pool"
 	"github.com/celerystep/celerystep/internal/quorum"
 	"github.com/celerystep/celerystep/internal/router"
@@ -127,15 +126,7 @@
 // usable reports whether new work may go to the member: its stream is open and not silent.
 func (m *member) usable(now time.Time) bool { return m.streaming && now.Sub(m.statusAt) < staleStatus }
 
-func (m *member) draining() bool {
-	if mutation.On(mutation.IgnoreDomainOut) {
-		return m.spec.State == upstream.MemberLeaving
-	}
-	if mutation.On(mutation.IgnoreLeaving) {
-		return m.out
-	}
-	return m.out || m.spec.State == upstream.MemberLeaving
-}
+func (m *member) draining() bool { return m.out || m.spec.State == upstream.MemberLeaving }
 
 func (g *Group) poolConfig() pool.Config {
 	c := pool.Config{Connections: g.spec.Connections, Slots: g.spec.Slots}
--- a/internal/matrix/client.go
+++ b/internal/matrix/client.go
@@ -21,6 +21,8 @@
 	table = "rows"
 	// requestTimeout bounds a request, so that a silent connection costs a cell little.
 	requestTimeout = 400 * time.Millisecond
+	// followPause is the wait before a request that found no home is sent again.
+	followPause = 2 * time.Millisecond
 	// statedAge is the age that some reads accept.
 	statedAge = 100 * time.Millisecond
 )
@@ -40,7 +42,9 @@
 	transaction check.TransactionID
 	status      byte
 	sequence    uint64
-	log         []check.Operation
+	// member served the last request.
+	member upstream.MemberID
+	log    []check.Operation
 }
 
 // schema creates the rows that the clients update.
@@ -165,19 +169,35 @@
 	if s.kind == check.KindRead {
 		r.Kind = request.KindRead
 	}
-	h := c.w.homeOf(c.group)
-	var answer bytes.Buffer
 	op := check.Operation{
 		Statement: s.marker, Session: check.SessionID(c.number + 1), Transaction: c.transaction,
-		Connection: uint64(c.number)<<32 | uint64(c.connection), Customer: c.customer, Key: r.Key, Instance: h.id,
-		Group: c.group, Kind: s.kind, Row: check.RowKey{Table: table, ID: s.row}, MaxAge: s.maxAge, Invoke: time.Now(),
+		Connection: uint64(c.number)<<32 | uint64(c.connection), Customer: c.customer, Key: r.Key, Group: c.group,
+		Kind: s.kind, Row: check.RowKey{Table: table, ID: s.row}, MaxAge: s.maxAge, Invoke: time.Now(),
 	}
-	res := h.manager.Run(context.Background(), r, &answer)
+	res, answer := c.runAtHome(r, &op)
 	op.Return = time.Now()
-	readAnswer(&op, s, res, answer.Bytes())
+	readAnswer(&op, s, res, answer)
+	c.member = res.Member
 	return op, res
 }
 
+// runAtHome sends the request to the group's home as an entry instance does: a request that was not run because the home
+// is elsewhere follows it until its time is over.
+func (c *client) runAtHome(r *request.Request, op *check.Operation) (request.Result, []byte) {
+	for {
+		h := c.w.homeOf(c.group)
+		op.Instance = h.id
+		var answer bytes.Buffer
+		res := h.manager.Run(context.Background(), r, &answer)
+		elsewhere := res.Outcome == request.OutcomeNotRun && res.Code == retry.CodeUnavailable && res.Step == "home"
+		r.Timeout = requestTimeout - time.Since(op.Invoke)
+		if !elsewhere || r.InTransaction || r.Timeout <= 0 {
+			return res, answer.Bytes()
+		}
+		wait(c.w.ctx, followPause)
+	}
+}
+
 // readAnswer concludes the outcome from the result and, when it is done, from the answer.
 func readAnswer(op *check.Operation, s statement, res request.Result, answer []byte) {
 	op.Code = res.Code
@@ -226,6 +246,3 @@
 	v.Writer, _ = check.ParseMarker(writer)
 	return v
 }
-
-// homeIsElsewhere reports whether a refusal says that the instance is not the home, which a caller does not wait out.
-func homeIsElsewhere(code string) bool { return code == retry.CodeUnavailable }
--- a/internal/matrix/disturb.go
+++ b/internal/matrix/disturb.go
@@ -50,10 +50,13 @@
 	case FaultConfigure:
 		w.change(func(c *config.Cluster) { c.Preset = config.PresetPeak })
 	case FaultDomainOut:
-		domain := w.domainOf(w.primary())
+		id := w.primary()
+		domain := w.domainOf(id)
+		w.drain(id)
 		w.change(func(c *config.Cluster) { setOut(c, domain) })
 	case FaultLeave:
 		id := w.primary()
+		w.drain(id)
 		w.change(func(c *config.Cluster) { setLeaving(c, id) })
 	case FaultRelease:
 		w.tasks.Go(func() { w.move(mainGroup) })
--- a/internal/matrix/judge.go
+++ b/internal/matrix/judge.go
@@ -24,10 +24,10 @@
 	AssertWithdrawn = "G6 withdrawn key refused at the home"
 	// AssertTagged: every statement of a caller carries a customer in the group's log (G4).
 	AssertTagged = "G4 statement without customer"
-	// AssertOwner: no statement starts under a claim that a majority has replaced (G2).
-	AssertOwner = "G2 statement under a replaced claim"
-	// AssertPlanned: a planned change without any fault refuses and cuts nothing (G13).
-	AssertPlanned = "G13 request cut by a planned change"
+	// AssertPlanned: a protocol that is planned, without any fault, refuses and cuts nothing (G13).
+	AssertPlanned = "G13 request cut without a fault"
+	// AssertDrained: a member that is leaving or whose domain is out gets no new work after SpreadBound (G8, G12).
+	AssertDrained = "G8 G12 new work on a member that must drain"
 	// AssertStandin: the stand-in group itself works.
 	AssertStandin = "stand-in group"
 	// AssertStart: the cell can be set up.
@@ -78,6 +78,48 @@
 	}
 	w.assertWithdrawn(in)
 	w.assertTagged(in)
+	w.assertPlanned(in)
+}
+
+// assertPlanned judges cells without injections: no request of a customer within its rate may end otherwise than done. A
+// takeover and a failover begin with a crash and are not planned.
+func (w *world) assertPlanned(in *check.Input) {
+	p := w.cell.Protocol
+	if len(w.cell.Injections) > 0 || p == ProtocolTakeover || p == ProtocolFailover {
+		return
+	}
+	for i := range in.Operations {
+		op := &in.Operations[i]
+		if op.Customer != overCustomer && op.Outcome != check.OutcomeOK {
+			w.problem(AssertPlanned, "statement %s of kind %d ended %s %s", op.Statement, op.Kind, op.Outcome, op.Code)
+			return
+		}
+	}
+}
+
+// drainedRounds is the number of writes and reads in a row that must avoid a member that drains.
+const drainedRounds = 10
+
+// assertDrained waits until no new work goes to the members that must drain.
+func (w *world) assertDrained(c *client) {
+	w.mu.Lock()
+	draining, since := w.draining, w.drainingSince
+	w.mu.Unlock()
+	if draining == "" || c.group != mainGroup {
+		return
+	}
+	for avoided := 0; avoided < drainedRounds; avoided++ {
+		c.reconnect()
+		for _, s := range []statement{c.update(c.row), c.read(c.row)} {
+			if c.run(s) != check.OutcomeOK || c.member == draining {
+				avoided = -1
+			}
+		}
+		if time.Since(since) > check.SpreadBound && avoided < 0 {
+			w.problem(AssertDrained, "member %s still serves %s after the order", draining, time.Since(since).Round(time.Millisecond))
+			return
+		}
+	}
 }
 
 // collect adds the statement log and the final state of a group.
--- /dev/null
+++ b/internal/matrix/mutants.go
@@ -0,0 +1,53 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/celerystep/celerystep/internal/mutation"
+)
+
+// MutantResult says what the matrix made of one deliberate fault.
+type MutantResult struct {
+	mutation.Mutant
+	// Cells is the number of cells that ran up to the first red one.
+	Cells int
+	// Cell and Problem are the first that was red; Cell is empty when none was.
+	Cell    string
+	Problem Problem
+}
+
+// Caught reports whether a check found the fault.
+func (r *MutantResult) Caught() bool { return r.Cell != "" }
+
+// RunMutants runs the cells with each deliberate fault, each up to the first red cell. It needs a build with the tag
+// mutants.
+func RunMutants(ctx context.Context, o Options, mutants []mutation.Mutant, out io.Writer) []MutantResult {
+	o.StopAtRed = true
+	var results []MutantResult
+	for _, m := range mutants {
+		if ctx.Err() != nil {
+			break
+		}
+		mutation.Set(m.ID)
+		report := Run(ctx, o, io.Discard)
+		mutation.Set("")
+		r := MutantResult{Mutant: m, Cells: len(report.Outcomes)}
+		if red := report.Red(); len(red) > 0 {
+			r.Cell = red[0].Cell.Name()
+			r.Problem = red[0].Problems[0]
+		}
+		results = append(results, r)
+		fmt.Fprintln(out, r.line())
+	}
+	return results
+}
+
+func (r *MutantResult) line() string {
+	if !r.Caught() {
+		return fmt.Sprintf("%-4s %-28s not caught in %d cells", r.Guarantee, r.ID, r.Cells)
+	}
+	return fmt.Sprintf("%-4s %-28s caught by %q in %s after %d cells: %s", r.Guarantee, r.ID, r.Problem.Check, r.Cell,
+		r.Cells, r.Problem.Detail)
+}
--- a/internal/matrix/port.go
+++ b/internal/matrix/port.go
@@ -231,19 +231,45 @@
 
 // Dial implements upstream.Port.
 func (p *port) Dial(ctx context.Context, m upstream.Member, c upstream.Claim) (upstream.Conn, error) {
-	var conn upstream.Conn
+	d := &dialing{keep: p.keep}
 	_, err := p.operate(ctx, StepDial, m, func(ctx context.Context) (upstream.MemberStatus, error) {
-		opened, err := p.inner.Dial(ctx, m, c)
+		conn, err := p.inner.Dial(ctx, m, c)
 		if err == nil {
-			conn = opened
+			d.opened(conn)
 		}
 		return upstream.MemberStatus{}, err
 	})
 	if err != nil {
-		if conn != nil {
-			p.keep(conn)
-		}
+		d.abandon()
 		return nil, err
 	}
-	return &faultyConn{inner: conn, port: p, kinds: make(map[string]statementKind), closed: make(chan struct{})}, nil
+	return &faultyConn{inner: d.conn, port: p, kinds: make(map[string]statementKind), closed: make(chan struct{})}, nil
+}
+
+// dialing is a connection that may open after its home gave up; it then stays open on the member's side.
+type dialing struct {
+	keep func(upstream.Conn)
+
+	mu        sync.Mutex
+	conn      upstream.Conn
+	abandoned bool
+}
+
+func (d *dialing) opened(c upstream.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.abandoned {
+		d.keep(c)
+		return
+	}
+	d.conn = c
+}
+
+func (d *dialing) abandon() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.abandoned = true
+	if d.conn != nil {
+		d.keep(d.conn)
+	}
 }
--- a/internal/matrix/run.go
+++ b/internal/matrix/run.go
@@ -66,6 +66,8 @@
 	Seed uint64
 	// Parallel is the number of cells that run at once; 0 means DefaultParallel.
 	Parallel int
+	// StopAtRed starts no more cells once one was red.
+	StopAtRed bool
 	// Verbose prints each cell as it ends.
 	Verbose bool
 }
@@ -80,6 +82,8 @@
 // Run runs the cells. It stops early when ctx ends.
 func Run(ctx context.Context, o Options, progress io.Writer) Report {
 	started := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	outcomes := make([]Outcome, len(o.Cells))
 	var workers errgroup.Group
 	workers.SetLimit(max(o.Parallel, 0))
@@ -92,6 +96,9 @@
 				return ctx.Err()
 			}
 			outcomes[i] = RunCell(c, o.Seed)
+			if o.StopAtRed && len(outcomes[i].Problems) > 0 {
+				cancel()
+			}
 			if o.Verbose {
 				fmt.Fprintln(progress, outcomes[i].line())
 			}
--- a/internal/matrix/settings.go
+++ b/internal/matrix/settings.go
@@ -70,11 +70,14 @@
 // configure puts the configuration in force at all instances and notes its contracts.
 func (w *world) configure(c *config.Cluster) {
 	from := time.Now()
-	w.snapshot.Store(config.NewSnapshot(c))
+	old := w.snapshot.Swap(config.NewSnapshot(c))
 	w.mu.Lock()
 	homes := slices.Clone(w.homes)
 	for _, customer := range c.Customers {
 		k := customer.Contracts[c.Preset]
+		if before, ok := contractIn(old, customer.Name); ok && before == k {
+			continue
+		}
 		w.contracts = append(w.contracts, check.Contract{
 			Customer: customer.Name, From: from, By: from.Add(presetBy), Rate: k.RatePerSecond, Burst: k.Burst,
 		})
@@ -90,6 +93,8 @@
 
 // change puts a changed copy of the configuration in force.
 func (w *world) change(f func(*config.Cluster)) {
+	w.changes.Lock()
+	defer w.changes.Unlock()
 	c := *w.snapshot.Load().Cluster()
 	c.Version++
 	c.OperationID = fmt.Sprintf("operation-%d", c.Version)
@@ -118,3 +123,18 @@
 		}
 	}
 }
+
+func contractIn(s *config.Snapshot, customer string) (config.Contract, bool) {
+	if s == nil {
+		return config.Contract{}, false
+	}
+	return s.Contract(customer)
+}
+
+// drain notes that the member must get no new work.
+func (w *world) drain(id upstream.MemberID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = id
+	w.drainingSince = time.Now()
+}
--- a/internal/matrix/table.go
+++ b/internal/matrix/table.go
@@ -160,8 +160,14 @@
 	Injections []Injection
 }
 
-// Name returns protocol/step/moment/fault, for pairs with a second step/moment/fault after a plus sign.
+// noFault is the second part of the name of a cell without injections.
+const noFault = "no-fault"
+
+// Name returns protocol/no-fault for a cell without injections, otherwise protocol/step/moment/fault, for pairs with a second step/moment/fault after a plus sign.
 func (c Cell) Name() string {
+	if len(c.Injections) == 0 {
+		return string(c.Protocol) + "/" + noFault
+	}
 	parts := make([]string, len(c.Injections))
 	for i, in := range c.Injections {
 		parts[i] = in.String()
@@ -176,10 +182,11 @@
 	return h.Sum64() ^ run
 }
 
-// Cells returns every fault at every moment of every step of every protocol.
+// Cells returns every protocol without a fault, and with every fault at every moment of every step.
 func Cells() []Cell {
 	var cells []Cell
 	for _, p := range protocolSteps {
+		cells = append(cells, Cell{Protocol: p.protocol})
 		for _, in := range injections(p.steps) {
 			cells = append(cells, Cell{Protocol: p.protocol, Injections: []Injection{in}})
 		}
@@ -238,6 +245,9 @@
 func Parse(name string) (Cell, error) {
 	protocol, rest, _ := strings.Cut(name, "/")
 	c := Cell{Protocol: Protocol(protocol)}
+	if rest == noFault {
+		return c, nil
+	}
 	for _, text := range strings.Split(rest, "+") {
 		in, ok := findInjection(c.Protocol, text)
 		if !ok {
--- a/internal/matrix/workload.go
+++ b/internal/matrix/workload.go
@@ -104,8 +104,8 @@
 		part := newClient(c.w, clientCount+i, c.customer, c.group)
 		wg.Go(func() {
 			for !until() {
-				if part.run(part.insert()) == check.OutcomeNotRun && homeIsElsewhere(part.log[len(part.log)-1].Code) {
-					time.Sleep(5 * time.Millisecond)
+				if part.run(part.insert()) != check.OutcomeOK {
+					wait(c.w.ctx, followPause) // a refusal at once must not become a busy loop
 				}
 			}
 			logs[i] = part.log
@@ -214,6 +214,7 @@
 		for {
 			c.reconnect()
 			if c.run(c.update(c.row)) == check.OutcomeOK && c.run(c.read(c.row)) == check.OutcomeOK {
+				w.assertDrained(c)
 				break
 			}
 			if time.Now().After(deadline) {
@@ -235,6 +236,9 @@
 
 // settle returns how long the workload of the cell goes on after its last fault.
 func (c Cell) settle() time.Duration {
+	if len(c.Injections) == 0 {
+		return outage + settle
+	}
 	for _, in := range c.Injections {
 		switch in.Fault {
 		case FaultKillPrimary, FaultIsolate, FaultLag:
--- a/internal/matrix/world.go
+++ b/internal/matrix/world.go
@@ -89,7 +89,12 @@
 	next        int
 	contracts   []check.Contract
 	withdrawals []check.Withdrawal
-	problems    []Problem
+	// draining is the member that a fault told to drain.
+	draining      upstream.MemberID
+	drainingSince time.Time
+	// changes orders the changes of the configuration.
+	changes  sync.Mutex
+	problems []Problem
 }
 
 func newWorld(cell Cell, seed uint64) (*world, error) {
