Judge inserts that were told to have failed, and repeat planned moves in the control cell

The matrix sample of 120 cells did not catch the deliberate faults retry-write and cut-drain: a repeated insert ends in an error about the duplicate row, and one move seldom meets an open transaction.

--- a/cmd/celerystep-load/mutants.go
+++ b/cmd/celerystep-load/mutants.go
@@ -19,7 +19,7 @@
 func mutantsCommand(app *kingpin.Application) command {
 	c := app.Command("mutants", "Run the matrix with each deliberate fault; needs the build tag mutants.")
 	only := c.Flag("only", "Run only the deliberate fault with this name.").String()
-	cells := c.Flag("cells", "Number of cells in the sample.").Default("200").Int()
+	cells := c.Flag("cells", "Number of cells besides those of the tests.").Default("200").Int()
 	seed := c.Flag("seed", "Seed of the sample and of the random choices.").Default("1").Uint64()
 	return command{clause: c, run: func(ctx context.Context, _ hclog.Logger) error {
 		if !mutation.Enabled {
@@ -31,7 +31,7 @@
 				mutants = append(mutants, m)
 			}
 		}
-		o := matrix.Options{Cells: matrix.Sample(matrix.Cells(), *cells, *seed), Seed: *seed}
+		o := matrix.Options{Cells: append(matrix.ShortCells(), matrix.Sample(matrix.Cells(), *cells, *seed)...), Seed: *seed}
 		caught := 0
 		results := matrix.RunMutants(ctx, o, mutants, os.Stdout)
 		for i := range results {
--- a/internal/matrix/inject.go
+++ b/internal/matrix/inject.go
@@ -53,17 +53,6 @@
 	return list
 }
 
-func (in *injector) anyFired() bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for _, p := range in.plan {
-		if p.fired {
-			return true
-		}
-	}
-	return false
-}
-
 // next returns the injection due at the point, if any.
 func (in *injector) next(p Point) (Fault, bool) {
 	in.mu.Lock()
--- a/internal/matrix/judge.go
+++ b/internal/matrix/judge.go
@@ -28,6 +28,8 @@
 	AssertPlanned = "G13 request cut without a fault"
 	// AssertDrained: a member that is leaving or whose domain is out gets no new work after SpreadBound (G8, G12).
 	AssertDrained = "G8 G12 new work on a member that must drain"
+	// AssertNoEffect: a write that was refused or answered with an error has no effect (G10, G11).
+	AssertNoEffect = "G11 effect of a write that failed"
 	// AssertStandin: the stand-in group itself works.
 	AssertStandin = "stand-in group"
 	// AssertStart: the cell can be set up.
@@ -79,6 +81,26 @@
 	w.assertWithdrawn(in)
 	w.assertTagged(in)
 	w.assertPlanned(in)
+	w.assertNoEffect(in)
+}
+
+// assertNoEffect looks for the rows of inserts whose callers were told that they have no effect. A retry of an insert that
+// took effect shows as an error about the duplicate row. Inserts run outside of transactions.
+func (w *world) assertNoEffect(in *check.Input) {
+	present := make(map[string]bool)
+	for _, f := range in.Finals {
+		for _, v := range f.Rows {
+			present[v.Row.ID] = true
+		}
+	}
+	for i := range in.Operations {
+		op := &in.Operations[i]
+		refused := op.Outcome == check.OutcomeFailed || op.Outcome == check.OutcomeNotRun
+		if op.Kind == check.KindInsert && refused && present[op.Row.ID] {
+			w.problem(AssertNoEffect, "insert %s ended %s %s, but its row exists", op.Statement, op.Outcome, op.Code)
+			return
+		}
+	}
 }
 
 // assertPlanned judges cells without injections: no request of a customer within its rate may end otherwise than done. A
--- a/internal/matrix/mutants.go
+++ b/internal/matrix/mutants.go
@@ -13,9 +13,9 @@
 	mutation.Mutant
 	// Cells is the number of cells that ran up to the first red one.
 	Cells int
-	// Cell and Problem are the first that was red; Cell is empty when none was.
-	Cell    string
-	Problem Problem
+	// Cell is the first that was red, empty when none was; Problems is what its checks found.
+	Cell     string
+	Problems []Problem
 }
 
 // Caught reports whether a check found the fault.
@@ -36,7 +36,7 @@
 		r := MutantResult{Mutant: m, Cells: len(report.Outcomes)}
 		if red := report.Red(); len(red) > 0 {
 			r.Cell = red[0].Cell.Name()
-			r.Problem = red[0].Problems[0]
+			r.Problems = red[0].Problems
 		}
 		results = append(results, r)
 		fmt.Fprintln(out, r.line())
@@ -48,6 +48,9 @@
 	if !r.Caught() {
 		return fmt.Sprintf("%-4s %-28s not caught in %d cells", r.Guarantee, r.ID, r.Cells)
 	}
-	return fmt.Sprintf("%-4s %-28s caught by %q in %s after %d cells: %s", r.Guarantee, r.ID, r.Problem.Check, r.Cell,
-		r.Cells, r.Problem.Detail)
+	text := fmt.Sprintf("%-4s %-28s caught after %d cells, in %s", r.Guarantee, r.ID, r.Cells, r.Cell)
+	for _, p := range r.Problems {
+		text += fmt.Sprintf("\n         by %s: %s", p.Check, p.Detail)
+	}
+	return text
 }
--- a/internal/matrix/table.go
+++ b/internal/matrix/table.go
@@ -275,5 +275,11 @@
 // shortCells is the size of the sample that the tests run.
 const shortCells = 40
 
-// ShortCells returns the fixed sample that the tests run.
-func ShortCells() []Cell { return Sample(Cells(), shortCells, 1) }
+// ShortCells returns the fixed sample that the tests run: each protocol without a fault, and cells with one.
+func ShortCells() []Cell {
+	var list []Cell
+	for _, p := range protocolSteps {
+		list = append(list, Cell{Protocol: p.protocol})
+	}
+	return append(list, Sample(Cells(), shortCells, 1)...)
+}
--- a/internal/matrix/workload.go
+++ b/internal/matrix/workload.go
@@ -1,6 +1,7 @@
 package matrix
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 	// roundPause keeps the histories of cells that wait for a slow step short, because judging them takes longer than
 	// running them.
 	roundPause = 10 * time.Millisecond
+	// plannedRepeats is the number of planned moves in a cell without a fault, movePause the time between them.
+	plannedRepeats = 8
+	movePause      = 30 * time.Millisecond
 	// reachLimit bounds the time that a workload goes on until the fault has fired.
 	reachLimit = 2500 * time.Millisecond
 	// settle is how long the workload goes on after the fault, so that it meets its consequences. A fault of the primary
@@ -195,13 +199,33 @@
 	case ProtocolSwitchover:
 		w.switchover()
 	case ProtocolMove:
-		w.move(mainGroup)
+		for range w.repeats() {
+			w.move(mainGroup)
+			wait(w.ctx, movePause)
+		}
+	}
+}
+
+// repeats returns how often a planned change is carried out: several times in a cell without a fault, so that it meets
+// transactions at different points.
+func (w *world) repeats() int {
+	if len(w.cell.Injections) == 0 {
+		return plannedRepeats
 	}
+	return 1
 }
 
+// switchover orders a switchover, again while it is refused: the home may not have heard all members yet.
 func (w *world) switchover() {
-	h := w.homeOf(mainGroup)
-	_, _ = h.manager.Switchover(w.ctx, mainGroup, "", "matrix")
+	ctx, cancel := context.WithTimeout(w.ctx, reachLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		_, err := w.homeOf(mainGroup).manager.Switchover(ctx, mainGroup, "", "matrix")
+		if err == nil || len(w.in.unfired()) < len(w.cell.Injections) {
+			return
+		}
+		wait(ctx, lateBy)
+	}
 }
 
 // verifyService waits until every group serves a write and an own read of each entitled caller after the faults healed.
