Let a transaction that may hold locks go beyond a member's slots

Cause: writes outside of transactions waited in all slots of the primary for the lock of an open transaction, and its COMMIT waited for one of these slots. Change: when all slots are taken and no statement ended on the member for 20 ms, one statement of an open transaction goes beyond the slots.

--- a/internal/home/call.go
+++ b/internal/home/call.go
@@ -276,6 +276,9 @@
 	if wake, ok := g.queue.Wake(); ok {
 		g.wakeBy(wake)
 	}
+	if wake, ok := g.stuckWake(g.now()); ok {
+		g.wakeBy(wake)
+	}
 }
 
 // wakeBy makes the loop run at t at the latest.
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -57,22 +57,55 @@
 
 func (g *Group) dispatchPinned(now time.Time) {
 	for _, m := range g.members {
-		for g.pool.Load(m.spec.ID).FreeSlots > 0 {
-			c, ok := g.pop(m.class, now)
-			if !ok {
-				break
-			}
-			cn := c.session.conn
-			if cn == nil || !g.pool.Resume(cn.id) {
-				g.queue.Done(c.ticket, 0, now)
-				g.refuse(c, c.notRun(retry.CodeTransactionLost, "transaction", errTransactionLost))
-				continue
-			}
-			g.grant(c, cn, now)
+		for g.pool.Load(m.spec.ID).FreeSlots > 0 && g.resumeNext(m, g.pool.Resume, now) {
+		}
+		if at, ok := g.stuckAt(m, now); ok && !now.Before(at) {
+			m.progress = now
+			g.resumeNext(m, g.pool.ResumeBeyond, now)
 		}
 	}
 }
 
+// resumeNext gives the next statement of an open transaction on the member its slot, and reports whether there was one.
+func (g *Group) resumeNext(m *member, resume func(pool.ConnID) bool, now time.Time) bool {
+	c, ok := g.pop(m.class, now)
+	if !ok {
+		return false
+	}
+	cn := c.session.conn
+	if cn == nil || !resume(cn.id) {
+		g.queue.Done(c.ticket, 0, now)
+		g.refuse(c, c.notRun(retry.CodeTransactionLost, "transaction", errTransactionLost))
+		return true
+	}
+	g.grant(c, cn, now)
+	return true
+}
+
+// slotPatience is the time without any statement ended on a member after which an open transaction may go beyond its
+// slots: the statements in the slots may wait for locks that this transaction holds, and would do so until their
+// deadlines. It is several times the service time of an ordinary statement, 1 ms.
+const slotPatience = 20 * time.Millisecond
+
+// stuckAt returns when the next statement of an open transaction may go beyond the member's slots.
+func (g *Group) stuckAt(m *member, now time.Time) (time.Time, bool) {
+	if g.pool.Load(m.spec.ID).FreeSlots > 0 || !g.queue.Ready(m.class, now) {
+		return time.Time{}, false
+	}
+	return m.progress.Add(slotPatience), true
+}
+
+// stuckWake returns when a member's slots count as stuck.
+func (g *Group) stuckWake(now time.Time) (time.Time, bool) {
+	var wake time.Time
+	for _, m := range g.members {
+		if at, ok := g.stuckAt(m, now); ok && (wake.IsZero() || at.Before(wake)) {
+			wake = at
+		}
+	}
+	return wake, !wake.IsZero()
+}
+
 // primaryServes reports whether new work may go to the primary: it is announced, no majority reports a higher term, its
 // status is fresh, and it is not suspect. What a suspect primary is sent ends as outcome unknown.
 func (g *Group) primaryServes(now time.Time) bool {
--- a/internal/home/execute.go
+++ b/internal/home/execute.go
@@ -287,8 +287,11 @@
 	now := g.now()
 	held := now.Sub(c.granted)
 	g.queue.Done(c.ticket, held, now)
-	if m := g.member(cn.member); m != nil && c.r.Kind == request.KindRead && c.sent {
-		m.latency.Add(held)
+	if m := g.member(cn.member); m != nil {
+		m.progress = now
+		if c.r.Kind == request.KindRead && c.sent {
+			m.latency.Add(held)
+		}
 	}
 	c.state = callNew
 	c.conn = nil
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -265,6 +265,7 @@
 	earlier(g.queue.Wake())
 	earlier(g.rounds.due, true)
 	earlier(g.parkedWake())
+	earlier(g.stuckWake(now))
 	earlier(g.askWake())
 	return wait
 }
--- a/internal/home/members.go
+++ b/internal/home/members.go
@@ -29,8 +29,10 @@
 	// streaming is true between the first status of a stream and its end.
 	streaming bool
 	statusAt  time.Time
-	out       bool
-	latency   router.LatencyAverage
+	// progress is when a statement last ended on the member, or went beyond its slots.
+	progress time.Time
+	out      bool
+	latency  router.LatencyAverage
 }
 
 // addMember starts the status stream and the status requests of a member.
--- a/internal/home/transaction_test.go
+++ b/internal/home/transaction_test.go
@@ -204,3 +204,28 @@
 		w.is.Equal(a.types()[500], byte('C'))
 	})
 }
+
+// Guards against a transaction whose COMMIT waits for slots that are taken by statements which wait for its locks. Found
+// by the fault matrix: the connection was ended as idle in transaction, and the outcome of the COMMIT was unknown.
+func TestLockHolderIsNotKeptWaitingForASlot(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		run(m, query("s", "BEGIN"))
+		run(m, query("s", "INSERT"))
+		blocked := make(chan request.Result, 3)
+		for i := range 3 {
+			go func() { res, _ := run(m, query(name(i), "SLEEP 3s")); blocked <- res }()
+		}
+		time.Sleep(time.Millisecond)
+		for _, text := range []string{"INSERT", "COMMIT"} {
+			start := time.Now()
+			res, _ := run(m, query("s", text))
+			w.is.Equal(res.Outcome, request.OutcomeDone)
+			w.is.True(time.Since(start) < 2*slotPatience)
+		}
+		for range 3 {
+			w.is.Equal((<-blocked).Outcome, request.OutcomeDone)
+		}
+	})
+}
--- a/internal/pool/transitions.go
+++ b/internal/pool/transitions.go
@@ -58,6 +58,18 @@
 	return true
 }
 
+// ResumeBeyond is Resume without the bound on slots. It is for a transaction that may hold the locks for which the
+// statements in all slots wait.
+func (p *Pool) ResumeBeyond(id ConnID) bool {
+	c, ok := p.conns[id]
+	if !ok || c.state != StateTransaction {
+		return false
+	}
+	c.state = StateBusy
+	c.member.busy++
+	return true
+}
+
 // Park ends a statement that left a transaction open: the slot is free, the connection stays with its session.
 func (p *Pool) Park(id ConnID) {
 	c, ok := p.conns[id]
