--- a/internal/matrix/disturb.go
+++ b/internal/matrix/disturb.go
@@ -14,7 +14,7 @@
 
 const (
 	// outage is how long a killed or isolated primary stays away.
-	outage = 500 * time.Millisecond
+	outage = 600 * time.Millisecond
 	// farBehind is the time by which replicas apply late.
 	farBehind = 400 * time.Millisecond
 	// pauseLimit ends a pause when no other home manages to claim.
@@ -39,7 +39,11 @@
 	case FaultIsolate:
 		id := w.primary()
 		g.Isolate(id)
-		w.healAfter(outage, func() { g.Heal(id) })
+		w.setIsolated(id)
+		w.healAfter(outage, func() {
+			w.setIsolated("")
+			g.Heal(id)
+		})
 	case FaultLag:
 		for _, m := range g.Upstream().Members {
 			g.SetLag(m.ID, 0, farBehind)
@@ -308,3 +312,16 @@
 		Customer: withdrawnCustomer, Key: keyOf(withdrawnCustomer), At: time.Now(),
 	})
 }
+
+// isolatedMember returns the member whose status connections are cut, or "".
+func (w *world) isolatedMember() upstream.MemberID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isolated
+}
+
+func (w *world) setIsolated(id upstream.MemberID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isolated = id
+}
--- a/internal/matrix/port.go
+++ b/internal/matrix/port.go
@@ -32,6 +32,8 @@
 	late  *sync.WaitGroup
 	// keep takes connections that stay open on the member's side although the home closed them.
 	keep func(upstream.Conn)
+	// isolated names the member whose status connections are cut, while statements on open connections go on.
+	isolated func() upstream.MemberID
 
 	mu      sync.Mutex
 	streams map[upstream.MemberID]*stream
@@ -44,8 +46,9 @@
 	failed error
 }
 
-func newPort(inner upstream.Port, in *injector, h *homeInstance, late *sync.WaitGroup, keep func(upstream.Conn)) *port {
-	return &port{inner: inner, in: in, home: h, late: late, keep: keep, streams: make(map[upstream.MemberID]*stream)}
+func newPort(inner upstream.Port, in *injector, h *homeInstance, w *world) *port {
+	return &port{inner: inner, in: in, home: h, late: &w.late, keep: w.keep, isolated: w.isolatedMember,
+		streams: make(map[upstream.MemberID]*stream)}
 }
 
 type call func(context.Context) (upstream.MemberStatus, error)
@@ -58,6 +61,9 @@
 	if before != "" {
 		return p.beforeSend(ctx, before, step, m, run)
 	}
+	if p.isolated() == m.ID {
+		return p.withhold(ctx, FaultSilent, step, m)
+	}
 	after := p.in.at(step, AfterSend, p.home)
 	s, err := run(ctx)
 	p.home.gate.pass()
@@ -163,6 +169,10 @@
 	if p.isMuted(s) {
 		return
 	}
+	if p.isolated() == m.ID {
+		p.breakStream(m.ID, FaultSilent)
+		return
+	}
 	if fault := p.in.at(StepWatch, AfterSend, p.home); fault != "" {
 		if fault == FaultDelay {
 			wait(ctx, streamSilence+lateBy)
--- a/internal/matrix/table.go
+++ b/internal/matrix/table.go
@@ -96,7 +96,8 @@
 	FaultPause       Fault = "pause-home"
 	FaultKillHome    Fault = "kill-home"
 	FaultKillPrimary Fault = "kill-primary"
-	// FaultIsolate cuts the primary off from the other members; it goes on believing that it leads.
+	// FaultIsolate cuts the primary off from the other members and from the homes' status connections; it goes on
+	// believing that it leads, and statements on open connections still reach it.
 	FaultIsolate Fault = "isolate-primary"
 	// FaultLag keeps all replicas far behind in applying.
 	FaultLag       Fault = "lag"
--- a/internal/matrix/world.go
+++ b/internal/matrix/world.go
@@ -89,6 +89,8 @@
 	next        int
 	contracts   []check.Contract
 	withdrawals []check.Withdrawal
+	// isolated is the member that a fault cut off.
+	isolated upstream.MemberID
 	// draining is the member that a fault told to drain.
 	draining      upstream.MemberID
 	drainingSince time.Time
@@ -200,7 +202,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	h.ports = append(h.ports, p)
-	return newPort(p, w.in, h, &w.late, w.keep)
+	return newPort(p, w.in, h, w)
 }
 
 // keep holds a connection that its home closed while it was silent.
