Do not call a refused retry not run

Found by the pair statement/receive-begin/after-send/withdraw-key+receive-read/after-answer/silent of the fault matrix. TestRefusedRetryIsNotCalledNotRun fails without the change.

--- a/internal/home/outcome_test.go
+++ b/internal/home/outcome_test.go
@@ -211,3 +211,30 @@
 		w.is.Equal(res.Code, retry.CodeAuthentication)
 	})
 }
+
+// Guards against a false "not run" when a repeated attempt is refused (G10). Found by the fault matrix.
+func TestRefusedRetryIsNotCalledNotRun(t *testing.T) {
+	for text, code := range map[string]string{"SELECT 1": retry.CodeReadFailed, "INSERT": retry.CodeUnknown} {
+		simulate(t, nil, func(w *world) {
+			m := w.home("h1")
+			defer m.Close()
+			w.g.set(func() {
+				for _, member := range w.g.members {
+					member.fault = func(sent string) fakeFault {
+						if sent != text {
+							return faultNone
+						}
+						w.configure(func(c *config.Cluster) { c.Customers[0].Keys[0].Withdrawn = true })
+						return faultAfter
+					}
+				}
+			})
+			r := query("s", text)
+			r.Idempotent = true
+			res, _ := run(m, r)
+			w.is.Equal(w.g.count(text), 1)
+			w.is.Equal(res.Outcome, request.OutcomeUnknown)
+			w.is.Equal(res.Code, code)
+		})
+	}
+}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -14,6 +14,7 @@
 	"github.com/celerystep/celerystep/internal/retry"
 	"github.com/celerystep/celerystep/internal/router"
 	"github.com/celerystep/celerystep/internal/session"
+	"github.com/celerystep/celerystep/internal/upstream"
 )
 
 // failure ends an attempt.
@@ -235,10 +236,22 @@
 // failed ends a request that is not retried. A transaction that it left open or belonged to is rolled back, and its
 // session must end it before it can run anything else.
 func (g *Group) failed(c *call, f *failure) request.Result {
-	if g.loseTransaction(c, f.Error) {
-		return g.result(c, f.Error, 'E')
+	e := c.afterAttempts(f.Error)
+	if g.loseTransaction(c, e) {
+		return g.result(c, e, 'E')
 	}
-	return g.result(c, f.Error, 'I')
+	return g.result(c, e, 'I')
+}
+
+// afterAttempts corrects the refusal of a repeated attempt: an earlier one was sent, so the request may have run.
+func (c *call) afterAttempts(e *retry.Error) *retry.Error {
+	if e.Outcome != request.OutcomeNotRun || c.attempt == 0 {
+		return e
+	}
+	if e.Code == retry.CodeCanceled {
+		return c.failure(request.OutcomeUnknown, e.Code, e.Step, e.Peer, e.Err)
+	}
+	return c.unknown(e.Step, upstream.MemberID(e.Peer), e.Err)
 }
 
 // retryAfter decides on a failed attempt and waits out the delay before the next.
