--- a/internal/home/call.go
+++ b/internal/home/call.go
@@ -189,6 +189,9 @@
 	c.granted = now
 	c.replica = cn.member != g.primary
 	c.prepaid = true
+	if m := g.member(cn.member); m != nil {
+		m.progress = now
+	}
 	if c.r.Kind == request.KindWrite && !cn.writing {
 		cn.writing = true
 		g.writers++
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -60,7 +60,6 @@
 		for g.pool.Load(m.spec.ID).FreeSlots > 0 && g.resumeNext(m, g.pool.Resume, now) {
 		}
 		if at, ok := g.stuckAt(m, now); ok && !now.Before(at) {
-			m.progress = now
 			g.resumeNext(m, g.pool.ResumeBeyond, now)
 		}
 	}
@@ -82,7 +81,7 @@
 	return true
 }
 
-// slotPatience is the time without any statement ended on a member after which an open transaction may go beyond its
+// slotPatience is the time without any statement begun or ended on a member after which an open transaction may go beyond its
 // slots: the statements in the slots may wait for locks that this transaction holds, and would do so until their
 // deadlines. It is several times the service time of an ordinary statement, 1 ms.
 const slotPatience = 20 * time.Millisecond
--- a/internal/home/members.go
+++ b/internal/home/members.go
@@ -29,7 +29,7 @@
 	// streaming is true between the first status of a stream and its end.
 	streaming bool
 	statusAt  time.Time
-	// progress is when a statement last ended on the member, or went beyond its slots.
+	// progress is when a statement last began or ended on the member.
 	progress time.Time
 	out      bool
 	latency  router.LatencyAverage
--- a/internal/home/transaction_test.go
+++ b/internal/home/transaction_test.go
@@ -227,5 +227,14 @@
 		for range 3 {
 			w.is.Equal((<-blocked).Outcome, request.OutcomeDone)
 		}
+		run(m, query("s", "BEGIN"))
+		time.Sleep(time.Second)
+		for i := range 3 {
+			go func() { res, _ := run(m, query(name(i), "SLEEP 10ms")); blocked <- res }()
+		}
+		time.Sleep(time.Millisecond)
+		start := time.Now()
+		run(m, query("s", "INSERT"))
+		w.is.True(time.Since(start) >= 9*time.Millisecond) // statements that only run keep their slots
 	})
 }
