--- a/cmd/celerystep-load/main.go
+++ b/cmd/celerystep-load/main.go
@@ -37,7 +37,7 @@
 func newCommandLine() (*kingpin.Application, []command) {
 	app := kingpin.New("celerystep-load", "Measures a fleet under load and faults, and checks its guarantees.")
 	return app, []command{
-		runCommand(app), compareCommand(app), reportCommand(app), listCommand(app), pathCommand(app), capacityCommand(app),
+		runCommand(app), compareCommand(app), reportCommand(app), listCommand(app), pathCommand(app), capacityCommand(app), matrixCommand(app), mutantsCommand(app),
 	}
 }
 
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -114,7 +115,7 @@
 		return nil, false
 	}
 	for i := range c.Keys {
-		if c.Keys[i].Name == key && !c.Keys[i].Withdrawn {
+		if c.Keys[i].Name == key && (!c.Keys[i].Withdrawn || mutation.On(mutation.AcceptWithdrawnKeys)) {
 			return &c.Keys[i], true
 		}
 	}
@@ -134,7 +135,9 @@
 }
 
 // DomainOut reports whether operators have taken the failure domain out.
-func (s *Snapshot) DomainOut(d instance.FailureDomain) bool { return s.out[d] }
+func (s *Snapshot) DomainOut(d instance.FailureDomain) bool {
+	return s.out[d] && !mutation.On(mutation.IgnoreDomainOut)
+}
 
 // MainGroup returns the group at whose home the customer's bucket lives.
 func (s *Snapshot) MainGroup(customer string) (upstream.GroupID, bool) {
--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -82,7 +83,7 @@
 		}
 	}
 	// Any fenced majority has every acknowledged record.
-	if len(candidates) >= m.majority() {
+	if len(candidates) >= m.majority() || mutation.On(mutation.PromoteWithoutMajority) && len(candidates) > 0 {
 		m.choose(candidates, now)
 		return
 	}
