--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -2,6 +2,7 @@
 package audit
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -145,13 +146,13 @@
 	maxValueBytes = 256
 )
 
-// clip cuts a record to its bounds.
+// clip cuts a record to its bounds. The inputs are copied, because their array may be shared with another record.
 func (r *Record) clip() {
 	r.Cause = clipText(r.Cause, maxCauseBytes)
 	r.Text = clipText(r.Text, maxCauseBytes)
 	r.Operator = clipText(r.Operator, maxValueBytes)
 	r.Trace = request.TraceID(clipText(string(r.Trace), maxValueBytes))
-	r.Inputs = r.Inputs[:min(len(r.Inputs), maxInputs)]
+	r.Inputs = slices.Clone(r.Inputs[:min(len(r.Inputs), maxInputs)])
 	for i := range r.Inputs {
 		r.Inputs[i].Key = clipText(r.Inputs[i].Key, maxValueBytes)
 		r.Inputs[i].Value = clipText(r.Inputs[i].Value, maxValueBytes)
--- a/internal/fleet/groups.go
+++ b/internal/fleet/groups.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -10,6 +9,7 @@
 	"github.com/celerystep/celerystep/internal/check"
 	"github.com/celerystep/celerystep/internal/experiment"
 	"github.com/celerystep/celerystep/internal/standin/group"
+	"github.com/celerystep/celerystep/internal/statementlog"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -141,29 +141,7 @@
 		if dropped > 0 {
 			return nil, errors.Errorf("member %s did not keep %d statements", m.ID, dropped)
 		}
-		for i := range log {
-			all = append(all, statement(id, &log[i]))
-		}
+		all = append(all, statementlog.Convert(id, log)...)
 	}
 	return all, nil
 }
-
-func statement(id upstream.GroupID, l *group.LoggedStatement) check.Statement {
-	s := check.Statement{
-		Group:       id,
-		Member:      l.Member,
-		Role:        l.Role,
-		Connection:  uint64(l.Connection),
-		Transaction: l.Transaction,
-		Owner:       l.Owner,
-		Customer:    l.Customer,
-		Text:        l.SQL,
-		Start:       l.Time,
-		Position:    l.Position,
-		Code:        l.State,
-	}
-	for _, a := range l.Args {
-		s.Params = append(s.Params, fmt.Sprint(a))
-	}
-	return s
-}
--- a/internal/matrix/judge.go
+++ b/internal/matrix/judge.go
@@ -7,7 +7,7 @@
 
 	"github.com/celerystep/celerystep/internal/check"
 	"github.com/celerystep/celerystep/internal/home"
-	"github.com/celerystep/celerystep/internal/standin/group"
+	"github.com/celerystep/celerystep/internal/statementlog"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -153,7 +153,7 @@
 		if dropped > 0 {
 			w.problem(AssertStandin, "%d statements of member %s were not logged", dropped, m.ID)
 		}
-		in.Statements = append(in.Statements, statementsOf(id, log)...)
+		in.Statements = append(in.Statements, statementlog.Convert(id, log)...)
 	}
 	primary := primaryOf(w, id)
 	s := g.Status(primary)
@@ -169,54 +169,6 @@
 	in.Finals = append(in.Finals, final)
 }
 
-// statementsOf converts a member's log. Members do not log BEGIN and COMMIT, so a transaction of several statements gets
-// them here, because package check finds the borders of transactions by them.
-func statementsOf(id upstream.GroupID, log []group.LoggedStatement) []check.Statement {
-	count := make(map[uint64]int)
-	for _, s := range log {
-		count[s.Transaction]++
-	}
-	seen := make(map[uint64]int)
-	var out []check.Statement
-	for _, s := range log {
-		x := convert(id, s)
-		total := count[s.Transaction]
-		seen[s.Transaction]++
-		if total > 1 && seen[s.Transaction] == 1 {
-			out = append(out, border(x, "BEGIN"))
-		}
-		out = append(out, x)
-		if total > 1 && seen[s.Transaction] == total {
-			out = append(out, lastBorder(x, s.Outcome))
-		}
-	}
-	return out
-}
-
-func convert(id upstream.GroupID, s group.LoggedStatement) check.Statement {
-	x := check.Statement{Group: id, Member: s.Member, Connection: uint64(s.Connection), Owner: s.Owner,
-		Customer: s.Customer, Text: s.SQL, Start: s.Time, Position: s.Position, Code: s.State}
-	for _, a := range s.Args {
-		x.Params = append(x.Params, fmt.Sprint(a))
-	}
-	if s.Outcome != group.OutcomeOpen {
-		x.End = s.Time
-	}
-	return x
-}
-
-func border(x check.Statement, text string) check.Statement {
-	x.Text, x.Params, x.Code = text, nil, ""
-	return x
-}
-
-func lastBorder(x check.Statement, o group.Outcome) check.Statement {
-	if o == group.OutcomeCommitted {
-		return border(x, "COMMIT")
-	}
-	return border(x, "ROLLBACK")
-}
-
 func (w *world) assertWithdrawn(in *check.Input) {
 	for _, wd := range in.Withdrawals {
 		for i := range in.Operations {
--- a/internal/matrix/matrix_test.go
+++ b/internal/matrix/matrix_test.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"os"
-	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
 	"github.com/celerystep/celerystep/internal/check"
-	"github.com/celerystep/celerystep/internal/standin/group"
 )
 
 // Guards against goroutines that outlive a cell.
@@ -69,21 +66,3 @@
 	c.kinds["p"] = kindRead
 	is.Equal(c.classify(p), kindRead)
 }
-
-// Guards against transactions of the groups' logs that lose their borders, so that mixing is not seen.
-func TestStatementsOf(t *testing.T) {
-	is := is.New(t)
-	at := time.Unix(1, 0)
-	log := []group.LoggedStatement{
-		{Time: at, Connection: 1, Transaction: 1, SQL: "a", Outcome: group.OutcomeCommitted},
-		{Time: at, Connection: 2, Transaction: 2, SQL: "b", Outcome: group.OutcomeRolledBack},
-		{Time: at, Connection: 1, Transaction: 1, SQL: "c", Outcome: group.OutcomeCommitted},
-		{Time: at, Connection: 2, Transaction: 2, SQL: "d", Outcome: group.OutcomeRolledBack},
-		{Time: at, Connection: 1, Transaction: 3, SQL: "e", Outcome: group.OutcomeOpen},
-	}
-	var texts []string
-	for _, s := range statementsOf(mainGroup, log) {
-		texts = append(texts, s.Text)
-	}
-	is.Equal(strings.Join(texts, " "), "BEGIN a BEGIN b c COMMIT d ROLLBACK e")
-}
