Name claims by process and explain takeovers and isolation

Cause: two live processes with one instance id could hold the same generation, because members accept it again from the same owner; a takeover was recorded with the cause "start", an isolation with unknown peers, and member facts as dumps of several hundred characters. Change: the owner of a claim carries the start time of the process; claims are recorded with why the group had no home; inputs are short sentences.

--- a/internal/daemon/audit.go
+++ b/internal/daemon/audit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/audit"
+	"github.com/celerystep/celerystep/internal/failover"
 	"github.com/celerystep/celerystep/internal/home"
 )
 
@@ -48,10 +49,25 @@
 		r.Inputs = append(r.Inputs, audit.Input{Key: "peer", Value: string(e.Member)})
 	}
 	for _, m := range e.Members {
-		r.Inputs = append(r.Inputs, audit.Input{Key: "member." + string(m.Member), Value: fmt.Sprintf("%+v", m)})
+		r.Inputs = append(r.Inputs, audit.Input{Key: "member." + string(m.Member), Value: describeInput(&m)})
 	}
 	if r.Time.IsZero() {
 		r.Time = time.Now()
 	}
 	h.trail.Record(r)
 }
+
+// describeInput says in a few words what was known of a member.
+func describeInput(m *failover.MemberInput) string {
+	if !m.Known {
+		return "never heard"
+	}
+	text := fmt.Sprintf("%s term %d log %s", m.Role, m.Term, m.LogEnd)
+	if m.PrimarySilence > 0 {
+		text += fmt.Sprintf(", primary unheard for %d ms", m.PrimarySilence.Milliseconds())
+	}
+	if m.Unreachable {
+		text += ", unreachable"
+	}
+	return text
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,6 +18,7 @@
 	"github.com/celerystep/celerystep/internal/gossip"
 	"github.com/celerystep/celerystep/internal/home"
 	"github.com/celerystep/celerystep/internal/homes"
+	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/link"
 	"github.com/celerystep/celerystep/internal/membership"
 	"github.com/celerystep/celerystep/internal/peer"
@@ -152,13 +154,33 @@
 	if on {
 		kind, cause = audit.KindIsolated, "neither the store nor most peers answer"
 	}
-	d.trail.Record(audit.Record{Kind: kind, Cause: cause})
+	reached, known := d.reach()
+	d.trail.Record(audit.Record{Kind: kind, Cause: cause, Inputs: []audit.Input{
+		{Key: "reached_peers", Value: strconv.Itoa(reached)},
+		{Key: "known_peers", Value: strconv.Itoa(known)},
+	}})
+}
+
+// reach counts the other instances that are live and those that are known.
+func (d *Daemon) reach() (live, known int) {
+	view := d.service.View()
+	for m := range view.Members() {
+		if m.ID == d.info.ID {
+			continue
+		}
+		known++
+		if view.State(m.ID) == instance.StateLive {
+			live++
+		}
+	}
+	return live, known
 }
 
 func (d *Daemon) buildHomes() {
 	runner := &homeRunner{self: d.info.ID, service: d.service}
 	d.manager = home.NewManager(home.Options{
 		Info:     d.info,
+		Owner:    claimOwner(d.info.ID, d.started),
 		Port:     d.options.Port,
 		Snapshot: d.keeper.Snapshot,
 		Locate:   d.locator.Home,
@@ -192,6 +214,15 @@
 	})
 }
 
+// claimOwner names this process towards group members: the start time tells it from another process with the same
+// instance id, such as one that was replaced and still runs.
+func claimOwner(id instance.ID, started time.Time) instance.ID {
+	return id + ownerSeparator + instance.ID(strconv.FormatInt(started.UnixMicro(), 36))
+}
+
+// ownerSeparator stands between the instance id and the start time of a claim's owner.
+const ownerSeparator = "#"
+
 // newAdmitter returns the client for admissions at other homes; it finds the manager when it is called.
 func (d *Daemon) newAdmitter() *admissionClient {
 	return newAdmissionClient(d.info.ID, d.locator, lateManager{d}, d.calls)
@@ -205,24 +236,47 @@
 	return m.daemon.manager.Admit(ctx, g, items)
 }
 
-// recordDecision records what became of a decision about a home. Claims are recorded by the home itself.
+// claimCauses says in words why an instance claims a group.
+var claimCauses = map[homes.Cause]string{
+	homes.CauseNoOwner:    "no instance was known as its home",
+	homes.CauseOwnerDead:  "its home is dead",
+	homes.CauseReleased:   "its home gave it up",
+	homes.CauseOwnRestart: "this instance was its home before a restart",
+}
+
+// recordDecision records what became of a decision about a home.
 func (d *Daemon) recordDecision(decision homes.Decision, err error) {
-	if decision.Action != homes.ActionRelease {
+	r := audit.Record{Group: decision.Group, Generation: decision.Generation}
+	switch decision.Action {
+	case homes.ActionRelease:
+		r.Kind, r.Cause = audit.KindHomeHandedOver, string(decision.Cause)
+		r.Inputs = []audit.Input{{Key: "to", Value: string(decision.To)}}
+	case homes.ActionClaim:
+		if err != nil {
+			return // logged by the coordinator; another instance may have been first
+		}
+		r.Kind, r.Cause = audit.KindHomeClaimed, claimCauses[decision.Cause]
+		r.Generation = d.generation(decision.Group)
+		r.Inputs = []audit.Input{{Key: "previous_owner", Value: string(decision.Owner)}}
+	default:
 		return
 	}
-	r := audit.Record{
-		Kind:       audit.KindHomeHandedOver,
-		Cause:      string(decision.Cause),
-		Group:      decision.Group,
-		Generation: decision.Generation,
-		Inputs:     []audit.Input{{Key: "to", Value: string(decision.To)}},
-	}
 	if err != nil {
 		r.Inputs = append(r.Inputs, audit.Input{Key: "error", Value: err.Error()})
 	}
 	d.trail.Record(r)
 }
 
+// generation returns the generation in which this instance holds the group, or 0.
+func (d *Daemon) generation(g upstream.GroupID) uint64 {
+	for _, o := range d.manager.Owned() {
+		if o.Group == g {
+			return o.Generation
+		}
+	}
+	return 0
+}
+
 func (d *Daemon) startServers(g *errgroup.Group) {
 	d.startPeers(g)
 	metrics := &http.Server{Handler: d.httpMux(), ReadHeaderTimeout: httpHeaderTimeout}
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -163,7 +163,7 @@
 func (g *Group) addDecisions(seed uint64) {
 	source := func(stream uint64) rand.Source { return rand.NewPCG(seed, stream) }
 	g.tracker = quorum.New(nil)
-	g.machine = failover.New(failover.Config{Group: g.id, Owner: g.o.Info.ID, Timing: g.o.Timing}, source(1))
+	g.machine = failover.New(failover.Config{Group: g.id, Owner: g.o.Owner, Timing: g.o.Timing}, source(1))
 	g.pool = pool.New(rand.New(source(2)))
 	g.router = router.New(router.DefaultPolicy(), source(3))
 	g.retry = retry.NewPolicy(rand.New(source(4)))
--- a/internal/home/options.go
+++ b/internal/home/options.go
@@ -110,6 +110,9 @@
 // Options configures a Manager. Info, Port and Snapshot are required.
 type Options struct {
 	Info instance.Info
+	// Owner is the name under which members accept claims. It must differ between two processes with one instance id,
+	// because a member accepts a generation again from the same owner. Empty means the instance id.
+	Owner instance.ID
 	// Port returns the port to a group.
 	Port func(upstream.Group) upstream.Port
 	// Snapshot returns the configuration in force.
@@ -140,6 +143,9 @@
 }
 
 func (o *Options) setDefaults() {
+	if o.Owner == "" {
+		o.Owner = o.Info.ID
+	}
 	if o.Audit == nil {
 		o.Audit = discardAudit{}
 	}
--- a/internal/statementlog/statementlog.go
+++ b/internal/statementlog/statementlog.go
@@ -3,8 +3,10 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/standin/group"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -18,6 +20,12 @@
 	return out
 }
 
+// instanceOf cuts the start time of the process off the owner of a claim.
+func instanceOf(owner instance.ID) instance.ID {
+	id, _, _ := strings.Cut(string(owner), "#")
+	return instance.ID(id)
+}
+
 func convert(id upstream.GroupID, l *group.LoggedStatement) check.Statement {
 	s := check.Statement{
 		Group:       id,
@@ -25,7 +33,7 @@
 		Role:        l.Role,
 		Connection:  uint64(l.Connection),
 		Transaction: l.Transaction,
-		Owner:       l.Owner,
+		Owner:       instanceOf(l.Owner),
 		Customer:    l.Customer,
 		Text:        l.SQL,
 		Start:       l.Time,
