Test that the store is asked when peers fail

Change: a test of the in-force decisions with a peer that announces a version and does not give it out. Result: go test -race -run TestStoreIsAsked ./internal/config passes; it fails with the fallback removed.

--- a/internal/config/keeper_test.go
+++ b/internal/config/keeper_test.go
@@ -255,3 +255,22 @@
 	left := slices.DeleteFunc(live, func(i instance.Info) bool { return i.ID != "i0" })
 	is.Equal(Watchers(left), map[instance.ID]bool{"i0": true})
 }
+
+// Guards against an instance that never learns of a version because the peer that announced it does not give it out:
+// after several tries the store is asked.
+func TestStoreIsAskedWhenPeersFail(t *testing.T) {
+	is := is.New(t)
+	m := newInForce(rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	ref := Ref{Version: 3}
+	actions := m.heardFrom(now, ref, "a")
+	for range maxSourceFailures {
+		is.Equal(actions, []action{{kind: actionLoad, ref: ref, peer: "a"}})
+		actions = m.loaded(now, ref, "a", loadFailed)
+		now = now.Add(lastLoadRetry)
+		actions = append(actions, m.tick(now)...)
+	}
+	is.Equal(actions, []action{{kind: actionReadRoot}})
+	is.Equal(m.storeAnswered(now, ref), []action{{kind: actionLoad, ref: ref}}) // a peer was heard, so no wait
+	is.Equal(m.loaded(now, ref, "", loadOK), []action{{kind: actionInstall, ref: ref}})
+}
