--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -292,3 +292,18 @@
 	}
 	is.Equal(Tokens(encode(&pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Execute{}, &pgproto3.Sync{})), 2)
 }
+
+// Guards against a search path of several schemas that is set as one identifier, and against a value that smuggles SQL.
+func TestSettingStatement(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ name, value, want string }{
+		{"search_path", `"$user", public`, `SET search_path TO "$user", public`},
+		{"search_path", `public; DROP TABLE t`, `SET search_path = 'public; DROP TABLE t'`},
+		{"search_path", `"a"b", c`, `SET search_path = '"a"b", c'`},
+		{"timezone", "Indian/Mauritius", "SET timezone = 'Indian/Mauritius'"},
+	} {
+		got, err := Setting{Name: c.name, Value: c.value}.statement()
+		is.NoErr(err)
+		is.Equal(got, c.want)
+	}
+}
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -5,6 +5,7 @@
 package exchange
 
 import (
+	"regexp"
 	"slices"
 	"strings"
 
@@ -90,9 +91,19 @@
 	if strings.ContainsRune(c.Value, 0) {
 		return "", errors.Errorf("setting %q: value contains a zero byte", c.Name)
 	}
+	if c.Name == listSetting && identifierList.MatchString(c.Value) {
+		return "SET " + c.Name + " TO " + c.Value, nil
+	}
 	return "SET " + c.Name + " = " + quote(c.Value), nil
 }
 
+// listSetting is the one setting of a session that holds a list of identifiers. As a string literal the whole list would
+// be taken for one identifier.
+const listSetting = "search_path"
+
+// identifierList matches identifiers separated by commas, each plain or in double quotes.
+var identifierList = regexp.MustCompile(`^(?:[a-z_][a-z0-9_$]*|"(?:[^"\x00]|"")+")(?:, *(?:[a-z_][a-z0-9_$]*|"(?:[^"\x00]|"")+"))*$`)
+
 // quote returns v as a string literal. The escape form is used when v contains a backslash, so that the result does
 // not depend on standard_conforming_strings.
 func quote(v string) string {
