Do not call a request not run after a lost try; replace cut-off primaries sooner

A primary that its replicas cannot hear was replaced after 1.95 s, of which 1.5 s only waited although no write can be acknowledged meanwhile. Ruled out: the home's own retries, which the matrix had covered. Change: the dispatcher reports 08006 or 08007 when an earlier try was sent; failover.Timing.Isolation (500 ms) takes the place of CutOff for this case. Result: TestDispatchOutcomes fails before and passes after; go test ./internal/failover ./internal/home ./internal/matrix ./internal/entry: ok.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -133,6 +133,11 @@
 	ctx context.Context, sh *flightShard, f *flight, r *request.Request, a request.Answer,
 ) request.Result {
 	t := &attempt{deadline: time.Now().Add(r.Timeout), answer: countedAnswer{Answer: a}}
+	return t.truthful(r, d.try(ctx, sh, f, t, r))
+}
+
+// try runs the request until it has a result that is not worth another try.
+func (d *Dispatcher) try(ctx context.Context, sh *flightShard, f *flight, t *attempt, r *request.Request) request.Result {
 	result := noHome
 	for {
 		target, ok := d.target(r.Group, t.hint)
@@ -183,6 +188,20 @@
 	wait     time.Duration
 }
 
+// truthful returns the result of all tries together: "not run" is true only if no try was lost after it had been sent.
+func (t *attempt) truthful(r *request.Request, result request.Result) request.Result {
+	if t.losses == 0 || result.Outcome != request.OutcomeNotRun {
+		return result
+	}
+	result.Outcome = request.OutcomeUnknown
+	result.Message = "an earlier try was lost after it had been sent, and no later one succeeded"
+	result.Code = pgwire.CodeUnknownOutcome
+	if r.Kind == request.KindRead {
+		result.Code = pgwire.CodeConnectionFailure
+	}
+	return result
+}
+
 // again reports whether the request may be tried again after the result.
 func (t *attempt) again(r *request.Request, result *request.Result) bool {
 	if t.answer.started {
--- a/internal/entry/dispatcher_test.go
+++ b/internal/entry/dispatcher_test.go
@@ -67,6 +67,14 @@
 	refused = request.Result{Outcome: request.OutcomeNotRun, Code: "53400"}
 )
 
+// earlierLost is the result when a try was lost and a later one was refused: it must not say that nothing was run.
+func earlierLost(code string) request.Result {
+	return request.Result{
+		Code:    code,
+		Message: "an earlier try was lost after it had been sent, and no later one succeeded",
+	}
+}
+
 func (n *network) dispatcher() *Dispatcher {
 	return NewDispatcher("a", n.runners["a"], n, n, nil, nil)
 }
@@ -140,6 +148,8 @@
 		{"idempotent write", idempotent, []request.Result{unknown, done}, "", done, 2},
 		{"begin", begin, []request.Result{lost, done}, "", lost, 1},
 		{"refused", read("s"), []request.Result{refused, done}, "", refused, 1},
+		{"read lost, then refused", read("s"), []request.Result{lost, refused}, "", earlierLost("08006"), 2},
+		{"idempotent write lost, then refused", idempotent, []request.Result{unknown, refused}, "", earlierLost("08007"), 2},
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/failover/evaluate.go
+++ b/internal/failover/evaluate.go
@@ -123,13 +123,13 @@
 	m.considerMove(now)
 }
 
-// isolated reports whether a majority of members has not heard the primary for CutOff although this home hears it.
+// isolated reports whether a majority of members has not heard the primary for Isolation although this home hears it.
 // No write can be acknowledged then. The state must last for Silence, because a member that has just been told to follow
 // still reports the silence from before.
 func (m *Machine) isolated(now time.Time) bool {
 	n := 0
 	for _, k := range m.members {
-		if m.current(k, now) && k.status.Term == m.term && k.status.Role == upstream.RoleReplica && k.status.PrimarySilence >= m.timing.CutOff {
+		if m.current(k, now) && k.status.Term == m.term && k.status.Role == upstream.RoleReplica && k.status.PrimarySilence >= m.timing.Isolation {
 			n++
 		}
 	}
--- a/internal/failover/timing.go
+++ b/internal/failover/timing.go
@@ -18,6 +18,9 @@
 	// role. It is also how long members are left
 	// alone that another home claimed or another promoter fenced, as long as they are a minority.
 	CutOff time.Duration
+	// Isolation is the PrimarySilence that a majority of replicas must report before a primary that the home still hears
+	// counts as cut off from them. No write is acknowledged meanwhile, so waiting longer only lengthens the gap.
+	Isolation time.Duration
 	// BackoffMin and BackoffMax bound the wait before a new attempt after a stale term.
 	BackoffMin time.Duration
 	BackoffMax time.Duration
@@ -39,6 +42,7 @@
 		OperationTimeout: 300 * time.Millisecond,
 		StepTimeout:      time.Second,
 		CutOff:           1500 * time.Millisecond,
+		Isolation:        500 * time.Millisecond,
 		BackoffMin:       100 * time.Millisecond,
 		BackoffMax:       2 * time.Second,
 		HoldLimit:        2500 * time.Millisecond,
@@ -70,6 +74,7 @@
 		{&t.OperationTimeout, &d.OperationTimeout},
 		{&t.StepTimeout, &d.StepTimeout},
 		{&t.CutOff, &d.CutOff},
+		{&t.Isolation, &d.Isolation},
 		{&t.BackoffMin, &d.BackoffMin},
 		{&t.BackoffMax, &d.BackoffMax},
 		{&t.HoldLimit, &d.HoldLimit},
--- a/internal/matrix/world.go
+++ b/internal/matrix/world.go
@@ -45,6 +45,7 @@
 	OperationTimeout: 150 * time.Millisecond,
 	StepTimeout:      400 * time.Millisecond,
 	CutOff:           700 * time.Millisecond,
+	Isolation:        250 * time.Millisecond,
 	BackoffMin:       20 * time.Millisecond,
 	BackoffMax:       200 * time.Millisecond,
 	HoldLimit:        400 * time.Millisecond,
