Keep a refused request's transaction open so that its end rolls it back

The transaction kept its locks until the member ended it, and no write of the group was acknowledged meanwhile. Ruled out: the entry's handling of ended sessions, which does send End. Change: a refusal reports the transaction status that the home holds. Result: TestRefusedRequestLeavesItsTransactionOpen fails before and passes after; go test ./internal/home ./internal/entry ./internal/matrix: ok.

--- a/internal/home/outcome_test.go
+++ b/internal/home/outcome_test.go
@@ -1,7 +1,9 @@
 package home
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/celerystep/celerystep/internal/config"
@@ -247,3 +249,24 @@
 		})
 	}
 }
+
+// Guards against a refused request that reports its session's open transaction as ended: the entry instance then never
+// sends End, and the transaction keeps its locks. Found by kestrel/key-withdrawal.
+func TestRefusedRequestLeavesItsTransactionOpen(t *testing.T) {
+	simulate(t, nil, func(w *world) {
+		m := w.home("h1")
+		defer m.Close()
+		run(m, query("s", "BEGIN"))
+		run(m, query("s", "INSERT"))
+		w.configure(func(c *config.Cluster) { c.Customers[0].Keys[0].Withdrawn = true })
+		m.ConfigChanged()
+		r := query("s", "INSERT")
+		r.InTransaction = true
+		res, _ := run(m, r)
+		w.is.Equal(res.Code, retry.CodeAuthentication)
+		w.is.Equal(res.TxStatus, byte('T'))
+		m.End(context.Background(), "g1", "s")
+		synctest.Wait()
+		w.is.Equal(w.g.count("ROLLBACK"), 1)
+	})
+}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -53,7 +53,7 @@
 
 // refused counts and returns the result of a request that did not get past its checks.
 func (g *Group) refused(c *call, e *retry.Error) request.Result {
-	res := g.result(c, e, 'I')
+	res := g.result(c, e, g.txStatus(c.r.Session))
 	var m *customerMetrics
 	if c.customer != nil {
 		m = c.customer.metrics
@@ -62,6 +62,17 @@
 	return res
 }
 
+// txStatus returns the transaction status of a session whose request was refused. An open transaction stays open: were
+// it reported as idle, the entry instance would not send the End that rolls it back, and its locks would stay.
+func (g *Group) txStatus(id request.SessionID) byte {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.sessions[id]; s != nil && s.conn != nil && g.phase != phaseClosed {
+		return 'T'
+	}
+	return 'I'
+}
+
 // result converts the failure to a result. A request refused because the home is elsewhere names it if it is known.
 func (g *Group) result(c *call, e *retry.Error, txStatus byte) request.Result {
 	res := e.Result(txStatus)
