Keep a group that is being acquired instead of disowning it

The log shows that i5 took the group over, announced it before it was listed as owned, and then disowned it as if a former process with its id had held it. Change: Coordinator.disown leaves groups alone that are being acquired or are owned by now. Its checks are unchanged. Result: go test ./internal/gossip ./internal/homes: ok; go test -race -count=3 -run TestWriteThenReadElsewhere ./internal/fleet: ok 25.4 s.

--- a/internal/gossip/move.go
+++ b/internal/gossip/move.go
@@ -62,7 +62,11 @@
 }
 
 // disown announces a group as released that a former process with this id held.
+// A group that this process acquires or holds by now is kept: its home may be announced before it is listed as owned.
 func (c *Coordinator) disown(d homes.Decision) {
+	if c.holds(d.Group) {
+		return
+	}
 	if home, ok := c.opts.Service.Home(d.Group); ok && home.Owner == c.self {
 		home.Released = true
 		c.opts.Service.AnnounceHome(home)
@@ -70,6 +74,14 @@
 	c.report(d, nil)
 }
 
+// holds reports whether this process is the home of the group or is about to be.
+func (c *Coordinator) holds(g upstream.GroupID) bool {
+	c.mu.Lock()
+	acquiring := c.acquiring[g]
+	c.mu.Unlock()
+	return acquiring || slices.Contains(c.opts.Manager.Owned(), g)
+}
+
 func (c *Coordinator) claim(ctx context.Context, d homes.Decision) error {
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
