--- /dev/null
+++ b/internal/caller/router.go
@@ -0,0 +1,153 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/fleetlink"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// ownerWaitShare is the part of a route's target for which a statement waits for a new owner.
+	ownerWaitShare = 4
+	// ownerRetryAfter is told to callers whose group has no owner.
+	ownerRetryAfter = 150 * time.Millisecond
+)
+
+// Claims tells who owns the groups.
+type Claims interface {
+	// Current returns the known claim, whether this process holds it, and a channel that is closed when that changes.
+	Current(g upstream.GroupID) (claim ownership.Claim, mine bool, changed <-chan struct{})
+	// OwnerEnded reports proof that the claim's process has ended.
+	OwnerEnded(claim ownership.Claim)
+}
+
+// Router sends operations to the owners of their groups. It implements operation.Runner.
+type Router struct {
+	Local   operation.Runner
+	Peers   *fleetlink.Peers
+	Claims  Claims
+	Catalog func() *catalog.Catalog
+	// CatchUp asks for a configuration of at least the revision.
+	CatchUp func(ctx context.Context, revision uint64)
+	Clock   boottime.Clock
+	Log     hclog.Logger
+}
+
+// Run implements operation.Runner.
+func (r *Router) Run(ctx context.Context, q *operation.Request) operation.Response {
+	started := r.Clock()
+	route := r.Catalog().Routes[q.Database]
+	patience := ownerRetryAfter
+	timeout := 2 * time.Second
+	if route != nil {
+		patience = max(route.Target/ownerWaitShare, 20*time.Millisecond)
+		timeout = max(route.Timeout, patience)
+	}
+	// The owner watches the statement's time limit; this one is for an owner that is lost.
+	ctx, cancel := context.WithTimeout(ctx, timeout+150*time.Millisecond)
+	defer cancel()
+	elapsed := q.Elapsed
+	for {
+		claim, mine, changed := r.Claims.Current(q.Group)
+		resp, err := r.call(ctx, q, claim, mine)
+		if err == nil && !resp.NotOwner {
+			if resp.CatalogRevision > r.Catalog().Revision {
+				go r.CatchUp(context.WithoutCancel(ctx), resp.CatalogRevision)
+			}
+			return resp
+		}
+		if err != nil && !notDone(err) {
+			return r.lost(ctx, q, claim, err)
+		}
+		if q.InTransaction {
+			return r.refuse(q, statement.CodeAborted, "the owner of the transaction has ended", claim, err, 0)
+		}
+		left := patience - r.Clock().Sub(started)
+		if left <= 0 || !waitChange(ctx, changed, left) {
+			return r.refuse(q, statement.CodeBusy, "the group has no owner that can be reached", claim, err, ownerRetryAfter)
+		}
+		q.Elapsed = elapsed + r.Clock().Sub(started)
+	}
+}
+
+// call sends the request to the claim's owner.
+func (r *Router) call(ctx context.Context, q *operation.Request, claim ownership.Claim, mine bool) (operation.Response, error) {
+	if mine {
+		return r.Local.Run(ctx, q), nil
+	}
+	if claim.Address == "" {
+		return operation.Response{}, errNoOwner
+	}
+	resp, err := r.Peers.At(claim.Address).Run(ctx, q)
+	if errors.Is(err, fleetlink.ErrRefused) {
+		r.Claims.OwnerEnded(claim)
+	}
+	return resp, err
+}
+
+var errNoOwner = errors.New("the group has no owner")
+
+// notDone reports whether the request surely was not carried out.
+func notDone(err error) bool {
+	return errors.Is(err, errNoOwner) || errors.Is(err, fleetlink.ErrRefused) || errors.Is(err, fleetlink.ErrUnreached)
+}
+
+// lost answers a request whose owner may have carried it out.
+func (r *Router) lost(ctx context.Context, q *operation.Request, claim ownership.Claim, err error) operation.Response {
+	commits := q.Statement.Kind == statement.KindCommit
+	inTransaction := q.InTransaction || q.Begin != statement.KindInvalid
+	switch {
+	case inTransaction && !commits:
+		// Nobody has asked for the commit, and the owner rolls back what is left open.
+		go r.End(context.WithoutCancel(ctx), q.Group, q.Session)
+		return r.refuse(q, statement.CodeAborted, "the connection to the owner broke in the transaction", claim, err, ownerRetryAfter)
+	case commits || q.Statement.Writes():
+		return r.refuse(q, statement.CodeInDoubt, "the owner's answer was lost", claim, err, 0)
+	case ctx.Err() != nil:
+		return r.refuse(q, statement.CodeTimeout, "no answer from the owner", claim, err, 0)
+	default:
+		return r.refuse(q, statement.CodeFailed, "the connection to the owner broke", claim, err, 0)
+	}
+}
+
+func (r *Router) refuse(q *operation.Request, code statement.Code, detail string, claim ownership.Claim, err error, after time.Duration) operation.Response {
+	r.Log.Info("not served by an owner", "request", q.Statement.ID, "kind", q.Statement.Kind, "database", q.Database, "group", q.Group,
+		"owner", claim.Owner, "claim", claim.Revision, "outcome", code, "reason", detail, "error", err)
+	return operation.Refuse(code, detail, after)
+}
+
+// End implements operation.Runner.
+func (r *Router) End(ctx context.Context, g upstream.GroupID, s operation.SessionID) {
+	r.Local.End(ctx, g, s)
+	claim, mine, _ := r.Claims.Current(g)
+	if mine || claim.Address == "" {
+		return
+	}
+	if err := r.Peers.At(claim.Address).End(ctx, g, s); err != nil {
+		r.Log.Debug("could not end a transaction at its owner; it ends when it is idle", "group", g, "owner", claim.Owner, "error", err)
+	}
+}
+
+// waitChange waits until the channel is closed. It returns false when the time is over first.
+func waitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,197 @@
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/statement"
+)
+
+const (
+	// startTimeout bounds the time for a caller to say who it is.
+	startTimeout = 5 * time.Second
+	// drainSpread is the time over which idle sessions are closed during a shutdown.
+	drainSpread = 1500 * time.Millisecond
+)
+
+// Start is what a caller says when it connects.
+type Start struct {
+	Database string
+	Key      string
+}
+
+// Codec speaks a wire protocol on one connection.
+type Codec interface {
+	ReadStart() (Start, error)
+	// Ready accepts the session, Reject refuses it; the connection is closed afterwards.
+	Ready() error
+	Reject(code statement.Code, detail string) error
+	// Read returns the next statement; its Kind is KindInvalid when it cannot be read. An error ends the session.
+	Read() (statement.Statement, error)
+	Write(id string, r operation.Response) error
+}
+
+// Server accepts callers.
+type Server struct {
+	Instance instance.ID
+	Catalog  func() *catalog.Catalog
+	Runner   operation.Runner
+	NewCodec func(net.Conn) Codec
+	Clock    boottime.Clock
+	Log      hclog.Logger
+	Metrics  *Metrics
+
+	numbers  atomic.Uint64
+	draining atomic.Bool
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	wg       sync.WaitGroup
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.mu.Lock()
+	s.conns = make(map[net.Conn]struct{})
+	s.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			s.Log.Warn("accept failed", "error", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		s.wg.Add(1)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go s.serve(ctx, c)
+	}
+}
+
+// Sessions returns the number of open connections.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Drain closes sessions as they become idle. It returns when all are closed or ctx ends; then it closes the rest.
+func (s *Server) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	s.mu.Lock()
+	for c := range s.conns {
+		// An idle session wakes up from its read at this time and ends.
+		_ = c.SetReadDeadline(time.Now().Add(rand.N(drainSpread)))
+	}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		s.mu.Lock()
+		s.Log.Info("closing the sessions that did not end in time", "sessions", len(s.conns))
+		for c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) forget(c net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	_ = c.Close()
+	s.wg.Done()
+}
+
+// serve runs one session.
+func (s *Server) serve(ctx context.Context, c net.Conn) {
+	defer s.forget(c)
+	codec := s.NewCodec(c)
+	session := s.open(c, codec)
+	if session == nil {
+		return
+	}
+	s.Metrics.Sessions.Inc()
+	defer s.Metrics.Sessions.Dec()
+	defer session.Close(ctx)
+	for {
+		st, err := codec.Read()
+		if err != nil {
+			if s.keepReading(c, session, err) {
+				continue
+			}
+			return
+		}
+		started := time.Now()
+		resp := session.Do(ctx, st)
+		s.Metrics.observe(st.Kind, resp.Code, time.Since(started))
+		if err := codec.Write(st.ID, resp); err != nil {
+			s.Log.Debug("caller is gone", "session", session.id.Number, "request", st.ID, "error", err)
+			return
+		}
+		if s.draining.Load() && session.State() == statement.TxIdle {
+			return
+		}
+	}
+}
+
+// keepReading reports whether a session whose read was woken up has to go on because it is in a transaction.
+func (s *Server) keepReading(c net.Conn, session *Session, err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || session.State() == statement.TxIdle {
+		return false
+	}
+	return c.SetReadDeadline(time.Time{}) == nil
+}
+
+// open reads the start of a session. It returns nil when the caller was refused.
+func (s *Server) open(c net.Conn, codec Codec) *Session {
+	_ = c.SetReadDeadline(time.Now().Add(startTimeout))
+	start, err := codec.ReadStart()
+	if err != nil {
+		return nil
+	}
+	deadline := time.Time{}
+	if s.draining.Load() {
+		deadline = time.Now().Add(rand.N(drainSpread))
+	}
+	_ = c.SetReadDeadline(deadline)
+	session := &Session{
+		id:       operation.SessionID{Instance: s.Instance, Number: s.numbers.Add(1)},
+		database: start.Database,
+		key:      start.Key,
+		catalog:  s.Catalog,
+		runner:   s.Runner,
+		clock:    s.Clock,
+	}
+	if code := session.Check(); code != statement.CodeOK {
+		s.Metrics.Rejected.WithLabelValues(code.String()).Inc()
+		s.Log.Info("session rejected", "database", start.Database, "code", code, "version", s.Catalog().Version)
+		_ = codec.Reject(code, "no such database or key")
+		return nil
+	}
+	if codec.Ready() != nil {
+		return nil
+	}
+	return session
+}
--- /dev/null
+++ b/internal/caller/session.go
@@ -0,0 +1,246 @@
+// Package caller serves callers' sessions: it keeps their values, prepared statements and transactions, answers what needs
+// no member, and sends the rest to the owner of the group. It knows no wire protocol; a Codec speaks it.
+package caller
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// maxValues and maxPrepared bound what one session may keep.
+	maxValues   = 200
+	maxPrepared = 500
+)
+
+// Session is the state of one caller's session. It is used by one goroutine.
+type Session struct {
+	id       operation.SessionID
+	database string
+	key      string
+	catalog  func() *catalog.Catalog
+	runner   operation.Runner
+	clock    boottime.Clock
+
+	values   map[string]string
+	prepared map[string]statement.Prepared
+	state    statement.TxState
+	// begin is the kind of transaction that the next statement opens, when none has been sent to a member yet.
+	begin statement.Kind
+	// open is true while a member holds the session's transaction in group.
+	open  bool
+	group upstream.GroupID
+	// floor is the position of the session's last own commit.
+	floor position.Position
+}
+
+// State returns the transaction state.
+func (s *Session) State() statement.TxState { return s.state }
+
+// Check tells whether the session may be opened: CodeOK, or why not.
+func (s *Session) Check() statement.Code {
+	_, code := s.route()
+	return code
+}
+
+// route returns the session's route under the configuration in force.
+func (s *Session) route() (*catalog.Route, statement.Code) {
+	c := s.catalog()
+	r := c.Routes[s.database]
+	switch {
+	case r == nil:
+		return nil, statement.CodeUnknownDatabase
+	case !r.Public && c.Holder(s.key) == nil:
+		return nil, statement.CodeUnauthenticated
+	default:
+		return r, statement.CodeOK
+	}
+}
+
+// Do runs one statement of the session.
+func (s *Session) Do(ctx context.Context, st statement.Statement) operation.Response {
+	arrived := s.clock()
+	if s.state == statement.TxFailed {
+		return s.doFailed(ctx, st)
+	}
+	switch st.Kind {
+	case statement.KindBegin, statement.KindBeginRead:
+		return s.doBegin(st)
+	case statement.KindRollback:
+		return s.doRollback(ctx)
+	case statement.KindSet:
+		return s.doSet(st)
+	case statement.KindPrepare:
+		return s.doPrepare(st)
+	case statement.KindDeallocate:
+		return s.doDeallocate(st)
+	case statement.KindExecute:
+		p, ok := s.prepared[st.Name]
+		if !ok {
+			return s.fail(statement.CodeUnknownStatement, "no statement is prepared under the name")
+		}
+		st.Prepared = p
+		return s.forward(ctx, st, arrived)
+	case statement.KindRead, statement.KindWrite:
+		return s.forward(ctx, st, arrived)
+	case statement.KindCommit:
+		if s.state == statement.TxIdle {
+			return s.fail(statement.CodeMalformed, "no transaction is open")
+		}
+		return s.forward(ctx, st, arrived)
+	default:
+		return s.fail(statement.CodeMalformed, "the statement cannot be read")
+	}
+}
+
+// doFailed accepts only the end of a failed transaction.
+func (s *Session) doFailed(ctx context.Context, st statement.Statement) operation.Response {
+	switch st.Kind {
+	case statement.KindRollback:
+		return s.doRollback(ctx)
+	case statement.KindCommit:
+		s.end(ctx)
+		return s.answer(statement.Answer{Code: statement.CodeAborted, Detail: "the transaction had failed and was rolled back"})
+	default:
+		return s.answer(statement.Answer{Code: statement.CodeMalformed, Detail: "the transaction has failed; only its end is accepted"})
+	}
+}
+
+func (s *Session) doBegin(st statement.Statement) operation.Response {
+	if s.state != statement.TxIdle {
+		return s.fail(statement.CodeMalformed, "a transaction is open")
+	}
+	if _, code := s.route(); code != statement.CodeOK {
+		return s.answer(statement.Answer{Code: code, Detail: "the route or the key is not in force any more"})
+	}
+	s.state, s.begin = statement.TxOpen, st.Kind
+	return s.done()
+}
+
+func (s *Session) doRollback(ctx context.Context) operation.Response {
+	s.end(ctx)
+	return s.done()
+}
+
+// end leaves the transaction; a member rolls it back if one holds it.
+func (s *Session) end(ctx context.Context) {
+	if s.open {
+		group := s.group
+		go s.runner.End(context.WithoutCancel(ctx), group, s.id)
+	}
+	s.state, s.begin, s.open = statement.TxIdle, statement.KindInvalid, false
+}
+
+func (s *Session) doSet(st statement.Statement) operation.Response {
+	if _, known := s.values[st.Name]; !known && len(s.values) >= maxValues {
+		return s.fail(statement.CodeFailed, "too many session values")
+	}
+	// Requests on their way share the old map.
+	next := maps.Clone(s.values)
+	if next == nil {
+		next = make(map[string]string)
+	}
+	next[st.Name] = st.Value
+	s.values = next
+	return s.done()
+}
+
+func (s *Session) doPrepare(st statement.Statement) operation.Response {
+	if len(s.prepared) >= maxPrepared {
+		return s.fail(statement.CodeFailed, "too many prepared statements")
+	}
+	if s.prepared == nil {
+		s.prepared = make(map[string]statement.Prepared)
+	}
+	s.prepared[st.Name] = st.Prepared
+	return s.done()
+}
+
+func (s *Session) doDeallocate(st statement.Statement) operation.Response {
+	if _, ok := s.prepared[st.Name]; !ok {
+		return s.fail(statement.CodeUnknownStatement, "no statement is prepared under the name")
+	}
+	delete(s.prepared, st.Name)
+	return s.done()
+}
+
+// done answers a statement that celerystep serves itself.
+func (s *Session) done() operation.Response { return s.answer(statement.Answer{}) }
+
+func (s *Session) answer(a statement.Answer) operation.Response {
+	a.State = s.state
+	return operation.Response{Answer: a}
+}
+
+// fail answers a statement that failed; an open transaction fails with it.
+func (s *Session) fail(code statement.Code, detail string) operation.Response {
+	if s.state == statement.TxOpen {
+		s.state = statement.TxFailed
+	}
+	return s.answer(statement.Answer{Code: code, Detail: detail})
+}
+
+// forward sends the statement to the group's owner.
+func (s *Session) forward(ctx context.Context, st statement.Statement, arrived time.Time) operation.Response {
+	if !s.open {
+		route, code := s.route()
+		if code != statement.CodeOK {
+			return s.fail(code, "the route or the key is not in force any more")
+		}
+		s.group = route.Group
+	}
+	r := &operation.Request{
+		Session:         s.id,
+		Group:           s.group,
+		Database:        s.database,
+		Key:             s.key,
+		CatalogRevision: s.catalog().Revision,
+		Statement:       st,
+		Begin:           s.begin,
+		InTransaction:   s.open,
+		Values:          s.values,
+		Floor:           s.floor,
+		Elapsed:         s.clock().Sub(arrived),
+	}
+	resp := s.runner.Run(ctx, r)
+	s.settle(st, &resp)
+	return resp
+}
+
+// settle follows the transaction through the answer.
+func (s *Session) settle(st statement.Statement, resp *operation.Response) {
+	if resp.Code == statement.CodeOK {
+		commits := st.Kind == statement.KindCommit || s.state == statement.TxIdle && st.Writes()
+		if commits && !resp.Position.IsZero() {
+			s.floor = position.Max(s.floor, resp.Position)
+		}
+		if s.state == statement.TxOpen {
+			s.open = resp.State == statement.TxOpen
+			s.begin = statement.KindInvalid
+		}
+		if st.Kind == statement.KindCommit {
+			s.state, s.open = statement.TxIdle, false
+		}
+		resp.State = s.state
+		return
+	}
+	s.open, s.begin = false, statement.KindInvalid
+	switch {
+	case st.Kind == statement.KindCommit:
+		s.state = statement.TxIdle
+	case s.state == statement.TxOpen:
+		s.state = statement.TxFailed
+	}
+	resp.State = s.state
+}
+
+// Close ends the session; an open transaction is rolled back.
+func (s *Session) Close(ctx context.Context) { s.end(ctx) }
--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,183 @@
+package dispatch
+
+import (
+	"time"
+)
+
+const (
+	// lagProbe is how often a replica that lacked a position is tried again.
+	lagProbe = 100 * time.Millisecond
+	// minPatience is the shortest time for which an item may wait although it will be late.
+	minPatience = 30 * time.Millisecond
+	// comeBack is the least time told to a refused caller.
+	comeBack = 20 * time.Millisecond
+)
+
+// choose returns the member that serves the item soonest, with a free connection if there is one. A member without a
+// connection is one to which a connection should be opened. It returns nil when no member has room.
+func (s *Scheduler) choose(w *waiting, now time.Time) (*member, *conn) {
+	var best *member
+	var bestConn *conn
+	var bestTime time.Duration
+	replicas := w.Need == NeedAny && s.anyEligible(w, now)
+	for _, m := range s.members {
+		if !s.eligible(m, w, now) || !s.hasRoom(m, w, replicas, now) {
+			continue
+		}
+		c := m.idle(w.Customer)
+		t := s.expect(m, w, c != nil)
+		if m.Primary && replicas {
+			t += w.Cost
+		}
+		if best == nil || t < bestTime {
+			best, bestConn, bestTime = m, c, t
+		}
+	}
+	return best, bestConn
+}
+
+// anyEligible reports whether a replica can run the item.
+func (s *Scheduler) anyEligible(w *waiting, now time.Time) bool {
+	for _, m := range s.members {
+		if !m.Primary && s.eligible(m, w, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// eligible reports whether the member may run the item.
+func (s *Scheduler) eligible(m *member, w *waiting, now time.Time) bool {
+	if !m.Usable || m.ID == w.Avoid && len(s.members) > 1 && w.Need == NeedAny {
+		return false
+	}
+	if m.Primary {
+		return true
+	}
+	if w.Need == NeedPrimary {
+		return false
+	}
+	return m.holds(w, now)
+}
+
+// holds reports whether the replica's log holds the item's floor, or is likely to hold it by now.
+func (m *member) holds(w *waiting, now time.Time) bool {
+	if !m.known.Less(w.Floor) {
+		return true
+	}
+	return now.Sub(m.knownAt) >= lagProbe
+}
+
+// hasRoom reports whether another statement may be sent to the member.
+func (s *Scheduler) hasRoom(m *member, w *waiting, replicas bool, now time.Time) bool {
+	limit := m.Slots + s.limits.Extra
+	if m.Primary && replicas {
+		// Reads that a replica can serve leave a slot for what only the primary can run.
+		limit = m.Slots - 1
+	}
+	if m.running >= limit || !m.warm(now) {
+		return false
+	}
+	return !w.Holds || m.held*100 < s.limits.Connections*s.limits.HeldShare
+}
+
+// expect estimates the time until the member has run the item.
+func (s *Scheduler) expect(m *member, w *waiting, connected bool) time.Duration {
+	t := m.RoundTrip
+	if over := m.running + 1 - m.Slots; over > 0 && m.Slots > 0 {
+		t += w.Cost * time.Duration(over) / time.Duration(m.Slots)
+	}
+	if !connected {
+		t += s.limits.Handshake
+	}
+	return t
+}
+
+// idle returns the customer's idle connection that was used last, or nil.
+func (m *member) idle(customer string) *conn {
+	var newest *conn
+	for _, c := range m.conns {
+		if c.state == connIdle && c.customer == customer && (newest == nil || c.since.After(newest.since)) {
+			newest = c
+		}
+	}
+	return newest
+}
+
+// warm reports whether a starting member may get another statement.
+func (m *member) warm(now time.Time) bool {
+	if m.PerSecond <= 0 {
+		return true
+	}
+	m.warmTokens += now.Sub(m.warmAt).Seconds() * m.PerSecond
+	// A tenth of a second's worth is the burst, so that no second holds more than 1.1 times the rate.
+	m.warmTokens = min(m.warmTokens, max(1, m.PerSecond/10))
+	m.warmAt = now
+	return m.warmTokens >= 1
+}
+
+func (m *member) spendWarm(now time.Time) {
+	if m.PerSecond > 0 && m.warm(now) {
+		m.warmTokens--
+	}
+}
+
+// refuse returns a refusal when the item could not be served in time.
+func (s *Scheduler) refuse(it *Item, now time.Time) *Refusal {
+	if len(s.queue) >= s.limits.Waiting {
+		return &Refusal{Reason: ReasonFull, After: it.Cost + comeBack, Waiting: len(s.queue)}
+	}
+	w := &waiting{Item: *it}
+	slots, running, idle := s.capacity(w, now)
+	if slots == 0 {
+		return s.refuseWithoutMember(it, now)
+	}
+	if it.Again || idle {
+		return nil
+	}
+	ahead := s.ahead(w, slots, running)
+	patience := max(it.Due.Sub(now)-it.Cost, minPatience)
+	if ahead <= patience {
+		return nil
+	}
+	return &Refusal{Reason: ReasonQueue, After: max(ahead-patience, comeBack), Ahead: ahead, Waiting: len(s.queue)}
+}
+
+// refuseWithoutMember lets the item wait for a member that is expected in time.
+func (s *Scheduler) refuseWithoutMember(it *Item, now time.Time) *Refusal {
+	wait := 2 * openRetry
+	if s.primaryExpected.After(now) {
+		wait = s.primaryExpected.Sub(now)
+		if now.Add(wait + it.Cost).Before(it.Due) {
+			return nil
+		}
+	}
+	return &Refusal{Reason: ReasonNoMember, After: max(wait, comeBack), Waiting: len(s.queue)}
+}
+
+// capacity returns the slots that can run the item, the statements running in them, and whether one is free.
+func (s *Scheduler) capacity(w *waiting, now time.Time) (slots, running int, free bool) {
+	replicas := w.Need == NeedAny && s.anyEligible(w, now)
+	for _, m := range s.members {
+		if !s.eligible(m, w, now) || m.Primary && replicas {
+			continue
+		}
+		slots += m.Slots
+		running += m.running
+		free = free || s.hasRoom(m, w, replicas, now) && len(s.queue) == 0
+	}
+	return slots, running, free
+}
+
+// ahead estimates how long the item waits for a slot.
+func (s *Scheduler) ahead(w *waiting, slots, running int) time.Duration {
+	var work time.Duration
+	for _, q := range s.queue {
+		if q.Need == w.Need && !q.Due.After(w.Due) {
+			work += q.Cost
+		}
+	}
+	// What runs now is half done on average.
+	work += time.Duration(running) * w.Cost / 2
+	return work / time.Duration(slots)
+}
--- /dev/null
+++ b/internal/dispatch/connections.go
@@ -0,0 +1,302 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// connState is what a connection does.
+type connState uint8
+
+const (
+	connOpening connState = iota
+	connIdle
+	// connBusy runs a statement outside a transaction, or the first one of a transaction.
+	connBusy
+	// connHeld belongs to an open transaction between two statements.
+	connHeld
+	// connHeldBusy runs a statement of an open transaction.
+	connHeldBusy
+)
+
+const (
+	// maxIdle is shorter than the time after which members close idle connections.
+	maxIdle = 45 * time.Second
+	// evictAfter is how long a connection must be idle before it gives way to another customer's.
+	evictAfter = 30 * time.Millisecond
+	// openRetry is the pause after a failed connection.
+	openRetry = 100 * time.Millisecond
+	// maxOpening bounds the connections that are opened to one member at once: each takes a slot for a while.
+	maxOpening = 2
+)
+
+type conn struct {
+	id       ConnID
+	member   *member
+	customer string
+	state    connState
+	since    time.Time
+	started  time.Time
+}
+
+// member is the state of one member.
+type member struct {
+	MemberConfig
+	// running counts statements and opening connections, each of which takes a slot.
+	running int
+	opening int
+	held    int
+	conns   []*conn
+	// known is the newest position reported by the member, at knownAt.
+	known   position.Position
+	knownAt time.Time
+	// lags is true after the member refused a position that it lacked.
+	lags bool
+	// retryOpen is when another connection may be tried after a failure.
+	retryOpen time.Time
+	// warm bounds the statements to a starting member.
+	warmTokens float64
+	warmAt     time.Time
+	removed    bool
+}
+
+// SetMembers replaces the members. Idle connections of members that are gone or not usable are closed.
+func (s *Scheduler) SetMembers(list []MemberConfig, now time.Time) {
+	old := s.members
+	s.members = make([]*member, 0, len(list))
+	for _, c := range list {
+		m := find(old, c.ID)
+		if m == nil {
+			m = &member{warmAt: now}
+		}
+		m.MemberConfig = c
+		s.members = append(s.members, m)
+	}
+	for _, m := range old {
+		m.removed = find(s.members, m.ID) == nil
+		if m.removed {
+			m.Usable = false
+		}
+	}
+	for _, c := range s.conns {
+		if !c.member.Usable && c.state == connIdle {
+			s.drop(c)
+		}
+	}
+}
+
+func find(list []*member, id upstream.MemberID) *member {
+	for _, m := range list {
+		if m.ID == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// open starts a connection, in place of another customer's idle one if need be.
+func (s *Scheduler) open(m *member, customer string, now time.Time) (Open, bool) {
+	if m.opening >= maxOpening || now.Before(m.retryOpen) {
+		return Open{}, false
+	}
+	if len(m.conns) >= s.limits.Connections {
+		victim := s.victim(m, customer, now)
+		if victim == nil {
+			return Open{}, false
+		}
+		s.drop(victim)
+	}
+	s.lastConn++
+	c := &conn{id: s.lastConn, member: m, customer: customer, state: connOpening, since: now}
+	s.conns[c.id] = c
+	m.conns = append(m.conns, c)
+	m.opening++
+	m.running++
+	return Open{Conn: c.id, Member: m.ID, Customer: customer}, true
+}
+
+// victim returns the connection that has been idle for longest, or nil.
+func (s *Scheduler) victim(m *member, customer string, now time.Time) *conn {
+	var oldest *conn
+	for _, c := range m.conns {
+		if c.state != connIdle || c.customer == customer || now.Sub(c.since) < evictAfter {
+			continue
+		}
+		if oldest == nil || c.since.Before(oldest.since) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
+// Warm returns the connections to open ahead of demand: one for each of the customers at each usable member, within half
+// of the limit.
+func (s *Scheduler) Warm(customers []string, now time.Time) []Open {
+	var opens []Open
+	for _, m := range s.members {
+		if !m.Usable {
+			continue
+		}
+		for _, customer := range customers {
+			if len(m.conns) >= s.limits.Connections/2 || m.has(customer) {
+				continue
+			}
+			if o, ok := s.open(m, customer, now); ok {
+				opens = append(opens, o)
+			}
+		}
+	}
+	return opens
+}
+
+func (m *member) has(customer string) bool {
+	for _, c := range m.conns {
+		if c.customer == customer {
+			return true
+		}
+	}
+	return false
+}
+
+// Opened reports a connection that can be used.
+func (s *Scheduler) Opened(id ConnID, now time.Time) {
+	c := s.conns[id]
+	if c == nil {
+		return
+	}
+	c.member.opening--
+	c.member.running--
+	c.state, c.since = connIdle, now
+	if !c.member.Usable {
+		s.drop(c)
+	}
+}
+
+// OpenFailed reports a connection that could not be opened.
+func (s *Scheduler) OpenFailed(id ConnID, now time.Time) {
+	c := s.conns[id]
+	if c == nil {
+		return
+	}
+	c.member.retryOpen = now.Add(openRetry)
+	s.forget(c)
+}
+
+// Closed reports a connection that is gone, in whatever state it was.
+func (s *Scheduler) Closed(id ConnID) {
+	if c := s.conns[id]; c != nil {
+		s.forget(c)
+	}
+}
+
+// start takes the connection and a slot for a statement outside a transaction.
+func (s *Scheduler) start(c *conn, now time.Time) {
+	c.state, c.started = connBusy, now
+	c.member.running++
+	c.member.spendWarm(now)
+}
+
+// Done reports that the statement on the connection has ended. open is true when it left a transaction open, which keeps
+// the connection until Done without it.
+func (s *Scheduler) Done(id ConnID, open bool, now time.Time) {
+	c := s.conns[id]
+	if c == nil {
+		return
+	}
+	if c.busy() {
+		c.member.running--
+	}
+	if c.holds() {
+		c.member.held--
+	}
+	c.since = now
+	c.state = connIdle
+	if open {
+		c.state = connHeld
+		c.member.held++
+		return
+	}
+	if !c.member.Usable {
+		s.drop(c)
+	}
+}
+
+// Resume takes a slot for the next statement of the connection's transaction. It does not wait: only the end of the
+// transaction frees the connection.
+func (s *Scheduler) Resume(id ConnID, now time.Time) {
+	c := s.conns[id]
+	if c == nil || c.state != connHeld {
+		return
+	}
+	c.state, c.started = connHeldBusy, now
+	c.member.running++
+}
+
+// Observe records a position that the member reported.
+func (s *Scheduler) Observe(id upstream.MemberID, p position.Position, now time.Time) {
+	m := find(s.members, id)
+	if m == nil || p.IsZero() {
+		return
+	}
+	m.known, m.knownAt, m.lags = p, now, false
+}
+
+// Lags records that the member refused a position that its log lacks.
+func (s *Scheduler) Lags(id upstream.MemberID, now time.Time) {
+	if m := find(s.members, id); m != nil {
+		m.lags, m.knownAt = true, now
+	}
+}
+
+// Idle closes the connections that have been idle for too long.
+func (s *Scheduler) Idle(now time.Time) {
+	for _, c := range s.conns {
+		if c.state == connIdle && now.Sub(c.since) > maxIdle {
+			s.drop(c)
+		}
+	}
+}
+
+// CloseIdle closes all idle connections, for an owner that gives the group up.
+func (s *Scheduler) CloseIdle() {
+	for _, c := range s.conns {
+		if c.state == connIdle {
+			s.drop(c)
+		}
+	}
+}
+
+func (c *conn) busy() bool {
+	return c.state == connBusy || c.state == connHeldBusy || c.state == connOpening
+}
+
+func (c *conn) holds() bool { return c.state == connHeld || c.state == connHeldBusy }
+
+// drop asks the caller to close the connection and forgets it.
+func (s *Scheduler) drop(c *conn) {
+	s.closes = append(s.closes, c.id)
+	s.forget(c)
+}
+
+func (s *Scheduler) forget(c *conn) {
+	m := c.member
+	if c.busy() {
+		m.running--
+	}
+	if c.state == connOpening {
+		m.opening--
+	}
+	if c.holds() {
+		m.held--
+	}
+	delete(s.conns, c.id)
+	for i, other := range m.conns {
+		if other == c {
+			m.conns[i] = m.conns[len(m.conns)-1]
+			m.conns = m.conns[:len(m.conns)-1]
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleetlink/client.go
@@ -0,0 +1,122 @@
+package fleetlink
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
+	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
+	"github.com/celerystep/celerystep/internal/netopt"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	dialTimeout = 400 * time.Millisecond
+	// endTimeout bounds a call that rolls back a transaction.
+	endTimeout = time.Second
+	// idleTimeout closes connections to peers that own nothing any more.
+	idleTimeout = 30 * time.Second
+)
+
+// Errors of a call. Any other error means that the call may have been carried out.
+var (
+	// ErrRefused: no process listens at the peer's address, so that the one that did has ended. Nothing was done.
+	ErrRefused = errors.New("no process listens at the peer's address")
+	// ErrUnreached: no connection could be made. Nothing was done.
+	ErrUnreached = errors.New("peer cannot be reached")
+	// ErrNotOwner: the peer does not own the group. Nothing was done.
+	ErrNotOwner = errors.New("peer does not own the group")
+)
+
+// Peer calls one instance.
+type Peer struct {
+	address string
+	client  fleetv1connect.FleetServiceClient
+	http    *http.Transport
+}
+
+// Peers holds the connections to other instances by address. It is safe for concurrent use.
+type Peers struct {
+	mu    sync.Mutex
+	peers map[string]*Peer
+}
+
+// NewPeers returns an empty set.
+func NewPeers() *Peers { return &Peers{peers: make(map[string]*Peer)} }
+
+// At returns the peer at the address.
+func (p *Peers) At(address string) *Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.peers[address]; known != nil {
+		return known
+	}
+	dialer := netopt.Dialer(dialTimeout)
+	t := &http.Transport{
+		Protocols:          new(http.Protocols),
+		DialContext:        dialer.DialContext,
+		IdleConnTimeout:    idleTimeout,
+		DisableCompression: true,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	t.Protocols.SetUnencryptedHTTP2(true)
+	peer := &Peer{address: address, http: t}
+	peer.client = fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address)
+	p.peers[address] = peer
+	return peer
+}
+
+// Run runs a statement at the peer.
+func (p *Peer) Run(ctx context.Context, r *operation.Request) (operation.Response, error) {
+	resp, err := p.client.Run(ctx, connect.NewRequest(toRequest(r)))
+	if err != nil {
+		return operation.Response{}, classify(p.address, err)
+	}
+	return fromResponse(resp.Msg), nil
+}
+
+// End rolls back a session's transaction at the peer.
+func (p *Peer) End(ctx context.Context, g upstream.GroupID, s operation.SessionID) error {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	_, err := p.client.End(ctx, connect.NewRequest(&fleetv1.EndRequest{Session: toSession(s), Group: string(g)}))
+	if err != nil {
+		return classify(p.address, err)
+	}
+	return nil
+}
+
+// TakeTokens asks the peer, as owner of the group, for tokens.
+func (p *Peer) TakeTokens(ctx context.Context, g upstream.GroupID, wants []owner.TokenRequest) ([]owner.TokenRequest, error) {
+	resp, err := p.client.TakeTokens(ctx, connect.NewRequest(&fleetv1.TakeTokensRequest{Group: string(g), Requests: toTokens(wants)}))
+	if err != nil {
+		return nil, classify(p.address, err)
+	}
+	if resp.Msg.GetNotOwner() {
+		return nil, ErrNotOwner
+	}
+	return fromTokens(resp.Msg.GetGrants()), nil
+}
+
+// classify tells a call that was surely not carried out from others.
+func classify(address string, err error) error {
+	var op interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return errors.Wrapf(ErrRefused, "peer %s", address)
+	case isDial(err):
+		return errors.Wrapf(ErrUnreached, "peer %s: %v", address, err)
+	case errors.As(err, &op) && op.Timeout():
+		return errors.Wrapf(err, "peer %s: no answer", address)
+	default:
+		return errors.Wrapf(err, "peer %s", address)
+	}
+}
--- /dev/null
+++ b/internal/fleetlink/convert.go
@@ -0,0 +1,108 @@
+package fleetlink
+
+import (
+	"time"
+
+	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+func toSession(s operation.SessionID) *fleetv1.Session {
+	return &fleetv1.Session{Instance: string(s.Instance), Number: s.Number}
+}
+
+func fromSession(s *fleetv1.Session) operation.SessionID {
+	return operation.SessionID{Instance: instance.ID(s.GetInstance()), Number: s.GetNumber()}
+}
+
+func toPosition(p position.Position) *fleetv1.Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &fleetv1.Position{Term: uint64(p.Term), Lsn: uint64(p.LSN)}
+}
+
+func fromPosition(p *fleetv1.Position) position.Position {
+	return position.Position{Term: position.Term(p.GetTerm()), LSN: position.LSN(p.GetLsn())}
+}
+
+func toRequest(r *operation.Request) *fleetv1.RunRequest {
+	s := r.Statement
+	return &fleetv1.RunRequest{
+		Session:         toSession(r.Session),
+		Group:           string(r.Group),
+		Database:        r.Database,
+		Key:             r.Key,
+		CatalogRevision: r.CatalogRevision,
+		Statement: &fleetv1.Statement{
+			Id: s.ID, Kind: uint32(s.Kind), Text: s.Text, Name: s.Name, Value: s.Value,
+			PreparedWrites: s.Prepared.Writes, PreparedShape: s.Prepared.Shape,
+		},
+		Begin:         uint32(r.Begin),
+		InTransaction: r.InTransaction,
+		Values:        r.Values,
+		Floor:         toPosition(r.Floor),
+		ElapsedMs:     uint32(r.Elapsed.Milliseconds()),
+	}
+}
+
+func fromRequest(r *fleetv1.RunRequest) *operation.Request {
+	s := r.GetStatement()
+	return &operation.Request{
+		Session:         fromSession(r.GetSession()),
+		Group:           upstream.GroupID(r.GetGroup()),
+		Database:        r.GetDatabase(),
+		Key:             r.GetKey(),
+		CatalogRevision: r.GetCatalogRevision(),
+		Statement: statement.Statement{
+			ID: s.GetId(), Kind: statement.Kind(s.GetKind()), Text: s.GetText(), Name: s.GetName(), Value: s.GetValue(),
+			Prepared: statement.Prepared{Writes: s.GetPreparedWrites(), Shape: s.GetPreparedShape()},
+		},
+		Begin:         statement.Kind(r.GetBegin()),
+		InTransaction: r.GetInTransaction(),
+		Values:        r.GetValues(),
+		Floor:         fromPosition(r.GetFloor()),
+		Elapsed:       time.Duration(r.GetElapsedMs()) * time.Millisecond,
+	}
+}
+
+func toResponse(r operation.Response) *fleetv1.RunResponse {
+	return &fleetv1.RunResponse{
+		Rows: r.Rows, Receipt: r.Receipt, Code: uint32(r.Code), Detail: r.Detail, State: uint32(r.State),
+		Position: toPosition(r.Position), RetryAfterMs: uint32(r.RetryAfter.Milliseconds()), NotOwner: r.NotOwner,
+		CatalogRevision: r.CatalogRevision,
+	}
+}
+
+func fromResponse(r *fleetv1.RunResponse) operation.Response {
+	return operation.Response{
+		Answer: statement.Answer{
+			Rows: r.GetRows(), Receipt: r.GetReceipt(), Code: statement.Code(r.GetCode()), Detail: r.GetDetail(),
+			State: statement.TxState(r.GetState()), Position: fromPosition(r.GetPosition()),
+		},
+		RetryAfter:      time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		NotOwner:        r.GetNotOwner(),
+		CatalogRevision: r.GetCatalogRevision(),
+	}
+}
+
+func toTokens(list []owner.TokenRequest) []*fleetv1.TokenRequest {
+	out := make([]*fleetv1.TokenRequest, len(list))
+	for i, t := range list {
+		out[i] = &fleetv1.TokenRequest{Customer: t.Customer, Tokens: uint32(t.Tokens)}
+	}
+	return out
+}
+
+func fromTokens(list []*fleetv1.TokenRequest) []owner.TokenRequest {
+	out := make([]owner.TokenRequest, len(list))
+	for i, t := range list {
+		out[i] = owner.TokenRequest{Customer: t.GetCustomer(), Tokens: int(t.GetTokens())}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleetlink/server.go
@@ -0,0 +1,76 @@
+// Package fleetlink carries operations between the instances of a fleet over connect-go.
+package fleetlink
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
+	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// maxStreams bounds the calls that one peer may have open.
+	maxStreams = 2000
+	// headerTimeout bounds the set-up of a connection.
+	headerTimeout = 2 * time.Second
+	// pingAfter and pingTimeout find a peer that went silent.
+	pingAfter   = 700 * time.Millisecond
+	pingTimeout = 700 * time.Millisecond
+)
+
+// Local is what a server offers to its peers.
+type Local interface {
+	operation.Runner
+	Grant(g upstream.GroupID, wants []owner.TokenRequest) ([]owner.TokenRequest, bool)
+}
+
+// handler implements fleetv1connect.FleetServiceHandler.
+type handler struct {
+	local   Local
+	self    instance.ID
+	process string
+}
+
+// NewServer returns the HTTP/2 server of an instance.
+func NewServer(local Local, self instance.ID, process string) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(fleetv1connect.NewFleetServiceHandler(&handler{local: local, self: self, process: process}))
+	s := &http.Server{
+		Handler:           mux,
+		Protocols:         new(http.Protocols),
+		ReadHeaderTimeout: headerTimeout,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+	s.Protocols.SetUnencryptedHTTP2(true)
+	return s
+}
+
+// Run implements the service.
+func (h *handler) Run(ctx context.Context, r *connect.Request[fleetv1.RunRequest]) (*connect.Response[fleetv1.RunResponse], error) {
+	return connect.NewResponse(toResponse(h.local.Run(ctx, fromRequest(r.Msg)))), nil
+}
+
+// End implements the service.
+func (h *handler) End(ctx context.Context, r *connect.Request[fleetv1.EndRequest]) (*connect.Response[fleetv1.EndResponse], error) {
+	h.local.End(ctx, upstream.GroupID(r.Msg.GetGroup()), fromSession(r.Msg.GetSession()))
+	return connect.NewResponse(&fleetv1.EndResponse{}), nil
+}
+
+// TakeTokens implements the service.
+func (h *handler) TakeTokens(_ context.Context, r *connect.Request[fleetv1.TakeTokensRequest]) (*connect.Response[fleetv1.TakeTokensResponse], error) {
+	grants, ok := h.local.Grant(upstream.GroupID(r.Msg.GetGroup()), fromTokens(r.Msg.GetRequests()))
+	return connect.NewResponse(&fleetv1.TakeTokensResponse{NotOwner: !ok, Grants: toTokens(grants)}), nil
+}
+
+// Identify implements the service.
+func (h *handler) Identify(context.Context, *connect.Request[fleetv1.IdentifyRequest]) (*connect.Response[fleetv1.IdentifyResponse], error) {
+	return connect.NewResponse(&fleetv1.IdentifyResponse{Instance: string(h.self), Process: h.process}), nil
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,158 @@
+// Package mirror keeps a copy of the entries of a key-value store that an instance is interested in. It lists them once,
+// follows the watch, and lists again when the store no longer has the history in between.
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+// ErrCompacted reports that the store no longer has the history after the given revision.
+var ErrCompacted = errors.New("history is no longer available")
+
+const (
+	// watchWait is how long a watch may wait for an event.
+	watchWait = 25 * time.Second
+	// minRetry and maxRetry bound the pause after a failed call.
+	minRetry = 50 * time.Millisecond
+	maxRetry = 400 * time.Millisecond
+)
+
+// Entry is a stored value.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	// Created is the revision at which the key came into being.
+	Created uint64
+}
+
+// Event is a change of one key.
+type Event struct {
+	Entry
+	Deleted bool
+}
+
+// Source is the store. Its calls return the store's revision as of which the result holds.
+type Source interface {
+	// List returns all entries below the prefix. Changes after the returned revision may be missing.
+	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	// Watch waits for changes after a revision, at most wait, and returns them in order, or ErrCompacted.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+}
+
+// Sink takes the changes. Its methods are called by one goroutine.
+type Sink interface {
+	// Apply takes changes in order.
+	Apply(events []Event)
+	// Reset takes the complete content below the prefix.
+	Reset(entries []Entry)
+}
+
+// Mirror follows one prefix.
+type Mirror struct {
+	Source Source
+	Prefix string
+	Sink   Sink
+	Log    hclog.Logger
+	// Connected, unless nil, is told when the store is lost and when it is back.
+	Connected func(ok bool)
+
+	revision uint64
+	// revisions holds the newest change of each key that the sink has been told.
+	revisions map[string]uint64
+	synced    bool
+	lost      bool
+}
+
+// Run follows the store until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	retry := minRetry
+	for ctx.Err() == nil {
+		err := m.step(ctx)
+		if err == nil {
+			retry = minRetry
+			m.report(nil)
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if errors.Is(err, ErrCompacted) {
+			m.Log.Warn("the store has dropped its history; listing again", "prefix", m.Prefix, "after", m.revision)
+			m.synced = false
+			continue
+		}
+		m.report(err)
+		pause(ctx, retry+rand.N(retry))
+		retry = min(2*retry, maxRetry)
+	}
+	return ctx.Err()
+}
+
+func (m *Mirror) step(ctx context.Context) error {
+	if !m.synced {
+		entries, revision, err := m.Source.List(ctx, m.Prefix)
+		if err != nil {
+			return errors.Wrap(err, "list")
+		}
+		m.revisions = make(map[string]uint64, len(entries))
+		for _, e := range entries {
+			m.revisions[e.Key] = e.Revision
+		}
+		m.Sink.Reset(entries)
+		m.revision, m.synced = revision, true
+		return nil
+	}
+	events, revision, err := m.Source.Watch(ctx, m.Prefix, m.revision, watchWait)
+	if err != nil {
+		return errors.Wrap(err, "watch")
+	}
+	if events = m.newer(events); len(events) > 0 {
+		m.Sink.Apply(events)
+	}
+	m.revision = max(m.revision, revision)
+	return nil
+}
+
+// newer drops the changes that the sink knows already: the pages of a list are not taken at one moment, so that the
+// watch repeats some of what they held.
+func (m *Mirror) newer(events []Event) []Event {
+	kept := events[:0]
+	for _, e := range events {
+		if e.Revision <= m.revisions[e.Key] {
+			continue
+		}
+		m.revisions[e.Key] = e.Revision
+		kept = append(kept, e)
+	}
+	return kept
+}
+
+// report logs the loss and the return of the store once each.
+func (m *Mirror) report(err error) {
+	if lost := err != nil; lost != m.lost {
+		m.lost = lost
+		if lost {
+			m.Log.Warn("lost the store", "prefix", m.Prefix, "revision", m.revision, "error", err)
+		} else {
+			m.Log.Info("regained the store", "prefix", m.Prefix, "revision", m.revision)
+		}
+		if m.Connected != nil {
+			m.Connected(!lost)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/node/claims.go
@@ -0,0 +1,230 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/platform"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// leaseTime is how long a claim outlives its owner.
+	leaseTime = 2500 * time.Millisecond
+	// keepGap is the time between two renewals.
+	keepGap = 700 * time.Millisecond
+	// leaseMargin covers the time between the check of a lease and the effect of what was decided.
+	leaseMargin = 300 * time.Millisecond
+	// keyGap is the time between two proofs that keys are in force.
+	keyGap = 1300 * time.Millisecond
+	// storeRetry is the pause after a failed call.
+	storeRetry = 250 * time.Millisecond
+	// claimTimeout bounds a write to the store.
+	claimTimeout = 800 * time.Millisecond
+)
+
+func storeMax(v *atomic.Int64, x int64) {
+	for old := v.Load(); x > old; old = v.Load() {
+		if v.CompareAndSwap(old, x) {
+			return
+		}
+	}
+}
+
+// keepClaims makes the claims that the planner asks for.
+func (n *Node) keepClaims(ctx context.Context) error {
+	timer := time.NewTimer(time.Second)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		now := n.o.Clock()
+		actions := n.planner.Plan(now)
+		next, pending := n.planner.Next(now)
+		n.mu.Unlock()
+		for _, a := range actions {
+			go n.claim(ctx, a)
+		}
+		wait := time.Hour
+		if pending {
+			wait = max(next.Sub(now), time.Millisecond)
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+		case <-n.wake:
+		case <-timer.C:
+		}
+	}
+	return nil
+}
+
+// claim tries to take a group.
+func (n *Node) claim(ctx context.Context, a ownership.Action) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	revision, err := n.swapClaim(ctx, a.Group, a.Expected)
+	n.o.Log.Info("claimed a group", "group", a.Group, "cause", a.Cause, "expected", a.Expected, "waited", a.Waited, "claim", revision, "error", err)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.planner.ClaimDone(a.Group, n.o.Clock())
+	n.signal()
+}
+
+// swapClaim writes this process's claim in place of the expected revision and puts it in force.
+func (n *Node) swapClaim(ctx context.Context, id upstream.GroupID, expected uint64) (uint64, error) {
+	lease, err := n.ensureLease(ctx)
+	if err != nil {
+		return 0, errors.Wrap(err, "lease")
+	}
+	if !n.KeysFresh() {
+		if err := n.proveKeys(ctx); err != nil {
+			return 0, errors.Wrap(err, "prove keys")
+		}
+	}
+	c := ownership.Claim{Group: id, Owner: n.o.Settings.Instance, Process: n.o.Settings.Process, Address: n.o.Settings.PeerAddress}
+	revision, err := n.o.Store.Swap(ctx, n.o.Decoder.ClaimKey(id), expected, n.o.Decoder.EncodeClaim(c), lease)
+	if errors.Is(err, platform.ErrLeaseExpired) {
+		n.dropLease(lease)
+	}
+	if err != nil {
+		// When the answer was lost, the watch tells whether the claim took effect.
+		return 0, errors.Wrap(err, "swap")
+	}
+	c.Revision = revision
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.applyClaim(ClaimChange{Claim: c})
+	return revision, nil
+}
+
+// renewClaim replaces this process's claim by one with a higher revision.
+func (n *Node) renewClaim(id upstream.GroupID) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	c, mine, _ := n.Current(id)
+	if !mine {
+		return
+	}
+	revision, err := n.swapClaim(ctx, id, c.Revision)
+	n.o.Log.Info("renewed the claim on a group", "group", id, "before", c.Revision, "claim", revision, "error", err)
+}
+
+// ensureLease returns the process's lease, granted if need be.
+func (n *Node) ensureLease(ctx context.Context) (platform.LeaseID, error) {
+	n.mu.Lock()
+	lease := n.lease
+	n.mu.Unlock()
+	if lease != 0 {
+		return lease, nil
+	}
+	sent := n.o.Clock()
+	granted, ttl, err := n.o.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return 0, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lease != 0 {
+		// Two claims at once; the lease that came second lapses by itself.
+		return n.lease, nil
+	}
+	n.lease, n.ttl = granted, ttl
+	n.extend(sent)
+	return granted, nil
+}
+
+// extend records that the lease holds from the time its renewal was sent.
+func (n *Node) extend(sent time.Time) {
+	storeMax(&n.validTo, sent.Add(n.ttl-leaseMargin).UnixNano())
+}
+
+func (n *Node) dropLease(id platform.LeaseID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lease == id {
+		n.o.Log.Warn("lease lapsed", "lease", id)
+		n.lease = 0
+		n.validTo.Store(0)
+	}
+}
+
+// keepLease renews the lease while there is one.
+func (n *Node) keepLease(ctx context.Context) error {
+	gap := keepGap
+	for {
+		if !sleep(ctx, gap) {
+			return nil
+		}
+		gap = keepGap
+		n.mu.Lock()
+		lease, owned := n.lease, len(n.planner.Owned())
+		n.mu.Unlock()
+		if lease == 0 || owned == 0 {
+			continue
+		}
+		sent := n.o.Clock()
+		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		err := n.o.Store.Keep(call, lease)
+		cancel()
+		switch {
+		case err == nil:
+			n.mu.Lock()
+			n.extend(sent)
+			n.mu.Unlock()
+		case errors.Is(err, platform.ErrLeaseExpired):
+			n.dropLease(lease)
+			n.reclaim()
+		default:
+			n.o.Log.Warn("could not renew the lease", "lease", lease, "valid_for", time.Duration(n.validTo.Load()-n.o.Clock().UnixNano()), "error", err)
+			gap = storeRetry
+		}
+	}
+}
+
+// reclaim treats the claims that were bound to a lapsed lease as removed.
+func (n *Node) reclaim() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.o.Clock()
+	for _, c := range n.planner.Owned() {
+		n.planner.Removed(c.Group, now)
+	}
+	n.announce()
+}
+
+// keepKeys proves again and again that keys are in force, while this instance owns a group.
+func (n *Node) keepKeys(ctx context.Context) error {
+	gap := keyGap
+	for {
+		if !sleep(ctx, gap) {
+			return nil
+		}
+		gap = keyGap
+		n.mu.Lock()
+		owned := len(n.planner.Owned())
+		n.mu.Unlock()
+		if owned == 0 || n.o.Settings.KeyMaxAge <= 0 {
+			continue
+		}
+		if err := n.proveKeys(ctx); err != nil {
+			age := time.Duration(n.o.Clock().UnixNano() - n.keysAt.Load())
+			n.o.Log.Warn("could not prove that keys are in force", "age", age, "limit", n.o.Settings.KeyMaxAge, "error", err)
+			gap = storeRetry
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/mirror"
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Apply implements mirror.Sink.
+func (n *Node) Apply(events []mirror.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	touched := make(map[upstream.GroupID]bool)
+	for _, e := range events {
+		n.apply(e, touched)
+	}
+	n.tellMembers(touched)
+	n.signal()
+}
+
+// Reset implements mirror.Sink. What is known and not listed has ended.
+func (n *Node) Reset(entries []mirror.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	touched := make(map[upstream.GroupID]bool)
+	listed := make(map[upstream.MemberID]bool)
+	claimed := make(map[upstream.GroupID]bool)
+	out := make(map[instance.FailureDomain]bool)
+	for _, e := range entries {
+		c, ok := n.apply(mirror.Event{Entry: e}, touched)
+		switch {
+		case !ok:
+		case c.Member != nil:
+			listed[c.Member.ID] = true
+		case c.Claim != nil:
+			claimed[c.Claim.Claim.Group] = true
+		case c.Domain != nil:
+			out[c.Domain.Domain] = c.Domain.Out
+		}
+	}
+	for id, m := range n.members {
+		if !listed[id] {
+			touched[m.Group] = true
+			delete(n.members, id)
+		}
+	}
+	for id := range n.Catalog().Groups {
+		if !claimed[id] && n.planner.Claim(id).Owner != "" {
+			n.applyClaim(ClaimChange{Claim: ownership.Claim{Group: id}, Removed: true})
+		}
+	}
+	n.out.Store(&out)
+	n.tellMembers(touched)
+	n.signal()
+}
+
+// apply takes one event. The node is locked.
+func (n *Node) apply(e mirror.Event, touched map[upstream.GroupID]bool) (Change, bool) {
+	c, ok := n.o.Decoder.Decode(e)
+	if !ok {
+		return c, false
+	}
+	switch {
+	case c.Catalog != nil:
+		n.applyCatalog(c.Catalog)
+	case c.Member != nil:
+		n.applyMember(*c.Member, touched)
+	case c.Domain != nil:
+		n.applyDomain(*c.Domain)
+	case c.Claim != nil:
+		n.applyClaim(*c.Claim)
+	}
+	return c, true
+}
+
+// applyCatalog puts a configuration in force unless a newer one is. The node is locked.
+func (n *Node) applyCatalog(c *catalog.Catalog) {
+	old := n.Catalog()
+	if c.Revision <= old.Revision {
+		return
+	}
+	n.catalog.Store(c)
+	n.planner.SetGroups(c.GroupIDs(), n.o.Clock())
+	n.o.Log.Info("configuration in force", "version", c.Version, "revision", c.Revision, "before", old.Version,
+		"routes", len(c.Routes), "groups", len(c.Groups))
+	n.announce()
+}
+
+func (n *Node) applyMember(c MemberChange, touched map[upstream.GroupID]bool) {
+	old, known := n.members[c.ID]
+	if known {
+		touched[old.Group] = true
+	}
+	if c.Member == nil {
+		delete(n.members, c.ID)
+		if known {
+			n.o.Log.Info("member gone", "member", c.ID, "group", old.Group)
+		}
+		return
+	}
+	n.members[c.ID] = *c.Member
+	touched[c.Member.Group] = true
+	if !known || old.Role != c.Member.Role || old.Leaving != c.Member.Leaving || old.Born != c.Member.Born {
+		n.o.Log.Info("member", "member", c.ID, "group", c.Member.Group, "domain", c.Member.Domain, "role", c.Member.Role,
+			"leaving", c.Member.Leaving, "born", c.Member.Born, "slots", c.Member.Slots)
+	}
+}
+
+func (n *Node) applyDomain(c DomainChange) {
+	out := maps.Clone(*n.out.Load())
+	out[c.Domain] = c.Out
+	n.out.Store(&out)
+	n.o.Log.Info("failure domain", "domain", c.Domain, "out", c.Out)
+}
+
+// applyClaim follows the ownership of a group. The node is locked.
+func (n *Node) applyClaim(c ClaimChange) {
+	id := c.Claim.Group
+	now := n.o.Clock()
+	if c.Removed {
+		n.o.Log.Info("claim removed", "group", id, "owner", n.planner.Claim(id).Owner)
+		n.planner.Removed(id, now)
+		n.announce()
+		return
+	}
+	if c.Claim.Revision <= n.planner.Claim(id).Revision {
+		return
+	}
+	n.planner.SetClaim(c.Claim, now)
+	n.o.Log.Info("claim", "group", id, "owner", c.Claim.Owner, "process", c.Claim.Process, "claim", c.Claim.Revision)
+	if n.mine(c.Claim) {
+		n.Owner.Acquire(context.Background(), c.Claim)
+	} else {
+		n.Owner.Release(id, "another instance owns the group")
+	}
+	n.announce()
+}
+
+func (n *Node) mine(c ownership.Claim) bool {
+	return c.Owner == n.o.Settings.Instance && c.Process == n.o.Settings.Process
+}
+
+// tellMembers gives the members of the groups to the owner. The node is locked.
+func (n *Node) tellMembers(touched map[upstream.GroupID]bool) {
+	for id := range touched {
+		var list []member.Member
+		near := false
+		for _, m := range n.members {
+			if m.Group != id {
+				continue
+			}
+			list = append(list, m)
+			near = near || m.Role == upstream.RolePrimary && m.Domain == n.o.Settings.Domain
+		}
+		n.planner.SetNear(id, near)
+		n.Owner.SetMembers(id, list)
+	}
+}
+
+// connected follows the state of the watch.
+func (n *Node) connected(ok bool) {
+	if ok {
+		n.lostAt.Store(0)
+		return
+	}
+	n.lostAt.CompareAndSwap(0, n.o.Clock().UnixNano())
+}
+
+// proveKeys reads the configuration and, with it, proves that its keys are in force.
+func (n *Node) proveKeys(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := n.o.Clock()
+	e, err := n.o.Store.Get(ctx, n.o.Decoder.CatalogKey())
+	if err != nil {
+		return err
+	}
+	if e.Revision > n.Catalog().Revision {
+		n.Apply([]mirror.Event{{Entry: e}})
+	}
+	if e.Revision >= n.Catalog().Revision || n.Catalog().Revision > 0 {
+		storeMax(&n.keysAt, sent.UnixNano())
+	}
+	return nil
+}
+
+// CatchUp reads the configuration when it is older than the revision, and waits a short time for it.
+func (n *Node) CatchUp(ctx context.Context, revision uint64) {
+	if n.Catalog().Revision >= revision {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	n.reading.do(ctx, func() {
+		if err := n.proveKeys(context.Background()); err != nil {
+			n.o.Log.Warn("could not read a newer configuration", "wanted", revision, "have", n.Catalog().Revision, "error", err)
+		}
+	})
+}
+
+// flight lets concurrent callers share one run of a function.
+type flight struct {
+	mu   sync.Mutex
+	done chan struct{}
+}
+
+// do runs f, or waits for the run that is under way, until ctx ends.
+func (f *flight) do(ctx context.Context, run func()) {
+	f.mu.Lock()
+	done := f.done
+	if done == nil {
+		done = make(chan struct{})
+		f.done = done
+		go func() {
+			run()
+			f.mu.Lock()
+			f.done = nil
+			f.mu.Unlock()
+			close(done)
+		}()
+	}
+	f.mu.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+const (
+	readTimeout    = 700 * time.Millisecond
+	catchUpTimeout = 150 * time.Millisecond
+)
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,257 @@
+// Package node runs one proxy instance of a fleet whose shared state lives in the platform's key-value store: it follows
+// the store, takes and keeps claims on database groups, proves that keys are in force, serves callers and peers, and shuts
+// down without cutting requests.
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/fleetlink"
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/mirror"
+	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/platform"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Store is the key-value service. After an error that is none of package platform's a write may have taken effect.
+type Store interface {
+	mirror.Source
+	// Get returns the entry or platform.ErrNotFound. The answer is linearizable.
+	Get(ctx context.Context, key string) (mirror.Entry, error)
+	// Swap stores the value when the key's revision equals expected (0: key absent), bound to the lease.
+	Swap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error)
+	// Remove deletes the key when its revision equals expected.
+	Remove(ctx context.Context, key string, expected uint64) error
+	// Grant creates a lease and returns the time that applies.
+	Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, time.Duration, error)
+	Keep(ctx context.Context, id platform.LeaseID) error
+	End(ctx context.Context, id platform.LeaseID) error
+}
+
+// Change is what an entry of the store says. Exactly one field is set.
+type Change struct {
+	Catalog *catalog.Catalog
+	Member  *MemberChange
+	Domain  *DomainChange
+	Claim   *ClaimChange
+}
+
+// MemberChange is the arrival, change or end of a member.
+type MemberChange struct {
+	ID upstream.MemberID
+	// Member is nil when the entry names no member that can be used.
+	Member *member.Member
+}
+
+// DomainChange takes a failure domain out or brings it back.
+type DomainChange struct {
+	Domain instance.FailureDomain
+	Out    bool
+}
+
+// ClaimChange is a change of a group's claim.
+type ClaimChange struct {
+	Claim   ownership.Claim
+	Removed bool
+}
+
+// Decoder reads entries of the store.
+type Decoder interface {
+	// Decode returns what the event says; false when it does not concern the proxy.
+	Decode(e mirror.Event) (Change, bool)
+	// ClaimKey returns the key of a group's claim, EncodeClaim its value.
+	ClaimKey(g upstream.GroupID) string
+	EncodeClaim(c ownership.Claim) []byte
+	// CatalogKey is the key of the configuration.
+	CatalogKey() string
+}
+
+// Settings configure a node.
+type Settings struct {
+	Instance instance.ID
+	Process  string
+	Domain   instance.FailureDomain
+	// PeerAddress is told to the other instances.
+	PeerAddress string
+	// KeyMaxAge is how old the proof may be that a key is in force; 0 when keys need no proof.
+	KeyMaxAge time.Duration
+	// Grace is the time from the order to stop until the process is killed.
+	Grace time.Duration
+}
+
+// Options are what a node needs.
+type Options struct {
+	Settings Settings
+	Store    Store
+	Decoder  Decoder
+	Clock    boottime.Clock
+	Log      hclog.Logger
+	Metrics  *Metrics
+	// Owner is completed by New.
+	Owner owner.Options
+}
+
+// Node is one running instance.
+type Node struct {
+	o     Options
+	Owner *owner.Manager
+	Peers *fleetlink.Peers
+
+	catalog  atomic.Pointer[catalog.Catalog]
+	out      atomic.Pointer[map[instance.FailureDomain]bool]
+	keysAt   atomic.Int64
+	validTo  atomic.Int64
+	lostAt   atomic.Int64
+	draining atomic.Bool
+	wake     chan struct{}
+	reading  flight
+
+	// claims is replaced whenever a claim changes.
+	claims atomic.Pointer[claimTable]
+
+	mu      sync.Mutex
+	planner *ownership.Planner
+	members map[upstream.MemberID]member.Member
+	lease   platform.LeaseID
+	ttl     time.Duration
+}
+
+// New returns a node that is not running yet.
+func New(o Options) *Node {
+	n := &Node{
+		o:       o,
+		Peers:   fleetlink.NewPeers(),
+		wake:    make(chan struct{}, 1),
+		planner: ownership.NewPlanner(o.Settings.Instance, o.Settings.Process, o.Clock()),
+		members: make(map[upstream.MemberID]member.Member),
+	}
+	n.claims.Store(&claimTable{changed: make(chan struct{})})
+	n.catalog.Store(catalog.New(0, 0))
+	n.out.Store(&map[instance.FailureDomain]bool{})
+	o.Owner.Authority = n
+	o.Owner.Tokens = n
+	o.Owner.Catalog = n.Catalog
+	o.Owner.CatchUp = n.CatchUp
+	o.Owner.RenewClaim = n.renewClaim
+	o.Owner.Clock = o.Clock
+	o.Owner.Domain = o.Settings.Domain
+	n.Owner = owner.NewManager(o.Owner)
+	return n
+}
+
+// Catalog returns the configuration in force.
+func (n *Node) Catalog() *catalog.Catalog { return n.catalog.Load() }
+
+// Leased implements owner.Authority.
+func (n *Node) Leased(claim ownership.Claim) bool {
+	if n.o.Clock().UnixNano() >= n.validTo.Load() {
+		return false
+	}
+	return n.claims.Load().of(claim.Group).Revision == claim.Revision
+}
+
+// KeysFresh implements owner.Authority.
+func (n *Node) KeysFresh() bool {
+	limit := n.o.Settings.KeyMaxAge
+	return limit <= 0 || n.o.Clock().UnixNano()-n.keysAt.Load() <= int64(limit)
+}
+
+// DomainOut implements owner.Authority.
+func (n *Node) DomainOut(d instance.FailureDomain) bool { return (*n.out.Load())[d] }
+
+// Current implements caller.Claims.
+func (n *Node) Current(g upstream.GroupID) (ownership.Claim, bool, <-chan struct{}) {
+	t := n.claims.Load()
+	c := t.of(g)
+	return c, n.mine(c), t.changed
+}
+
+// OwnerEnded implements caller.Claims.
+func (n *Node) OwnerEnded(c ownership.Claim) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.o.Log.Info("the process that owns a group has ended", "group", c.Group, "owner", c.Owner, "claim", c.Revision)
+	n.planner.OwnerDead(c.Group, c.Revision, n.o.Clock())
+	n.signal()
+}
+
+// TakeTokens implements owner.TokenSource.
+func (n *Node) TakeTokens(ctx context.Context, g upstream.GroupID, wants []owner.TokenRequest) []owner.TokenRequest {
+	claim, mine, _ := n.Current(g)
+	if mine {
+		grants, _ := n.Owner.Grant(g, wants)
+		return grants
+	}
+	if claim.Address == "" {
+		return nil
+	}
+	grants, err := n.Peers.At(claim.Address).TakeTokens(ctx, g, wants)
+	if err != nil {
+		n.o.Log.Info("no tokens from a coordinator", "group", g, "owner", claim.Owner, "error", err)
+	}
+	return grants
+}
+
+// Ready reports whether the instance should get new connections, and if not, why.
+func (n *Node) Ready() (bool, string) {
+	c := n.Catalog()
+	switch {
+	case n.draining.Load():
+		return false, "shutting down"
+	case c.Revision == 0:
+		return false, "no configuration yet"
+	}
+	if at := n.lostAt.Load(); at != 0 && n.o.Clock().UnixNano()-at > int64(storeLossLimit) {
+		return false, "the store is away"
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for g := range c.Groups {
+		if n.planner.Claim(g).Owner == "" && n.lostAt.Load() == 0 && n.o.Clock().Sub(n.started()) < startLimit {
+			return false, "a group has no owner yet"
+		}
+	}
+	return true, ""
+}
+
+const (
+	// storeLossLimit is how long the store may be away before new connections should go elsewhere.
+	storeLossLimit = 2500 * time.Millisecond
+	// startLimit is how long a new process waits for every group to have an owner.
+	startLimit = 4 * time.Second
+)
+
+func (n *Node) started() time.Time { return n.planner.Started() }
+
+func (n *Node) signal() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// claimTable is an immutable copy of the known claims.
+type claimTable struct {
+	claims map[upstream.GroupID]ownership.Claim
+	// changed is closed when the table is replaced.
+	changed chan struct{}
+}
+
+func (t *claimTable) of(g upstream.GroupID) ownership.Claim { return t.claims[g] }
+
+// announce publishes the claims and tells those who wait for a change. The node is locked.
+func (n *Node) announce() {
+	next := &claimTable{claims: n.planner.Claims(), changed: make(chan struct{})}
+	close(n.claims.Swap(next).changed)
+	n.signal()
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/celerystep/celerystep/internal/caller"
+	"github.com/celerystep/celerystep/internal/fleetlink"
+	"github.com/celerystep/celerystep/internal/mirror"
+	"github.com/celerystep/celerystep/internal/ownership"
+)
+
+// Listeners are the sockets of a node.
+type Listeners struct {
+	Callers net.Listener
+	Peers   net.Listener
+	Ready   net.Listener
+	Metrics net.Listener
+}
+
+const (
+	// handoverTime is how long a leaving owner serves until another instance has taken a group.
+	handoverTime = 800 * time.Millisecond
+	// exitMargin is kept from the grace time for the end of the process.
+	exitMargin = time.Second
+	// drainPoll is the time between two looks at open transactions during the shutdown.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Run serves until ctx ends, and then shuts down within the grace time.
+func (n *Node) Run(ctx context.Context, l Listeners, callers *caller.Server, ready, metrics http.Handler) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	follow := &mirror.Mirror{Source: n.o.Store, Sink: n, Log: n.o.Log, Connected: n.connected}
+	group.Go(func() error { return ended(background, follow.Run(background)) })
+	group.Go(func() error { return n.keepClaims(background) })
+	group.Go(func() error { return n.keepLease(background) })
+	group.Go(func() error { return n.keepKeys(background) })
+	servers := []*http.Server{
+		fleetlink.NewServer(n.Owner, n.o.Settings.Instance, n.o.Settings.Process),
+		{Handler: ready, ReadHeaderTimeout: time.Second},
+		{Handler: metrics, ReadHeaderTimeout: time.Second},
+	}
+	for i, listener := range []net.Listener{l.Peers, l.Ready, l.Metrics} {
+		group.Go(func() error { return ended(background, servers[i].Serve(listener)) })
+	}
+	group.Go(func() error { return callers.Serve(background, l.Callers) })
+	n.o.Log.Info("started", "instance", n.o.Settings.Instance, "process", n.o.Settings.Process, "domain", n.o.Settings.Domain)
+	select {
+	case <-ctx.Done():
+		n.shutDown(callers)
+	case <-background.Done():
+	}
+	stop()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	_ = l.Callers.Close()
+	n.Owner.Close()
+	err := group.Wait()
+	n.o.Log.Info("stopped", "error", err)
+	return err
+}
+
+// ended hides the errors of parts that were stopped.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// shutDown hands the groups over, lets sessions and transactions end, and gives the lease back.
+func (n *Node) shutDown(callers *caller.Server) {
+	n.draining.Store(true)
+	started := n.o.Clock()
+	n.o.Log.Info("shutting down", "sessions", callers.Sessions(), "open_transactions", n.Owner.OpenTransactions())
+	n.mu.Lock()
+	n.planner.SetBarred(true)
+	owned := n.planner.Owned()
+	n.mu.Unlock()
+	limit := n.o.Settings.Grace/2 + n.o.Settings.Grace/12
+	ctx, cancel := context.WithTimeout(context.Background(), min(limit, n.o.Settings.Grace-exitMargin))
+	defer cancel()
+	var work errgroup.Group
+	for _, c := range owned {
+		work.Go(func() error {
+			n.handOver(ctx, c)
+			return nil
+		})
+	}
+	work.Go(func() error {
+		callers.Drain(ctx)
+		return nil
+	})
+	_ = work.Wait()
+	for n.Owner.OpenTransactions() > 0 && sleep(ctx, drainPoll) {
+	}
+	n.mu.Lock()
+	lease := n.lease
+	n.mu.Unlock()
+	if lease != 0 {
+		end, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		if err := n.o.Store.End(end, lease); err != nil {
+			n.o.Log.Info("could not end the lease; it lapses by itself", "error", err)
+		}
+		cancel()
+	}
+	n.o.Log.Info("shut down", "took", n.o.Clock().Sub(started), "sessions", callers.Sessions(), "open_transactions", n.Owner.OpenTransactions())
+}
+
+// handOver gives a claim up and serves the group until another instance has taken it.
+func (n *Node) handOver(ctx context.Context, c ownership.Claim) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTime)
+	defer cancel()
+	if err := n.o.Store.Remove(ctx, n.o.Decoder.ClaimKey(c.Group), c.Revision); err != nil {
+		n.o.Log.Warn("could not give a claim up", "group", c.Group, "claim", c.Revision, "error", err)
+	}
+	for ctx.Err() == nil {
+		now, _, changed := n.Current(c.Group)
+		if now.Owner != "" && now.Owner != n.o.Settings.Instance {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	n.Owner.Release(c.Group, "the instance is shutting down")
+}
+
+// ReadyHandler answers whether the instance should get new connections.
+func (n *Node) ReadyHandler(path string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		ok, reason := n.Ready()
+		if !ok {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/owner/execute.go
@@ -0,0 +1,217 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/statement"
+)
+
+// execute sends the call's statement on a connection outside a transaction.
+func (g *Group) execute(ctx context.Context, c *call, l *link, primary bool) (statement.Answer, error) {
+	ctx, cancel := l.context(ctx)
+	defer cancel(nil)
+	setup := l.settings(c.r.Values, c.r.Statement)
+	after := g.after(c, primary)
+	if c.r.Begin != statement.KindInvalid {
+		begin := own(c.r.Begin)
+		begin.After = after
+		return g.executeAfterBegin(ctx, c, l, append(setup, begin), primary)
+	}
+	if primary && !c.r.Statement.Writes() && !g.sureOfLead() {
+		return g.executeGuarded(ctx, c, l, append(setup, own(statement.KindBegin)))
+	}
+	command := member.Command{Statement: renamed(c.r.Statement)}
+	if !c.r.Statement.Writes() {
+		command.After = after
+	}
+	return g.send(ctx, c, l, setup, command, primary, primary)
+}
+
+// after returns the position that the member's log must hold for a read.
+func (g *Group) after(c *call, primary bool) position.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if primary {
+		if c.reads() && c.route.Consistency == catalog.Primary {
+			return g.fresh.Latest()
+		}
+		return position.Position{}
+	}
+	floor, _ := g.floor(c)
+	return floor
+}
+
+// sureOfLead reports whether nobody else can have replaced the primary: the claim is leased and orders of earlier owners
+// are refused.
+func (g *Group) sureOfLead() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Confirmed() && g.o.Authority.Leased(g.claim)
+}
+
+// executeAfterBegin opens a transaction and runs its first statement once the member has agreed.
+func (g *Group) executeAfterBegin(ctx context.Context, c *call, l *link, begin []member.Command, primary bool) (statement.Answer, error) {
+	if answer, err := g.prepareLink(ctx, l, begin); err != nil || answer.Code != statement.CodeOK {
+		return answer, err
+	}
+	return g.send(ctx, c, l, nil, member.Command{Statement: renamed(c.r.Statement)}, primary, primary && c.r.Begin == statement.KindBegin)
+}
+
+// executeGuarded reads inside a transaction, which a member that has lost the lead refuses.
+func (g *Group) executeGuarded(ctx context.Context, c *call, l *link, begin []member.Command) (statement.Answer, error) {
+	if answer, err := g.prepareLink(ctx, l, begin); err != nil || answer.Code != statement.CodeOK {
+		return answer, err
+	}
+	started := g.o.Clock()
+	answers, err := l.conn.Do(ctx, member.Command{Statement: renamed(c.r.Statement)}, own(statement.KindRollback))
+	if len(answers) == 0 {
+		return statement.Answer{}, lostError(ctx, err)
+	}
+	g.observe(c, l, answers[0], started, true)
+	if err != nil || answers[1].State != statement.TxIdle {
+		// The read itself is answered; only the connection is of no use any more.
+		l.close(member.ErrLost)
+	}
+	answers[0].State = statement.TxIdle
+	return answers[0], nil
+}
+
+// prepareLink sends commands of celerystep's own and returns the answer to the last one. When an earlier one fails the
+// connection is lost.
+func (g *Group) prepareLink(ctx context.Context, l *link, commands []member.Command) (statement.Answer, error) {
+	answers, err := l.conn.Do(ctx, commands...)
+	if err != nil {
+		return statement.Answer{}, lostError(ctx, err)
+	}
+	if err := settingsFailed(answers[:len(answers)-1]); err != nil {
+		return statement.Answer{}, err
+	}
+	last := answers[len(answers)-1]
+	g.mu.Lock()
+	g.machine.Heard(l.member.ID, g.o.Clock())
+	g.sched.Observe(l.member.ID, last.Position, g.o.Clock())
+	g.mu.Unlock()
+	return last, nil
+}
+
+func settingsFailed(answers []statement.Answer) error {
+	for _, a := range answers {
+		if a.Code != statement.CodeOK {
+			return errors.Wrapf(member.ErrLost, "the member refused a session setting: %s %s", a.Code, a.Detail)
+		}
+	}
+	return nil
+}
+
+// send runs the statement. sure is true when its answer shows the log of the member that leads.
+func (g *Group) send(ctx context.Context, c *call, l *link, setup []member.Command, command member.Command, primary, sure bool) (statement.Answer, error) {
+	started := g.o.Clock()
+	answers, err := l.conn.Do(ctx, append(setup, command)...)
+	if len(answers) <= len(setup) {
+		return statement.Answer{}, lostError(ctx, err)
+	}
+	if failed := settingsFailed(answers[:len(setup)]); failed != nil {
+		// The statement ran without its settings.
+		return statement.Answer{}, failed
+	}
+	answer := answers[len(setup)]
+	sure = sure && answer.Code == statement.CodeOK
+	if primary && !command.Writes() && c.r.Begin == statement.KindInvalid && !c.r.InTransaction {
+		sure = sure && g.sureOfLead()
+	}
+	g.observe(c, l, answer, started, sure)
+	return answer, nil
+}
+
+// executeNext runs a statement of an open transaction.
+func (g *Group) executeNext(ctx context.Context, c *call, l *link, primary bool) (statement.Answer, error) {
+	ctx, cancel := l.context(ctx)
+	defer cancel(nil)
+	setup := l.settings(c.r.Values, c.r.Statement)
+	for _, s := range setup {
+		if s.Kind == statement.KindReset {
+			// A reset inside a transaction would drop what it depends on; values are only added here.
+			return statement.Answer{}, errors.Wrap(member.ErrLost, "the session values changed in a way that needs a reset")
+		}
+	}
+	return g.send(ctx, c, l, setup, member.Command{Statement: renamed(c.r.Statement)}, primary, primary)
+}
+
+// observe learns from an answer. sure is true when the member led while it answered.
+func (g *Group) observe(c *call, l *link, answer statement.Answer, started time.Time, sure bool) {
+	now := g.o.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine.Heard(l.member.ID, now)
+	g.sched.Observe(l.member.ID, answer.Position, now)
+	if sure {
+		g.fresh.Observe(answer.Position, started)
+		g.machine.Acknowledged(answer.Position)
+	}
+	if answer.Code == statement.CodeOK {
+		g.costs.learn(c.route, c.r.Statement, now.Sub(started))
+	}
+	kind := "replica"
+	if sure {
+		kind = "primary"
+	}
+	g.o.Metrics.Member.WithLabelValues(kind).Observe(now.Sub(started).Seconds())
+}
+
+// renamed replaces the caller's name of a prepared statement by the one that members know.
+func renamed(s statement.Statement) statement.Statement {
+	if s.Kind == statement.KindExecute {
+		s.Name = preparedName(s.Prepared)
+	}
+	return s
+}
+
+// lostError prefers the cause for which this process ended the statement.
+func lostError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// costs are moving averages of the time that statements take at members.
+type costs struct {
+	byRoute map[costKey]time.Duration
+}
+
+type costKey struct {
+	route string
+	kind  statement.Kind
+}
+
+const (
+	// firstCost is assumed before anything was measured.
+	firstCost = 15 * time.Millisecond
+	// costWeight is the weight of a new measurement in percent.
+	costWeight = 10
+)
+
+func (c *costs) of(r *catalog.Route, s statement.Statement) time.Duration {
+	if d := c.byRoute[costKey{r.Name, s.Kind}]; d > 0 {
+		return d
+	}
+	return firstCost
+}
+
+func (c *costs) learn(r *catalog.Route, s statement.Statement, d time.Duration) {
+	if c.byRoute == nil {
+		c.byRoute = make(map[costKey]time.Duration)
+	}
+	k := costKey{r.Name, s.Kind}
+	old := c.byRoute[k]
+	if old == 0 {
+		old = firstCost
+	}
+	c.byRoute[k] = (old*(100-costWeight) + d*costWeight) / 100
+}
--- /dev/null
+++ b/internal/owner/group.go
@@ -0,0 +1,450 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/dispatch"
+	"github.com/celerystep/celerystep/internal/freshness"
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/promotion"
+	"github.com/celerystep/celerystep/internal/quota"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// stepGap is the time between two looks at the group when nothing happens.
+	stepGap = 40 * time.Millisecond
+	// silenceLimit is how long a member may leave a statement unanswered and say nothing else before it is probed.
+	silenceLimit = 300 * time.Millisecond
+	// housekeepingGap is the time between two looks at idle connections and transactions.
+	housekeepingGap = 500 * time.Millisecond
+	// defaultIdleInTransaction bounds transactions when the configuration does not.
+	defaultIdleInTransaction = 3 * time.Second
+)
+
+// grantOrRefusal is what a waiting statement gets.
+type grantOrRefusal struct {
+	assignment dispatch.Assignment
+	refusal    *dispatch.Refusal
+}
+
+// transaction is an open transaction of a session.
+type transaction struct {
+	link *link
+	// replica is true when it runs on a replica.
+	primary  bool
+	busy     bool
+	ended    bool
+	lastUsed time.Time
+}
+
+// Group is a group that this instance owns.
+type Group struct {
+	o      Options
+	id     upstream.GroupID
+	log    hclog.Logger
+	wake   chan struct{}
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	claim    ownership.Claim
+	sched    *dispatch.Scheduler
+	fresh    freshness.Log
+	machine  *promotion.Machine
+	stock    *quota.Stock
+	pool     *quota.Pool
+	members  map[upstream.MemberID]member.Member
+	links    map[dispatch.ConnID]*link
+	waiters  map[dispatch.Ticket]chan grantOrRefusal
+	txs      map[operation.SessionID]*transaction
+	costs    costs
+	released bool
+	stopped  bool
+	// leader is the member that the scheduler uses as primary.
+	leader  upstream.MemberID
+	limits  dispatch.Limits
+	tokens  map[upstream.GroupID]bool
+	tidied  time.Time
+	warmed  time.Time
+	changed bool
+}
+
+func newGroup(o Options, claim ownership.Claim) *Group {
+	now := o.Clock()
+	return &Group{
+		o:       o,
+		id:      claim.Group,
+		log:     o.Log.With("group", claim.Group),
+		wake:    make(chan struct{}, 1),
+		claim:   claim,
+		sched:   dispatch.New(dispatch.DefaultLimits(1)),
+		machine: promotion.New(promotion.DefaultTiming(), now),
+		stock:   quota.NewStock(now),
+		pool:    quota.NewPool(now),
+		members: make(map[upstream.MemberID]member.Member),
+		links:   make(map[dispatch.ConnID]*link),
+		waiters: make(map[dispatch.Ticket]chan grantOrRefusal),
+		txs:     make(map[operation.SessionID]*transaction),
+		tokens:  make(map[upstream.GroupID]bool),
+		changed: true,
+	}
+}
+
+// renew puts a claim with a higher revision in force.
+func (g *Group) renew(claim ownership.Claim) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if claim.Revision > g.claim.Revision {
+		g.log.Info("claim renewed", "token", claim.Revision, "before", g.claim.Revision)
+		g.claim = claim
+		g.machine.TokenRenewed()
+	}
+}
+
+// release refuses new statements and closes idle connections. Open transactions may end.
+func (g *Group) release(cause string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.released = true
+	g.log.Info("group released", "cause", cause, "open_transactions", len(g.txs), "waiting", len(g.waiters))
+	for t, w := range g.waiters {
+		if g.sched.Cancel(t) {
+			delete(g.waiters, t)
+			w <- grantOrRefusal{refusal: &dispatch.Refusal{Reason: dispatch.ReasonNoMember}}
+		}
+	}
+	g.sched.CloseIdle()
+	g.pump(g.o.Clock())
+}
+
+// stop ends the group at once.
+func (g *Group) stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	if g.cancel != nil {
+		g.cancel()
+	}
+	for id, l := range g.links {
+		l.close(errStopped)
+		delete(g.links, id)
+	}
+}
+
+func (g *Group) setMembers(list []member.Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := make(map[upstream.MemberID]member.Member, len(list))
+	for _, m := range list {
+		next[m.ID] = m
+		if before, ok := g.members[m.ID]; ok && (before.Born != m.Born || before.Address != m.Address) {
+			g.log.Info("member has a new process", "member", m.ID, "born", m.Born, "address", m.Address)
+			g.dropLinks(m.ID, errMemberGone)
+		}
+	}
+	for id := range g.members {
+		if _, ok := next[id]; !ok {
+			g.log.Info("member has left the service discovery", "member", id)
+		}
+	}
+	g.members = next
+	g.changed = true
+	g.signal()
+}
+
+func (g *Group) signal() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run drives the group until ctx ends.
+func (g *Group) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g.mu.Lock()
+	g.cancel = cancel
+	stopped := g.stopped
+	g.mu.Unlock()
+	if stopped {
+		return
+	}
+	ticker := time.NewTicker(stepGap)
+	defer ticker.Stop()
+	for {
+		g.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		case <-ticker.C:
+		}
+	}
+}
+
+// step looks at everything that depends on time.
+func (g *Group) step(ctx context.Context) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
+	now := g.o.Clock()
+	c := g.o.Catalog()
+	g.configure(c)
+	g.findSilent(now)
+	g.machine.SetMembers(g.infos(now), now)
+	if !g.released {
+		if g.quiet() {
+			g.machine.Quiet()
+		}
+		for _, a := range g.machine.Tick(now) {
+			g.act(ctx, a)
+		}
+	}
+	for _, e := range g.machine.Explanations() {
+		g.log.Info("primary", "token", g.claim.Revision, "decision", e)
+	}
+	g.applyMembers(now)
+	if now.Sub(g.tidied) >= housekeepingGap {
+		g.tidied = now
+		g.tidy(c, now)
+	}
+	g.askTokens(ctx, c, now)
+	g.pump(now)
+}
+
+// configure applies the limits of the configuration.
+func (g *Group) configure(c *catalog.Catalog) {
+	declared := c.Groups[g.id]
+	if declared == nil {
+		return
+	}
+	if l := dispatch.DefaultLimits(declared.MaxConnections); l != g.limits {
+		g.limits = l
+		g.sched.SetLimits(l)
+	}
+}
+
+// infos describes the members to the promotion machine.
+func (g *Group) infos(now time.Time) []promotion.Info {
+	list := make([]promotion.Info, 0, len(g.members))
+	for _, m := range sortedMembers(g.members) {
+		list = append(list, promotion.Info{
+			ID:      m.ID,
+			Near:    m.Domain == g.o.Domain,
+			Leaving: m.Leaving,
+			Out:     g.o.Authority.DomainOut(m.Domain),
+			Role:    m.Role,
+		})
+	}
+	return list
+}
+
+// applyMembers tells the scheduler which members may be used.
+func (g *Group) applyMembers(now time.Time) {
+	primary, _, leads := g.machine.Primary()
+	if !leads {
+		primary = ""
+	}
+	if primary != g.leader {
+		g.leader, g.changed = primary, true
+	}
+	g.sched.SetPrimaryExpected(g.machine.Expected(now))
+	list := make([]dispatch.MemberConfig, 0, len(g.members))
+	warmRate := 0.0
+	if declared := g.o.Catalog().Groups[g.id]; declared != nil {
+		warmRate = declared.WarmupPerSecond
+	}
+	for _, m := range sortedMembers(g.members) {
+		c := dispatch.MemberConfig{ID: m.ID, Slots: max(m.Slots, 1), Primary: m.ID == primary}
+		if m.Domain != g.o.Domain {
+			c.RoundTrip = g.o.CrossDomain
+		}
+		c.Usable = !g.released && g.machine.Healthy(m.ID) && !g.o.Authority.DomainOut(m.Domain) && !m.Leaving
+		if c.Primary {
+			c.Usable = !g.released && !g.o.Authority.DomainOut(m.Domain)
+		} else if m.ID == g.leaderBefore() {
+			c.Usable = false
+		}
+		if now.Before(m.WarmUntil) {
+			c.PerSecond = warmRate
+		}
+		list = append(list, c)
+	}
+	g.sched.SetMembers(list, now)
+}
+
+// leaderBefore returns the primary that is being replaced; it gets no new work.
+func (g *Group) leaderBefore() upstream.MemberID {
+	id, _, _ := g.machine.Primary()
+	return id
+}
+
+// quiet reports whether nothing runs on the present primary.
+func (g *Group) quiet() bool {
+	id, _, _ := g.machine.Primary()
+	for _, t := range g.txs {
+		if t.link.member.ID == id {
+			return false
+		}
+	}
+	for _, l := range g.links {
+		if l.member.ID == id && l.busy() {
+			return false
+		}
+	}
+	return true
+}
+
+// pump carries out what the scheduler decides.
+func (g *Group) pump(now time.Time) {
+	plan := g.sched.Plan(now)
+	for _, e := range plan.Expired {
+		refusal := e.Refusal
+		g.deliver(e.Ticket, grantOrRefusal{refusal: &refusal})
+	}
+	for _, a := range plan.Assignments {
+		if !g.deliver(a.Ticket, grantOrRefusal{assignment: a}) {
+			g.sched.Done(a.Conn, false, now)
+		}
+	}
+	for _, o := range plan.Opens {
+		g.open(o)
+	}
+	for _, id := range plan.Closes {
+		if l := g.links[id]; l != nil {
+			delete(g.links, id)
+			l.close(errIdle)
+		}
+	}
+}
+
+func (g *Group) deliver(t dispatch.Ticket, v grantOrRefusal) bool {
+	w := g.waiters[t]
+	if w == nil {
+		return false
+	}
+	delete(g.waiters, t)
+	w <- v
+	return true
+}
+
+// tidy closes what is no longer needed.
+func (g *Group) tidy(c *catalog.Catalog, now time.Time) {
+	g.sched.Idle(now)
+	limit := c.IdleInTransaction
+	if limit <= 0 {
+		limit = defaultIdleInTransaction
+	}
+	for s, t := range g.txs {
+		if !t.busy && now.Sub(t.lastUsed) > limit {
+			g.log.Info("rolling back an idle transaction", "session", s.Number, "instance", s.Instance, "idle", now.Sub(t.lastUsed))
+			g.rollBack(s, t)
+		}
+	}
+	if !g.released && now.Sub(g.warmed) >= time.Second {
+		g.warm(c, now)
+	}
+}
+
+// warm opens connections ahead of demand.
+func (g *Group) warm(c *catalog.Catalog, now time.Time) {
+	g.warmed = now
+	if _, _, leads := g.machine.Primary(); !leads {
+		return
+	}
+	for _, o := range g.sched.Warm(c.CustomerNames(), now) {
+		g.open(o)
+	}
+}
+
+// findSilent looks for members that leave statements unanswered.
+func (g *Group) findSilent(now time.Time) {
+	for _, l := range g.links {
+		if l.silentSince(now) >= silenceLimit && g.machine.SilentSince(l.member.ID, l.sentAt()) {
+			g.machine.Failed(l.member.ID, promotion.FailureSilent, now)
+			l.noteSilence(now)
+		}
+	}
+	for id := range g.members {
+		if id != g.leader && !g.machine.Healthy(id) {
+			g.dropLinks(id, errMemberGone)
+		}
+	}
+}
+
+// dropLinks closes the connections to a member. Statements on them fail at once.
+func (g *Group) dropLinks(id upstream.MemberID, cause error) {
+	for conn, l := range g.links {
+		if l.member.ID == id {
+			l.close(cause)
+			if !l.busy() {
+				delete(g.links, conn)
+				g.sched.Closed(conn)
+				g.forgetTransaction(l)
+			}
+		}
+	}
+}
+
+func (g *Group) openTransactions() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.txs)
+}
+
+func (g *Group) holds(s operation.SessionID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.txs[s] != nil
+}
+
+// end rolls back the session's transaction.
+func (g *Group) end(s operation.SessionID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.txs[s]
+	if t == nil {
+		return
+	}
+	if t.busy {
+		t.ended = true
+		return
+	}
+	g.rollBack(s, t)
+}
+
+// rollBack ends an idle transaction in the background.
+func (g *Group) rollBack(s operation.SessionID, t *transaction) {
+	delete(g.txs, s)
+	l := t.link
+	l.begin(g.o.Clock())
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
+		defer cancel()
+		_, err := l.conn.Do(ctx, own(statement.KindRollback))
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.finishLink(l, err, false)
+	}()
+}
+
+// forgetTransaction drops the transaction that was pinned to a lost connection.
+func (g *Group) forgetTransaction(l *link) {
+	for s, t := range g.txs {
+		if t.link == l && !t.busy {
+			g.log.Info("transaction lost with its connection", "session", s.Number, "instance", s.Instance, "member", l.member.ID)
+			delete(g.txs, s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/link.go
@@ -0,0 +1,285 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/dispatch"
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/promotion"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Causes of a closed connection.
+var (
+	errStopped    = errors.New("the group was stopped")
+	errIdle       = errors.New("the connection gave way")
+	errMemberGone = errors.New("the member does not answer or was replaced")
+)
+
+const (
+	dialTimeout     = 400 * time.Millisecond
+	rollBackTimeout = 500 * time.Millisecond
+	// maxPrepared bounds the statements prepared on one connection; beyond it the connection is reset.
+	maxPrepared = 100
+)
+
+// link is a pooled connection with what is in force on it.
+type link struct {
+	id       dispatch.ConnID
+	member   member.Member
+	customer string
+	conn     member.Conn
+	values   map[string]string
+	prepared map[string]statement.Prepared
+
+	mu      sync.Mutex
+	started time.Time
+	noted   time.Time
+	running bool
+	closed  error
+	abort   context.CancelCauseFunc
+}
+
+// begin marks that a statement is sent.
+func (l *link) begin(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running, l.started, l.noted = true, now, now
+}
+
+// context returns a context that ends when the connection is closed by this process.
+func (l *link) context(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	c, cancel := context.WithCancelCause(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.abort = cancel
+	if l.closed != nil {
+		cancel(l.closed)
+	}
+	return c, cancel
+}
+
+func (l *link) finish() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running, l.abort = false, nil
+}
+
+func (l *link) busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running
+}
+
+// close closes the connection; a running statement ends with the cause.
+func (l *link) close(cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed != nil {
+		return
+	}
+	l.closed = cause
+	if l.abort != nil {
+		l.abort(cause)
+	}
+	go l.conn.Close()
+}
+
+func (l *link) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed != nil
+}
+
+// silentSince returns for how long the running statement has not been answered, or been noted as silent.
+func (l *link) silentSince(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.running {
+		return 0
+	}
+	return now.Sub(l.noted)
+}
+
+func (l *link) sentAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.started
+}
+
+func (l *link) noteSilence(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noted = now
+}
+
+// own returns a command that celerystep issues itself.
+func own(k statement.Kind) member.Command {
+	return member.Command{Statement: statement.Statement{Kind: k}, Own: true}
+}
+
+// preparedName returns the name under which a statement is prepared on members, whatever its callers call it.
+func preparedName(p statement.Prepared) string {
+	kind := "r"
+	if p.Writes {
+		kind = "w"
+	}
+	return fmt.Sprintf("%s%016x", kind, xxhash.Sum64String(p.Shape))
+}
+
+// settings returns the commands that put the session values and the prepared statement in force on the connection, and
+// notes them as if they had succeeded: after any failure the connection is closed.
+func (l *link) settings(values map[string]string, s statement.Statement) []member.Command {
+	var out []member.Command
+	if l.hasOther(values) || len(l.prepared) >= maxPrepared {
+		out = append(out, own(statement.KindReset))
+		l.values, l.prepared = nil, nil
+	}
+	out = append(out, l.changedValues(values)...)
+	if s.Kind != statement.KindExecute {
+		return out
+	}
+	name := preparedName(s.Prepared)
+	if known, ok := l.prepared[name]; ok && known == s.Prepared {
+		return out
+	}
+	if l.prepared == nil {
+		l.prepared = make(map[string]statement.Prepared)
+	}
+	l.prepared[name] = s.Prepared
+	c := own(statement.KindPrepare)
+	c.Name, c.Prepared = name, s.Prepared
+	return append(out, c)
+}
+
+// hasOther reports whether a value is in force that the session does not have.
+func (l *link) hasOther(values map[string]string) bool {
+	for name := range l.values {
+		if _, ok := values[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *link) changedValues(values map[string]string) []member.Command {
+	var out []member.Command
+	names := make([]string, 0, len(values))
+	for name, v := range values {
+		if l.values[name] != v {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		c := own(statement.KindSet)
+		c.Name, c.Value = name, values[name]
+		out = append(out, c)
+		if l.values == nil {
+			l.values = make(map[string]string)
+		}
+		l.values[name] = values[name]
+	}
+	return out
+}
+
+// open dials a connection that the scheduler asked for.
+func (g *Group) open(o dispatch.Open) {
+	m, ok := g.members[o.Member]
+	if !ok || g.stopped {
+		g.sched.OpenFailed(o.Conn, g.o.Clock())
+		return
+	}
+	go g.dial(o, m)
+}
+
+func (g *Group) dial(o dispatch.Open, m member.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	l := &link{id: o.Conn, member: m, customer: o.Customer}
+	conn, err := g.o.Members.Dial(ctx, m, o.Customer, func() { g.lost(l) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock()
+	if err != nil {
+		g.o.Metrics.Dials.WithLabelValues("failed").Inc()
+		g.log.Warn("could not connect to a member", "member", m.ID, "customer", o.Customer, "error", err)
+		g.sched.OpenFailed(o.Conn, now)
+		if f := member.FailureOf(err); f != promotion.FailureBusy {
+			g.machine.Failed(m.ID, f, now)
+			g.signal()
+		}
+		g.pump(now)
+		return
+	}
+	g.o.Metrics.Dials.WithLabelValues("opened").Inc()
+	g.machine.Heard(m.ID, now)
+	l.conn = conn
+	if g.stopped || g.members[m.ID].Born != m.Born {
+		g.sched.Closed(o.Conn)
+		conn.Close()
+		return
+	}
+	g.links[o.Conn] = l
+	g.sched.Opened(o.Conn, now)
+	g.pump(now)
+}
+
+// lost handles a connection that broke by itself.
+func (g *Group) lost(l *link) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.links[l.id] != l || l.busy() {
+		// A running statement reports the loss itself.
+		return
+	}
+	now := g.o.Clock()
+	g.log.Info("connection to a member broke", "member", l.member.ID, "customer", l.customer)
+	delete(g.links, l.id)
+	l.close(member.ErrLost)
+	g.sched.Closed(l.id)
+	g.forgetTransaction(l)
+	if !l.isReplaced(g) {
+		g.machine.Failed(l.member.ID, promotion.FailureLost, now)
+	}
+	g.signal()
+}
+
+// isReplaced reports whether the member of the connection is no longer the one that is known.
+func (l *link) isReplaced(g *Group) bool {
+	m, ok := g.members[l.member.ID]
+	return !ok || m.Born != l.member.Born
+}
+
+// finishLink gives the connection back after a statement, or forgets it after a failure. The group is locked.
+func (g *Group) finishLink(l *link, err error, open bool) {
+	now := g.o.Clock()
+	l.finish()
+	if err != nil || l.isClosed() {
+		if g.links[l.id] == l {
+			delete(g.links, l.id)
+		}
+		g.sched.Closed(l.id)
+		l.close(member.ErrLost)
+	} else {
+		g.sched.Done(l.id, open, now)
+	}
+	g.pump(now)
+}
+
+func sortedMembers(set map[upstream.MemberID]member.Member) []member.Member {
+	list := make([]member.Member, 0, len(set))
+	for _, m := range set {
+		list = append(list, m)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/internal/owner/metrics.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the counters and histograms of the owned groups.
+type Metrics struct {
+	Answers    *prometheus.CounterVec
+	Wait       prometheus.Histogram
+	Member     *prometheus.HistogramVec
+	Promotions prometheus.Counter
+	Dials      *prometheus.CounterVec
+	Probes     prometheus.Counter
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	buckets := []float64{.001, .002, .005, .01, .02, .05, .1, .15, .25, .5, 1, 2.5}
+	m := &Metrics{
+		Answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "celerystep_owner_answers_total", Help: "Statements by the kind of member and the code of the answer.",
+		}, []string{"member", "code"}),
+		Wait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "celerystep_owner_wait_seconds", Help: "Time that statements waited for a connection.", Buckets: buckets,
+		}),
+		Member: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "celerystep_owner_member_seconds", Help: "Time that members took for statements.", Buckets: buckets,
+		}, []string{"member"}),
+		Promotions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "celerystep_owner_promotions_total", Help: "Orders to promote a member.",
+		}),
+		Dials: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "celerystep_owner_dials_total", Help: "Connections to members by result.",
+		}, []string{"result"}),
+		Probes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "celerystep_owner_probes_total", Help: "Status requests to members.",
+		}),
+	}
+	r.MustRegister(m.Answers, m.Wait, m.Member, m.Promotions, m.Dials, m.Probes)
+	return m
+}
--- /dev/null
+++ b/internal/owner/orders.go
@@ -0,0 +1,170 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/dispatch"
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/promotion"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	probeTimeout = 250 * time.Millisecond
+	orderTimeout = time.Second
+	// tokenGap is the time between two requests to a coordinator.
+	tokenTimeout = 250 * time.Millisecond
+)
+
+// act carries out an action of the promotion machine. The group is locked.
+func (g *Group) act(ctx context.Context, a promotion.Action) {
+	switch a.Kind {
+	case promotion.ActionProbe:
+		g.o.Metrics.Probes.Inc()
+		go g.probe(ctx, g.members[a.Member])
+	case promotion.ActionPromote, promotion.ActionConfirm:
+		if a.Kind == promotion.ActionPromote {
+			g.o.Metrics.Promotions.Inc()
+		}
+		go g.promote(ctx, a.Member, g.claim.Revision)
+	case promotion.ActionRenewToken:
+		go g.o.RenewClaim(g.id)
+	}
+}
+
+// probe asks a member what it says of itself, on a connection of its own.
+func (g *Group) probe(ctx context.Context, m member.Member) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	s, err := g.status(ctx, m)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock()
+	if err != nil {
+		g.log.Info("probe of a member failed", "member", m.ID, "error", err)
+		g.machine.StatusFailed(m.ID, member.FailureOf(err), now)
+	} else {
+		g.log.Info("probe of a member", "member", m.ID, "role", s.Role, "term", s.Term, "position", s.Position, "lag", s.Lag)
+		g.machine.StatusDone(m.ID, s, now)
+		g.sched.Observe(m.ID, s.Position, now)
+	}
+	g.signal()
+}
+
+func (g *Group) status(ctx context.Context, m member.Member) (promotion.Status, error) {
+	conn, err := g.o.Members.Dial(ctx, m, g.probeCustomer(), func() {})
+	if err != nil {
+		return promotion.Status{}, err
+	}
+	defer conn.Close()
+	return conn.Status(ctx)
+}
+
+// probeCustomer returns the customer in whose name probes connect.
+func (g *Group) probeCustomer() string {
+	if names := g.o.Catalog().CustomerNames(); len(names) > 0 {
+		return names[0]
+	}
+	return publicCustomer
+}
+
+// promote orders a promotion.
+func (g *Group) promote(ctx context.Context, id upstream.MemberID, token uint64) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result, err := g.o.Promoter.Promote(ctx, g.id, id, token)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.log.Info("promotion ordered", "member", id, "token", token, "result", result, "error", err)
+	g.machine.PromoteDone(id, result, g.o.Clock())
+	g.signal()
+}
+
+// askTokens asks the customers' coordinators for what the stock is short of. The group is locked.
+func (g *Group) askTokens(ctx context.Context, c *catalog.Catalog, now time.Time) {
+	if g.released {
+		return
+	}
+	wants := make(map[upstream.GroupID][]TokenRequest)
+	g.stock.Wants(now, func(customer string, n int) {
+		to := coordinatorOf(c, customer)
+		wants[to] = append(wants[to], TokenRequest{Customer: customer, Tokens: n})
+	})
+	for to, list := range wants {
+		if g.tokens[to] {
+			continue
+		}
+		g.tokens[to] = true
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+			defer cancel()
+			g.fetchTokens(ctx, to, list)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.tokens[to] = false
+		}()
+	}
+}
+
+// fetchTokens asks one coordinator and adds what it grants to the stock.
+func (g *Group) fetchTokens(ctx context.Context, to upstream.GroupID, wants []TokenRequest) {
+	sent := g.o.Clock()
+	granted := g.o.Tokens.TakeTokens(ctx, to, wants)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock()
+	for _, t := range granted {
+		g.stock.Add(t.Customer, t.Tokens, sent, now)
+	}
+}
+
+// grant gives tokens of the customers that this group's owner coordinates.
+func (g *Group) grant(wants []TokenRequest) ([]TokenRequest, bool) {
+	c := g.o.Catalog()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.released || !g.o.Authority.Leased(g.claim) {
+		return nil, false
+	}
+	now := g.o.Clock()
+	var grants []TokenRequest
+	for _, w := range wants {
+		customer := c.Customer(w.Customer)
+		if customer == nil || coordinatorOf(c, w.Customer) != g.id {
+			continue
+		}
+		if n := g.pool.Grant(customer, w.Tokens, now); n > 0 {
+			grants = append(grants, TokenRequest{Customer: w.Customer, Tokens: n})
+		}
+	}
+	return grants, true
+}
+
+func (g *Group) count(primary bool, code statement.Code) {
+	kind := "replica"
+	if primary {
+		kind = "primary"
+	}
+	g.o.Metrics.Answers.WithLabelValues(kind, code.String()).Inc()
+}
+
+// explainRefusal logs why the scheduler refused a call and returns the response.
+func (g *Group) explainRefusal(c *call, r dispatch.Refusal) *operation.Response {
+	g.o.Metrics.Answers.WithLabelValues("none", statement.CodeBusy.String()).Inc()
+	g.logRefusal(c.r, "busy", r.Reason.String(), "ahead", r.Ahead, "waiting", r.Waiting, "retry_after", r.After, "attempts", c.attempts)
+	return refusal(statement.CodeBusy, r.Reason.String(), r.After)
+}
+
+func (g *Group) logRefusal(r *operation.Request, outcome, reason string, more ...any) {
+	g.log.Info("refused", append([]any{"request", r.Statement.ID, "kind", r.Statement.Kind, "database", r.Database,
+		"outcome", outcome, "reason", reason}, more...)...)
+}
+
+func (g *Group) logFailure(c *call, l *link, outcome, reason string, again bool) {
+	g.log.Info("attempt failed", "request", c.r.Statement.ID, "kind", c.r.Statement.Kind, "database", c.r.Database, "member", l.member.ID,
+		"outcome", outcome, "reason", reason, "again", again, "attempt", c.attempts, "age", g.o.Clock().Sub(c.arrived), "waited", c.waited)
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,219 @@
+// Package owner runs the database groups that this instance owns: it admits statements, queues them, runs them on pooled
+// connections of the members, keeps the floor of reads and replaces primaries. The decisions come from the packages
+// dispatch, freshness, promotion and quota; this package supplies time, I/O and goroutines.
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/quota"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Authority tells what this instance may do now. Its methods are safe for concurrent use and do not block.
+type Authority interface {
+	// Leased reports whether no other instance can have taken over the claim.
+	Leased(claim ownership.Claim) bool
+	// KeysFresh reports whether the catalog's keys are known to be in force.
+	KeysFresh() bool
+	// DomainOut reports whether the failure domain must not get requests.
+	DomainOut(d instance.FailureDomain) bool
+}
+
+// TokenSource asks a customer's coordinator for tokens.
+type TokenSource interface {
+	// TakeTokens asks the owner of the group for the tokens and returns what it granted.
+	TakeTokens(ctx context.Context, g upstream.GroupID, wants []TokenRequest) []TokenRequest
+}
+
+// TokenRequest asks for or grants tokens of one customer.
+type TokenRequest struct {
+	Customer string
+	Tokens   int
+}
+
+// Options are what a Manager needs.
+type Options struct {
+	Domain    instance.FailureDomain
+	Members   member.Port
+	Promoter  member.Promoter
+	Authority Authority
+	Tokens    TokenSource
+	// Catalog returns the configuration in force; it is never nil once a group is owned.
+	Catalog func() *catalog.Catalog
+	// CatchUp asks for a configuration of at least the revision and waits a short time for it.
+	CatchUp func(ctx context.Context, revision uint64)
+	// RenewClaim asks for a claim with a higher revision.
+	RenewClaim func(g upstream.GroupID)
+	Clock      boottime.Clock
+	Log        hclog.Logger
+	Metrics    *Metrics
+	// CrossDomain is the expected network delay to a member in another failure domain and back.
+	CrossDomain time.Duration
+}
+
+// Manager holds the groups that the instance owns.
+type Manager struct {
+	o       Options
+	mu      sync.RWMutex
+	groups  map[upstream.GroupID]*Group
+	members map[upstream.GroupID][]member.Member
+	// draining holds groups that were given up while transactions are open.
+	draining map[upstream.GroupID]*Group
+}
+
+// NewManager returns a manager without groups.
+func NewManager(o Options) *Manager {
+	return &Manager{
+		o:        o,
+		groups:   make(map[upstream.GroupID]*Group),
+		members:  make(map[upstream.GroupID][]member.Member),
+		draining: make(map[upstream.GroupID]*Group),
+	}
+}
+
+// Acquire starts a group under the claim, or puts a renewed claim in force.
+func (m *Manager) Acquire(ctx context.Context, claim ownership.Claim) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if g := m.groups[claim.Group]; g != nil {
+		g.renew(claim)
+		return
+	}
+	g := newGroup(m.o, claim)
+	if old := m.draining[claim.Group]; old != nil {
+		delete(m.draining, claim.Group)
+		old.stop()
+	}
+	m.groups[claim.Group] = g
+	g.setMembers(m.members[claim.Group])
+	go g.run(ctx)
+}
+
+// Release gives the group up: new statements are refused, open transactions may end.
+func (m *Manager) Release(id upstream.GroupID, cause string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.groups[id]
+	if g == nil {
+		return
+	}
+	delete(m.groups, id)
+	m.draining[id] = g
+	g.release(cause)
+}
+
+// SetMembers replaces the members of a group.
+func (m *Manager) SetMembers(id upstream.GroupID, list []member.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members[id] = list
+	for _, g := range []*Group{m.groups[id], m.draining[id]} {
+		if g != nil {
+			g.setMembers(list)
+		}
+	}
+}
+
+// Members returns the known members of a group.
+func (m *Manager) Members(id upstream.GroupID) []member.Member {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.members[id]
+}
+
+// OpenTransactions returns the number of transactions that are open.
+func (m *Manager) OpenTransactions() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	n := 0
+	for _, set := range []map[upstream.GroupID]*Group{m.groups, m.draining} {
+		for _, g := range set {
+			n += g.openTransactions()
+		}
+	}
+	return n
+}
+
+// Close stops all groups and closes their connections.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, set := range []map[upstream.GroupID]*Group{m.groups, m.draining} {
+		for id, g := range set {
+			g.stop()
+			delete(set, id)
+		}
+	}
+}
+
+func (m *Manager) group(id upstream.GroupID) (owned, draining *Group) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.groups[id], m.draining[id]
+}
+
+// Run implements operation.Runner.
+func (m *Manager) Run(ctx context.Context, r *operation.Request) operation.Response {
+	if r.CatalogRevision > m.o.Catalog().Revision {
+		m.o.CatchUp(ctx, r.CatalogRevision)
+	}
+	owned, draining := m.group(r.Group)
+	for _, g := range []*Group{owned, draining} {
+		if g != nil && r.InTransaction && g.holds(r.Session) {
+			return g.runInTransaction(ctx, r)
+		}
+	}
+	switch {
+	case r.InTransaction:
+		return aborted("the transaction was rolled back: its owner has changed or it was idle for too long")
+	case owned == nil:
+		return operation.Response{Answer: statement.Answer{Code: statement.CodeBusy, Detail: "not the owner"}, NotOwner: true}
+	default:
+		return owned.runFirst(ctx, r)
+	}
+}
+
+// End implements operation.Runner.
+func (m *Manager) End(_ context.Context, id upstream.GroupID, s operation.SessionID) {
+	owned, draining := m.group(id)
+	for _, g := range []*Group{owned, draining} {
+		if g != nil {
+			g.end(s)
+		}
+	}
+}
+
+// Grant gives tokens of customers whose coordinator is the owner of the group. It returns false when this instance may
+// not grant.
+func (m *Manager) Grant(id upstream.GroupID, wants []TokenRequest) ([]TokenRequest, bool) {
+	owned, _ := m.group(id)
+	if owned == nil {
+		return nil, false
+	}
+	return owned.grant(wants)
+}
+
+func aborted(detail string) operation.Response {
+	return operation.Response{Answer: statement.Answer{Code: statement.CodeAborted, Detail: detail, State: statement.TxFailed}}
+}
+
+// quotaGroups returns the groups in order of name and the coordinator's group of the customer.
+func coordinatorOf(c *catalog.Catalog, customer string) upstream.GroupID {
+	ids := c.GroupIDs()
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[quota.CoordinatorIndex(customer, len(ids))]
+}
--- /dev/null
+++ b/internal/owner/run.go
@@ -0,0 +1,491 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/dispatch"
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/promotion"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// maxAttempts bounds the tries of a statement that surely did not run, or that only reads.
+	maxAttempts = 4
+	// tokenWait is how long a statement waits for tokens of its customer's coordinator.
+	tokenWait = 30 * time.Millisecond
+	// defaultTimeout bounds statements of routes without a time limit.
+	defaultTimeout = 2 * time.Second
+)
+
+// call is a statement on its way through the owner.
+type call struct {
+	r        *operation.Request
+	route    *catalog.Route
+	customer *catalog.Customer
+	catalog  *catalog.Catalog
+	arrived  time.Time
+	deadline time.Time
+	due      time.Time
+	attempts int
+	avoid    upstream.MemberID
+	// mustPrimary is true after a replica could not serve the read.
+	mustPrimary bool
+	waited      time.Duration
+}
+
+// reads reports whether the statement and its transaction cannot change data.
+func (c *call) reads() bool {
+	s := c.r.Statement
+	if c.r.Begin == statement.KindBeginRead {
+		return true
+	}
+	return c.r.Begin == statement.KindInvalid && !s.Writes()
+}
+
+// admit checks the route, the key and the time.
+func (g *Group) admit(r *operation.Request) (*call, *operation.Response) {
+	now := g.o.Clock()
+	c := g.o.Catalog()
+	route := c.Routes[r.Database]
+	if route == nil || route.Group != g.id {
+		return nil, refusal(statement.CodeUnknownDatabase, "no route leads to the database", 0)
+	}
+	customer := c.Holder(r.Key)
+	if customer == nil && !route.Public {
+		return nil, refusal(statement.CodeUnauthenticated, "the key is not known", 0)
+	}
+	if !route.Public && !g.o.Authority.KeysFresh() {
+		return nil, refusal(statement.CodeBusy, "keys cannot be checked while the store is away", 500*time.Millisecond)
+	}
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	arrived := now.Add(-r.Elapsed)
+	k := &call{r: r, route: route, customer: customer, catalog: c, arrived: arrived, deadline: arrived.Add(timeout)}
+	k.due = arrived.Add(route.Target)
+	if route.Target <= 0 || k.due.After(k.deadline) {
+		k.due = k.deadline
+	}
+	return k, nil
+}
+
+func refusal(code statement.Code, detail string, after time.Duration) *operation.Response {
+	r := operation.Refuse(code, detail, after)
+	return &r
+}
+
+// name returns the customer's name as members are told it.
+func (c *call) name() string {
+	if c.customer == nil {
+		return publicCustomer
+	}
+	return c.customer.Name
+}
+
+// publicCustomer stands for callers without a key on routes that need none.
+const publicCustomer = "public"
+
+// runFirst runs a statement outside a transaction, or the first one of a transaction.
+func (g *Group) runFirst(ctx context.Context, r *operation.Request) operation.Response {
+	c, refused := g.admit(r)
+	if refused != nil {
+		g.logRefusal(r, refused.Code.String(), refused.Detail, "retry_after", refused.RetryAfter)
+		return *refused
+	}
+	if !g.takeToken(ctx, c) {
+		after := g.stock.NextToken(c.customer)
+		g.logRefusal(r, "busy", "the customer is above its rate", "customer", c.name(), "rate", c.customer.Rate, "retry_after", after)
+		return operation.Refuse(statement.CodeBusy, "the customer is above its rate", after)
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(c.deadline.Sub(g.o.Clock())))
+	defer cancel()
+	for {
+		resp, again := g.attempt(ctx, c)
+		if again && c.attempts < maxAttempts && ctx.Err() == nil {
+			continue
+		}
+		if resp.Code.NotRun() {
+			g.returnToken(c)
+		}
+		resp.CatalogRevision = c.catalog.Revision
+		return resp
+	}
+}
+
+// attempt queues the statement and runs it once. again is true when another attempt may succeed and cannot run the
+// statement twice.
+func (g *Group) attempt(ctx context.Context, c *call) (resp operation.Response, again bool) {
+	l, primary, refused := g.acquire(ctx, c)
+	if refused != nil {
+		return *refused, false
+	}
+	if stale := g.recheck(c); stale != nil {
+		g.giveBack(l)
+		g.logRefusal(c.r, stale.Code.String(), stale.Detail, "waited", c.waited)
+		return *stale, false
+	}
+	c.attempts++
+	answer, err := g.execute(ctx, c, l, primary)
+	return g.settle(ctx, c, l, primary, answer, err)
+}
+
+// acquire waits for a connection.
+func (g *Group) acquire(ctx context.Context, c *call) (*link, bool, *operation.Response) {
+	g.mu.Lock()
+	now := g.o.Clock()
+	if g.released || g.stopped {
+		g.mu.Unlock()
+		return nil, false, &operation.Response{Answer: statement.Answer{Code: statement.CodeBusy, Detail: "the group is being handed over"}, NotOwner: true}
+	}
+	item := g.item(c, now)
+	ticket, refused := g.sched.Submit(item, now)
+	if refused != nil {
+		g.mu.Unlock()
+		return nil, false, g.explainRefusal(c, *refused)
+	}
+	w := make(chan grantOrRefusal, 1)
+	g.waiters[ticket] = w
+	g.pump(now)
+	g.mu.Unlock()
+
+	var v grantOrRefusal
+	select {
+	case v = <-w:
+	case <-ctx.Done():
+		if g.cancelWait(ticket) {
+			return nil, false, refusal(statement.CodeBusy, "the caller gave up or the deadline passed in the queue", item.Cost)
+		}
+		v = <-w
+	}
+	if v.refusal != nil {
+		if g.isReleased() {
+			return nil, false, &operation.Response{Answer: statement.Answer{Code: statement.CodeBusy, Detail: "the group is being handed over"}, NotOwner: true}
+		}
+		return nil, false, g.explainRefusal(c, *v.refusal)
+	}
+	c.waited += v.assignment.Waited
+	g.o.Metrics.Wait.Observe(v.assignment.Waited.Seconds())
+	return g.take(v.assignment, c)
+}
+
+func (g *Group) isReleased() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.released || g.stopped
+}
+
+func (g *Group) cancelWait(t dispatch.Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.waiters[t] == nil {
+		return false
+	}
+	delete(g.waiters, t)
+	return g.sched.Cancel(t)
+}
+
+// take returns the connection of an assignment.
+func (g *Group) take(a dispatch.Assignment, c *call) (*link, bool, *operation.Response) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.links[a.Conn]
+	now := g.o.Clock()
+	if l == nil || l.isClosed() {
+		g.sched.Closed(a.Conn)
+		return nil, false, refusal(statement.CodeBusy, "the connection to the member broke", 20*time.Millisecond)
+	}
+	l.begin(now)
+	return l, a.Member == g.leader, nil
+}
+
+// giveBack gives a connection back that was not used.
+func (g *Group) giveBack(l *link) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.finishLink(l, nil, false)
+}
+
+// item describes the call to the scheduler. The group is locked.
+func (g *Group) item(c *call, now time.Time) dispatch.Item {
+	it := dispatch.Item{
+		Customer: c.name(),
+		Need:     dispatch.NeedPrimary,
+		Due:      c.due,
+		Deadline: c.deadline,
+		Cost:     g.costs.of(c.route, c.r.Statement),
+		Holds:    c.r.Begin != statement.KindInvalid,
+		Avoid:    c.avoid,
+		Again:    c.attempts > 0,
+	}
+	if floor, ok := g.floor(c); ok && !c.mustPrimary {
+		it.Need, it.Floor = dispatch.NeedAny, floor
+	}
+	return it
+}
+
+// floor returns the position that a replica must hold to serve the call; false when only the primary can serve it.
+func (g *Group) floor(c *call) (position.Position, bool) {
+	if !c.reads() || c.route.Consistency == catalog.Primary {
+		return position.Position{}, false
+	}
+	floor, ok := g.fresh.FloorAt(c.arrived.Add(stalenessMargin - c.route.MaxAge))
+	if !ok {
+		return position.Position{}, false
+	}
+	if c.route.Consistency == catalog.ReadYourWrites {
+		floor = position.Max(floor, g.fresh.Clamp(c.r.Floor))
+	}
+	return floor, true
+}
+
+// stalenessMargin is kept from a route's accepted age, for the time between the arrival of a request and its first byte.
+const stalenessMargin = 100 * time.Millisecond
+
+// recheck looks again, right before the statement is sent, at what may have changed in the queue.
+func (g *Group) recheck(c *call) *operation.Response {
+	now := g.o.Catalog()
+	if now.Revision != c.catalog.Revision {
+		route := now.Routes[c.r.Database]
+		if route == nil || route.Group != g.id {
+			return refusal(statement.CodeUnknownDatabase, "no route leads to the database any more", 0)
+		}
+		if !route.Public && now.Holder(c.r.Key) == nil {
+			return refusal(statement.CodeUnauthenticated, "the key is not known any more", 0)
+		}
+		if holder := now.Holder(c.r.Key); holder != nil && holder.Name != c.name() {
+			return refusal(statement.CodeBusy, "the key has another holder now", 0)
+		}
+		c.catalog, c.route = now, route
+	}
+	if !c.route.Public && !g.o.Authority.KeysFresh() {
+		return refusal(statement.CodeBusy, "keys cannot be checked while the store is away", 500*time.Millisecond)
+	}
+	return nil
+}
+
+// takeToken spends a token of the customer, if need be one that the coordinator grants at once.
+func (g *Group) takeToken(ctx context.Context, c *call) bool {
+	if c.customer == nil || c.customer.Rate <= 0 {
+		return true
+	}
+	g.mu.Lock()
+	ok := g.stock.Take(c.customer, len(c.catalog.Groups), g.o.Clock())
+	g.mu.Unlock()
+	if ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, tokenWait)
+	defer cancel()
+	g.fetchTokens(ctx, coordinatorOf(c.catalog, c.customer.Name), []TokenRequest{{Customer: c.customer.Name, Tokens: 2}})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stock.Take(c.customer, len(c.catalog.Groups), g.o.Clock())
+}
+
+func (g *Group) returnToken(c *call) {
+	if c.customer == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stock.Return(c.customer, g.o.Clock())
+}
+
+// settle turns what a member said into the response and gives the connection back.
+func (g *Group) settle(ctx context.Context, c *call, l *link, primary bool, answer statement.Answer, err error) (operation.Response, bool) {
+	if err != nil {
+		return g.settleLost(ctx, c, l, err)
+	}
+	open := answer.State != statement.TxIdle && answer.Code == statement.CodeOK
+	g.mu.Lock()
+	if answer.State != statement.TxIdle && !open {
+		// A transaction whose first statement failed holds nothing.
+		g.mu.Unlock()
+		g.rollBackLink(l)
+	} else {
+		if open {
+			l.finish()
+			g.txs[c.r.Session] = &transaction{link: l, primary: primary, lastUsed: g.o.Clock()}
+			g.sched.Done(l.id, true, g.o.Clock())
+			g.pump(g.o.Clock())
+		} else {
+			g.finishLink(l, nil, false)
+		}
+		g.mu.Unlock()
+	}
+	g.count(primary, answer.Code)
+	if answer.Code == statement.CodeOK {
+		return operation.Response{Answer: answer}, false
+	}
+	again := g.noteFailure(c, l, primary, answer)
+	after := 20 * time.Millisecond
+	g.logFailure(c, l, answer.Code.String(), answer.Detail, again)
+	if c.r.Begin != statement.KindInvalid {
+		answer.State = statement.TxFailed
+	}
+	return operation.Response{Answer: answer, RetryAfter: after}, again
+}
+
+// noteFailure records what a refusal says of the member, and returns whether another attempt may succeed.
+func (g *Group) noteFailure(c *call, l *link, primary bool, answer statement.Answer) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock()
+	switch answer.Code {
+	case statement.CodeLagging:
+		g.sched.Lags(l.member.ID, now)
+		c.mustPrimary = true
+	case statement.CodeReadOnly:
+		if primary {
+			g.machine.LostLead(l.member.ID, now)
+			g.signal()
+		}
+		c.mustPrimary = true
+	case statement.CodeFailed:
+		if !c.reads() {
+			return false
+		}
+		c.avoid = l.member.ID
+	case statement.CodeBusy, statement.CodeWrongMember, statement.CodeConnectionLimit:
+		c.avoid = l.member.ID
+	case statement.CodeUnknownStatement:
+		l.prepared = nil
+	default:
+		return false
+	}
+	return true
+}
+
+// settleLost handles a statement whose connection broke or whose answer did not come in time.
+func (g *Group) settleLost(ctx context.Context, c *call, l *link, err error) (operation.Response, bool) {
+	g.mu.Lock()
+	f := member.FailureOf(err)
+	if f == promotion.FailureLost && !l.isReplaced(g) {
+		g.machine.Failed(l.member.ID, f, g.o.Clock())
+		g.signal()
+	}
+	g.finishLink(l, err, false)
+	g.mu.Unlock()
+	c.avoid = l.member.ID
+	timedOut := ctx.Err() != nil
+	switch {
+	case c.r.Begin != statement.KindInvalid && c.r.Statement.Kind != statement.KindCommit:
+		// The transaction ends with its connection, and nobody has asked for its commit.
+		again := !timedOut && c.reads()
+		g.logFailure(c, l, "aborted", err.Error(), again)
+		return aborted("the connection to the member broke in the transaction"), again
+	case c.reads() && c.r.Statement.Kind != statement.KindCommit:
+		code := statement.CodeFailed
+		if timedOut {
+			code = statement.CodeTimeout
+		}
+		g.logFailure(c, l, code.String(), err.Error(), !timedOut)
+		return operation.Response{Answer: statement.Answer{Code: code, Detail: "no answer from the member"}}, !timedOut
+	default:
+		g.logFailure(c, l, "in_doubt", err.Error(), false)
+		return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the member's answer was lost"}}, false
+	}
+}
+
+// rollBackLink ends the transaction on a connection whose statement failed.
+func (g *Group) rollBackLink(l *link) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
+		defer cancel()
+		answers, err := l.conn.Do(ctx, own(statement.KindRollback))
+		if err == nil && answers[0].State != statement.TxIdle {
+			err = errors.New("the transaction did not end")
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.finishLink(l, err, false)
+	}()
+}
+
+// runInTransaction runs a statement on the connection of the session's transaction.
+func (g *Group) runInTransaction(ctx context.Context, r *operation.Request) operation.Response {
+	c, refused := g.admit(r)
+	g.mu.Lock()
+	t := g.txs[r.Session]
+	switch {
+	case t == nil || t.busy:
+		g.mu.Unlock()
+		return aborted("the transaction was rolled back")
+	case refused != nil || t.link.customer != c.name():
+		g.rollBack(r.Session, t)
+		g.mu.Unlock()
+		detail := "the key belongs to another customer now"
+		if refused != nil {
+			detail = refused.Detail
+		}
+		g.logRefusal(r, "aborted", detail)
+		return aborted(detail)
+	}
+	l := t.link
+	t.busy = true
+	l.begin(g.o.Clock())
+	g.sched.Resume(l.id, g.o.Clock())
+	g.mu.Unlock()
+
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(c.deadline.Sub(g.o.Clock())))
+	defer cancel()
+	answer, err := g.executeNext(ctx, c, l, t.primary)
+	g.count(t.primary, answer.Code)
+	return g.settleTransaction(ctx, c, t, answer, err)
+}
+
+// settleTransaction ends or keeps the transaction after a statement.
+func (g *Group) settleTransaction(ctx context.Context, c *call, t *transaction, answer statement.Answer, err error) operation.Response {
+	l := t.link
+	ends := c.r.Statement.Kind == statement.KindCommit
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock()
+	t.busy, t.lastUsed = false, now
+	if err != nil {
+		delete(g.txs, c.r.Session)
+		if f := member.FailureOf(err); f == promotion.FailureLost && !l.isReplaced(g) {
+			g.machine.Failed(l.member.ID, f, now)
+			g.signal()
+		}
+		g.finishLink(l, err, false)
+		if ends && t.primary {
+			g.logFailure(c, l, "in_doubt", err.Error(), false)
+			return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the answer to the commit was lost", State: statement.TxIdle}}
+		}
+		g.logFailure(c, l, "aborted", err.Error(), false)
+		return aborted("the connection to the member broke in the transaction")
+	}
+	if answer.Code == statement.CodeOK && answer.State == statement.TxOpen && !t.ended {
+		l.finish()
+		g.sched.Done(l.id, true, now)
+		g.pump(now)
+		return operation.Response{Answer: answer}
+	}
+	delete(g.txs, c.r.Session)
+	if answer.Code != statement.CodeOK {
+		g.logFailure(c, l, answer.Code.String(), answer.Detail, false)
+		if answer.Code == statement.CodeReadOnly && t.primary {
+			g.machine.LostLead(l.member.ID, now)
+			g.signal()
+		}
+	}
+	if answer.State == statement.TxIdle {
+		g.finishLink(l, nil, false)
+		return operation.Response{Answer: answer}
+	}
+	g.rollBackLink(l)
+	if answer.Code != statement.CodeOK {
+		answer.State = statement.TxFailed
+	}
+	return operation.Response{Answer: answer}
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,263 @@
+// Package ownership decides which database groups an instance should own. Ownership is a key in the platform's store,
+// taken by compare-and-swap and bound to a lease; the key's revision is the fencing token. The package has no goroutines,
+// sockets or clock reads.
+//
+// No list of instances is needed: an instance that sees a group without an owner claims it after a delay of its own, and
+// the store lets one of them win.
+package ownership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// spread is the range of the delays by which claims of several instances are set apart.
+	spread = 120 * time.Millisecond
+	// farDelay is added when the instance is not in the failure domain of the group's primary.
+	farDelay = 100 * time.Millisecond
+	// heldDelay is added for each group that the instance owns, so that groups spread over the fleet.
+	heldDelay = 250 * time.Millisecond
+	// startDelay is added while the process has just started, when its peers may be better prepared.
+	startDelay = 150 * time.Millisecond
+	// RetryDelay is the pause after a claim that failed.
+	RetryDelay = 100 * time.Millisecond
+)
+
+// Claim is the ownership of one group as the store has it.
+type Claim struct {
+	Group upstream.GroupID
+	// Owner is the instance, Process tells its processes apart.
+	Owner   instance.ID
+	Process string
+	// Address is the owner's host:port for its peers.
+	Address string
+	// Revision is the store's revision of the claim: the fencing token.
+	Revision uint64
+}
+
+// Action asks to claim a group.
+type Action struct {
+	Group upstream.GroupID
+	// Expected is the revision of the claim to be replaced; 0 when there is none.
+	Expected uint64
+	// Cause says why.
+	Cause string
+	// Waited is the delay that the instance kept.
+	Waited time.Duration
+}
+
+// group is what is known of one group.
+type group struct {
+	claim Claim
+	// free is when the group was found without an owner, or its owner dead; zero while it is owned.
+	free time.Time
+	dead bool
+	near bool
+	// before is true when this process was the last owner.
+	before bool
+	retry  time.Time
+	busy   bool
+}
+
+// Planner decides for one instance. It is not safe for concurrent use.
+type Planner struct {
+	self    instance.ID
+	process string
+	groups  map[upstream.GroupID]*group
+	started time.Time
+	// barred is true while the instance must not take groups: it leaves or cannot serve.
+	barred bool
+}
+
+// NewPlanner returns a planner for one process of an instance.
+func NewPlanner(self instance.ID, process string, now time.Time) *Planner {
+	return &Planner{self: self, process: process, groups: make(map[upstream.GroupID]*group), started: now}
+}
+
+// SetGroups replaces the groups.
+func (p *Planner) SetGroups(ids []upstream.GroupID, now time.Time) {
+	keep := make(map[upstream.GroupID]*group, len(ids))
+	for _, id := range ids {
+		g := p.groups[id]
+		if g == nil {
+			g = &group{free: now}
+		}
+		keep[id] = g
+	}
+	p.groups = keep
+}
+
+// SetBarred tells whether the instance may take groups.
+func (p *Planner) SetBarred(barred bool) { p.barred = barred }
+
+// SetNear tells whether the instance is in the failure domain of the group's primary.
+func (p *Planner) SetNear(id upstream.GroupID, near bool) {
+	if g := p.groups[id]; g != nil {
+		g.near = near
+	}
+}
+
+// SetClaim records the claim that the store holds. Older revisions than the known one are ignored.
+func (p *Planner) SetClaim(c Claim, now time.Time) {
+	g := p.groups[c.Group]
+	if g == nil {
+		g = &group{}
+		p.groups[c.Group] = g
+	}
+	if c.Revision < g.claim.Revision {
+		return
+	}
+	g.claim, g.dead, g.free = c, false, time.Time{}
+	g.before = p.mine(c)
+	if c.Owner == p.self && !p.mine(c) {
+		// The owner was an earlier process of this instance.
+		g.dead, g.free = true, now
+	}
+}
+
+// Removed records that the store has no claim for the group any more.
+func (p *Planner) Removed(id upstream.GroupID, now time.Time) {
+	g := p.groups[id]
+	if g == nil {
+		return
+	}
+	g.claim = Claim{Group: id}
+	g.dead, g.free = false, now
+}
+
+// OwnerDead records proof that the process that holds the claim has ended.
+func (p *Planner) OwnerDead(id upstream.GroupID, revision uint64, now time.Time) {
+	g := p.groups[id]
+	if g == nil || g.claim.Revision != revision || g.dead || p.mine(g.claim) {
+		return
+	}
+	g.dead, g.free = true, now
+}
+
+// Claim returns the known claim of a group; Owner is empty when there is none.
+func (p *Planner) Claim(id upstream.GroupID) Claim {
+	if g := p.groups[id]; g != nil {
+		return g.claim
+	}
+	return Claim{}
+}
+
+// Plan returns the claims to make now and marks them; ClaimDone must follow for each.
+func (p *Planner) Plan(now time.Time) []Action {
+	if p.barred {
+		return nil
+	}
+	var actions []Action
+	for _, id := range p.order() {
+		g := p.groups[id]
+		if g.busy || g.free.IsZero() || now.Before(g.retry) {
+			continue
+		}
+		wait := p.delay(id, g, now)
+		if now.Sub(g.free) < wait {
+			continue
+		}
+		g.busy = true
+		actions = append(actions, Action{Group: id, Expected: g.claim.Revision, Cause: g.cause(), Waited: wait})
+	}
+	return actions
+}
+
+// Next returns when Plan may have something to do; false when only an event can change that.
+func (p *Planner) Next(now time.Time) (time.Time, bool) {
+	var next time.Time
+	for id, g := range p.groups {
+		if g.busy || g.free.IsZero() || p.barred {
+			continue
+		}
+		at := g.free.Add(p.delay(id, g, now))
+		if g.retry.After(at) {
+			at = g.retry
+		}
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// ClaimDone reports that a claim of Plan was tried. The store's content is told with SetClaim.
+func (p *Planner) ClaimDone(id upstream.GroupID, now time.Time) {
+	if g := p.groups[id]; g != nil {
+		g.busy = false
+		g.retry = now.Add(RetryDelay)
+	}
+}
+
+// Owned returns the groups that this process owns.
+func (p *Planner) Owned() []Claim {
+	var owned []Claim
+	for _, id := range p.order() {
+		if c := p.groups[id].claim; p.mine(c) {
+			owned = append(owned, c)
+		}
+	}
+	return owned
+}
+
+func (p *Planner) mine(c Claim) bool { return c.Owner == p.self && c.Process == p.process }
+
+func (g *group) cause() string {
+	switch {
+	case g.dead:
+		return "owner_dead"
+	case g.before:
+		return "lease_lapsed"
+	default:
+		return "no_owner"
+	}
+}
+
+// delay is how long the instance lets better placed ones go first.
+func (p *Planner) delay(id upstream.GroupID, g *group, now time.Time) time.Duration {
+	if g.before && !g.dead {
+		return 0
+	}
+	d := time.Duration(xxhash.Sum64String(string(p.self)+"/"+string(id)) % uint64(spread))
+	if !g.near {
+		d += farDelay
+	}
+	if now.Sub(p.started) < time.Second {
+		d += startDelay
+	}
+	for _, other := range p.groups {
+		if p.mine(other.claim) || other.busy {
+			d += heldDelay
+		}
+	}
+	return d
+}
+
+func (p *Planner) order() []upstream.GroupID {
+	ids := make([]upstream.GroupID, 0, len(p.groups))
+	for id := range p.groups {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// Started returns when the process started.
+func (p *Planner) Started() time.Time { return p.started }
+
+// Claims returns a copy of the known claims; groups without an owner are left out.
+func (p *Planner) Claims() map[upstream.GroupID]Claim {
+	claims := make(map[upstream.GroupID]Claim, len(p.groups))
+	for id, g := range p.groups {
+		if g.claim.Owner != "" {
+			claims[id] = g.claim
+		}
+	}
+	return claims
+}
--- /dev/null
+++ b/internal/promotion/promotion.go
@@ -0,0 +1,385 @@
+// Package promotion decides, for the owner of a database group whose members are promoted by an order under a fencing
+// token, which member leads, when it is to be replaced and by which. It has no goroutines, sockets or clock reads: events
+// and times come in, actions and explanations go out.
+//
+// The machine is level-triggered: events update what is known of the members, and Tick decides from that.
+package promotion
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// Timing bounds the steps.
+type Timing struct {
+	// ProbeTimeout is how long a probe waits for its answer.
+	ProbeTimeout time.Duration
+	// ProbeGap is the pause between two probes of a member.
+	ProbeGap time.Duration
+	// LearnTime is how long members are asked for the primary before one is promoted.
+	LearnTime time.Duration
+	// ChooseTime is how long the replicas have to report their positions once one of them has.
+	ChooseTime time.Duration
+	// DrainTime is how long a planned change waits for running transactions, CatchUpTime for the replica's log.
+	DrainTime   time.Duration
+	CatchUpTime time.Duration
+	// LeadTime is how long a promoted member may take to lead.
+	LeadTime time.Duration
+	// ExpectedLead is the usual time from an order until the member leads.
+	ExpectedLead time.Duration
+}
+
+// DefaultTiming returns the timing for members in one region.
+func DefaultTiming() Timing {
+	return Timing{
+		ProbeTimeout: 250 * time.Millisecond,
+		ProbeGap:     80 * time.Millisecond,
+		LearnTime:    500 * time.Millisecond,
+		ChooseTime:   120 * time.Millisecond,
+		DrainTime:    400 * time.Millisecond,
+		CatchUpTime:  800 * time.Millisecond,
+		LeadTime:     3 * time.Second,
+		ExpectedLead: 600 * time.Millisecond,
+	}
+}
+
+// Failure says how an operation on a member failed.
+type Failure uint8
+
+// Kinds of failure.
+const (
+	// FailureLost: a connection broke.
+	FailureLost Failure = iota + 1
+	// FailureRefused: nothing listens at the member's address, or another member answers there.
+	FailureRefused
+	// FailureSilent: no answer came in time.
+	FailureSilent
+	// FailureBusy: the member answers but has no room for the probe.
+	FailureBusy
+)
+
+// String returns the name used in logs.
+func (f Failure) String() string {
+	return [...]string{"none", "connection_lost", "refused", "silent", "busy"}[f]
+}
+
+// Status is what a member says of itself.
+type Status struct {
+	Role     upstream.Role
+	Term     position.Term
+	Position position.Position
+	Lag      time.Duration
+}
+
+// Info is what the configuration and the service discovery tell about a member.
+type Info struct {
+	ID upstream.MemberID
+	// Near is true for a member in the owner's failure domain.
+	Near bool
+	// Leaving is true for a member that is shutting down, Out for one that must not be used.
+	Leaving bool
+	Out     bool
+	// Role is what the member last reported to the discovery service; empty when unknown.
+	Role upstream.Role
+}
+
+// Result is the outcome of an order to promote.
+type Result uint8
+
+// Results of an order.
+const (
+	// ResultUnknown: no answer; the order may still take effect.
+	ResultUnknown Result = iota
+	ResultAccepted
+	// ResultRejected: the token is too low, or the member is not running.
+	ResultRejected
+)
+
+// ActionKind says what is to be done.
+type ActionKind uint8
+
+// Kinds of action.
+const (
+	// ActionProbe asks for a status; StatusDone or StatusFailed must follow.
+	ActionProbe ActionKind = iota + 1
+	// ActionPromote orders the promotion of the member; PromoteDone must follow.
+	ActionPromote
+	// ActionConfirm orders the promotion of the present primary, which changes nothing but makes the platform refuse
+	// orders of earlier owners; PromoteDone must follow.
+	ActionConfirm
+	// ActionRenewToken asks for a higher fencing token, because the present one may be too low.
+	ActionRenewToken
+)
+
+// Action is a step for the caller.
+type Action struct {
+	Kind   ActionKind
+	Member upstream.MemberID
+}
+
+// Phase is the state of the machine.
+type Phase uint8
+
+// Phases.
+const (
+	// PhaseLearning: the primary is not known.
+	PhaseLearning Phase = iota
+	// PhaseLeading: the primary is known and used.
+	PhaseLeading
+	// PhaseDraining: a planned change waits for running transactions and the target's log.
+	PhaseDraining
+	// PhaseChoosing: the replicas are asked for their positions.
+	PhaseChoosing
+	// PhasePromoting: the order is on its way.
+	PhasePromoting
+	// PhaseAwaiting: the promoted member does not lead yet.
+	PhaseAwaiting
+)
+
+// String returns the name used in logs.
+func (p Phase) String() string {
+	return [...]string{"learning", "leading", "draining", "choosing", "promoting", "awaiting"}[p]
+}
+
+// member is what the machine knows of one member.
+type member struct {
+	Info
+	heard    time.Time
+	failure  Failure
+	failed   time.Time
+	failures int
+	probing  bool
+	probed   time.Time
+	status   *Status
+	statusAt time.Time
+	excluded time.Time
+}
+
+// Machine is the state machine of one group. It is not safe for concurrent use.
+type Machine struct {
+	timing  Timing
+	members map[upstream.MemberID]*member
+	order   []upstream.MemberID
+	phase   Phase
+	since   time.Time
+	cause   string
+	primary upstream.MemberID
+	term    position.Term
+	target  upstream.MemberID
+	// ordered is true while an order awaits its result.
+	ordered bool
+	// confirmed is true once the platform has seen this owner's token.
+	confirmed   bool
+	confirmTry  time.Time
+	rejections  int
+	quiet       bool
+	acked       position.Position
+	log         []string
+	needsRenew  bool
+	renewalSent time.Time
+}
+
+// New returns a machine that has to learn the primary.
+func New(t Timing, now time.Time) *Machine {
+	return &Machine{timing: t, members: make(map[upstream.MemberID]*member), since: now, cause: "start"}
+}
+
+// Phase returns the phase, when it began and why.
+func (m *Machine) Phase() (Phase, time.Time, string) { return m.phase, m.since, m.cause }
+
+// Primary returns the member that leads and its term, and whether it may get new work.
+func (m *Machine) Primary() (upstream.MemberID, position.Term, bool) {
+	return m.primary, m.term, m.phase == PhaseLeading
+}
+
+// Confirmed reports whether the platform has seen this owner's token, so that no earlier owner's order can take effect.
+func (m *Machine) Confirmed() bool { return m.confirmed }
+
+// Expected returns when a primary is expected to get work again, as an estimate.
+func (m *Machine) Expected(now time.Time) time.Time {
+	at := now
+	switch m.phase {
+	case PhaseLeading:
+		return now
+	case PhaseAwaiting:
+		at = m.since.Add(m.timing.ExpectedLead)
+	case PhaseLearning:
+		at = m.since.Add(m.timing.ProbeGap)
+	default:
+		at = now.Add(m.timing.ExpectedLead)
+	}
+	return later(at, now.Add(20*time.Millisecond))
+}
+
+// Explanations returns the decisions made since the last call, one sentence each.
+func (m *Machine) Explanations() []string {
+	l := m.log
+	m.log = nil
+	return l
+}
+
+// SetMembers replaces the members.
+func (m *Machine) SetMembers(list []Info, now time.Time) {
+	next := make(map[upstream.MemberID]*member, len(list))
+	m.order = m.order[:0]
+	for _, i := range list {
+		known := m.members[i.ID]
+		if known == nil {
+			known = &member{}
+		}
+		known.Info = i
+		next[i.ID] = known
+		m.order = append(m.order, i.ID)
+	}
+	m.members = next
+	if m.phase == PhaseLeading && m.members[m.primary] == nil {
+		m.enter(PhaseChoosing, now, "the primary has left the service discovery")
+	}
+}
+
+// Heard records an answer of the member.
+func (m *Machine) Heard(id upstream.MemberID, now time.Time) {
+	if k := m.members[id]; k != nil {
+		k.heard, k.failures, k.failure = now, 0, 0
+	}
+}
+
+// Acknowledged records the newest position that was acknowledged to a caller.
+func (m *Machine) Acknowledged(p position.Position) { m.acked = position.Max(m.acked, p) }
+
+// Failed records a failed operation on the member.
+func (m *Machine) Failed(id upstream.MemberID, f Failure, now time.Time) {
+	if k := m.members[id]; k != nil {
+		k.failure, k.failed = f, now
+		k.failures++
+	}
+}
+
+// Healthy reports whether the member answers, as far as is known.
+func (m *Machine) Healthy(id upstream.MemberID) bool {
+	k := m.members[id]
+	if k == nil {
+		return false
+	}
+	if k.failure == FailureRefused {
+		return k.failures == 0
+	}
+	return k.failures < deadAfterSilences
+}
+
+// SilentSince reports whether the member has said nothing since the given time.
+func (m *Machine) SilentSince(id upstream.MemberID, t time.Time) bool {
+	k := m.members[id]
+	return k != nil && k.heard.Before(t)
+}
+
+// LostLead records that the member refused a statement because it does not lead.
+func (m *Machine) LostLead(id upstream.MemberID, now time.Time) {
+	if m.phase == PhaseLeading && id == m.primary {
+		m.primary = ""
+		m.enter(PhaseLearning, now, "the primary says that it does not lead")
+	}
+}
+
+// Quiet records that nothing runs on the primary any more.
+func (m *Machine) Quiet() { m.quiet = true }
+
+// StatusDone records the answer to a probe.
+func (m *Machine) StatusDone(id upstream.MemberID, s Status, now time.Time) {
+	k := m.members[id]
+	if k == nil {
+		return
+	}
+	k.probing, k.status, k.statusAt = false, &s, now
+	m.Heard(id, now)
+	switch {
+	case s.Role == upstream.RolePrimary && s.Term >= m.term && m.mayLead(id, s):
+		m.lead(id, s, now)
+	case s.Role == upstream.RoleReplica && id == m.primary && (m.phase == PhaseLeading || m.phase == PhaseDraining):
+		m.LostLead(id, now)
+	}
+}
+
+// mayLead reports whether a member that calls itself primary is to be believed in this phase.
+func (m *Machine) mayLead(id upstream.MemberID, s Status) bool {
+	switch m.phase {
+	case PhaseLearning:
+		return true
+	case PhaseAwaiting:
+		return id == m.target && s.Term > m.term || s.Term > m.term+1
+	case PhaseChoosing:
+		// The suspected primary answers after all, or another owner has promoted a member.
+		return !m.members[id].Leaving && !m.members[id].Out || s.Term > m.term
+	case PhaseLeading:
+		return id != m.primary && s.Term > m.term
+	default:
+		return false
+	}
+}
+
+// StatusFailed records that a probe failed.
+func (m *Machine) StatusFailed(id upstream.MemberID, f Failure, now time.Time) {
+	k := m.members[id]
+	if k == nil {
+		return
+	}
+	k.probing = false
+	if f == FailureBusy {
+		m.Heard(id, now)
+		return
+	}
+	k.status = nil
+	m.Failed(id, f, now)
+}
+
+// PromoteDone records the outcome of an order.
+func (m *Machine) PromoteDone(id upstream.MemberID, r Result, now time.Time) {
+	m.ordered = false
+	switch {
+	case r == ResultRejected:
+		m.rejected(id, now)
+	case m.phase == PhasePromoting && id == m.target && r == ResultAccepted:
+		m.rejections, m.confirmed = 0, true
+		m.enter(PhaseAwaiting, now, "the platform has accepted the order")
+	case r == ResultAccepted && id == m.primary:
+		m.rejections, m.confirmed = 0, true
+	}
+}
+
+// rejected handles a refused order: the token may be too low, or the target gone.
+func (m *Machine) rejected(id upstream.MemberID, now time.Time) {
+	m.rejections++
+	m.needsRenew = true
+	if m.phase == PhasePromoting && id == m.target {
+		if k := m.members[id]; k != nil && m.rejections > 1 {
+			k.excluded = now.Add(time.Second)
+		}
+		m.enter(PhaseChoosing, now, "the platform has rejected the order for "+string(id))
+	}
+	m.confirmTry = now.Add(500 * time.Millisecond)
+}
+
+// TokenRenewed records that the owner holds a higher token.
+func (m *Machine) TokenRenewed() { m.needsRenew, m.confirmed = false, false }
+
+func (m *Machine) enter(p Phase, now time.Time, cause string) {
+	m.log = append(m.log, fmt.Sprintf("%s -> %s: %s (primary %s, term %d, %v in the phase before)",
+		m.phase, p, cause, m.primary, m.term, now.Sub(m.since).Round(time.Millisecond)))
+	m.phase, m.since, m.cause = p, now, cause
+	m.quiet = false
+}
+
+func (m *Machine) lead(id upstream.MemberID, s Status, now time.Time) {
+	m.primary, m.term = id, s.Term
+	m.enter(PhaseLeading, now, fmt.Sprintf("%s leads in term %d at %s", id, s.Term, s.Position))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/promotion/tick.go
@@ -0,0 +1,277 @@
+package promotion
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// deadAfterRefusals and deadAfterSilences are the failures in a row after which the primary counts as dead.
+	deadAfterRefusals = 2
+	deadAfterSilences = 2
+	// maxTendGap bounds the pause between probes of a replica that fails.
+	maxTendGap = 500 * time.Millisecond
+	// renewGap is the pause between two requests for a higher token.
+	renewGap = time.Second
+)
+
+// Tick returns what is to be done now.
+func (m *Machine) Tick(now time.Time) []Action {
+	var a []Action
+	if m.needsRenew && now.Sub(m.renewalSent) >= renewGap {
+		m.renewalSent = now
+		a = append(a, Action{Kind: ActionRenewToken})
+	}
+	switch m.phase {
+	case PhaseLearning:
+		a = m.learn(a, now)
+	case PhaseLeading:
+		a = m.watch(a, now)
+	case PhaseDraining:
+		a = m.drain(a, now)
+	}
+	switch m.phase {
+	case PhaseChoosing:
+		a = m.choose(a, now)
+	case PhasePromoting:
+		a = m.sendOrder(a, now)
+	case PhaseAwaiting:
+		a = m.await(a, now)
+	}
+	return a
+}
+
+// learn asks the members who leads: first the one that the discovery service names.
+func (m *Machine) learn(a []Action, now time.Time) []Action {
+	reported := m.reported()
+	for _, id := range m.order {
+		if reported != "" && id != reported && now.Sub(m.since) < 2*m.timing.ProbeGap {
+			continue
+		}
+		a = m.probe(a, id, now)
+	}
+	if now.Sub(m.since) > m.timing.LearnTime && m.anyReplica(now) {
+		m.enter(PhaseChoosing, now, "no member that answers leads")
+	}
+	return a
+}
+
+// reported returns the only member that the discovery service knows as primary, or "".
+func (m *Machine) reported() upstream.MemberID {
+	var found upstream.MemberID
+	for _, id := range m.order {
+		if m.members[id].Role != upstream.RolePrimary {
+			continue
+		}
+		if found != "" {
+			return ""
+		}
+		found = id
+	}
+	return found
+}
+
+func (m *Machine) anyReplica(now time.Time) bool {
+	for _, k := range m.members {
+		if m.candidate(k, now) && k.status != nil && k.status.Role == upstream.RoleReplica {
+			return true
+		}
+	}
+	return false
+}
+
+// watch looks whether the primary has to be replaced.
+func (m *Machine) watch(a []Action, now time.Time) []Action {
+	p := m.members[m.primary]
+	if p == nil {
+		m.enter(PhaseChoosing, now, "the primary has left the service discovery")
+		return a
+	}
+	if (p.Leaving || p.Out) && m.hasCandidate(now) {
+		cause := "the primary is shutting down"
+		if p.Out {
+			cause = "the primary must not be used any more"
+		}
+		m.enter(PhaseDraining, now, cause)
+		return a
+	}
+	if p.failures > 0 && !p.heard.After(p.failed) {
+		if m.dead(p) {
+			m.enter(PhaseChoosing, now, fmt.Sprintf("the primary does not answer: %d failures, last %s", p.failures, p.failure))
+			return a
+		}
+		a = m.probe(a, m.primary, now)
+	}
+	a = m.tend(a, now)
+	if other := m.reported(); other != "" && other != m.primary {
+		a = m.probe(a, other, now)
+	}
+	if !m.confirmed && !m.ordered && now.After(m.confirmTry) {
+		m.ordered, m.confirmTry = true, now.Add(500*time.Millisecond)
+		a = append(a, Action{Kind: ActionConfirm, Member: m.primary})
+	}
+	return a
+}
+
+// tend probes the replicas that failed, so that they are used again once they answer.
+func (m *Machine) tend(a []Action, now time.Time) []Action {
+	for _, id := range m.order {
+		k := m.members[id]
+		if id == m.primary || k.failures == 0 || k.Out {
+			continue
+		}
+		if gap := min(time.Duration(k.failures)*m.timing.ProbeGap, maxTendGap); now.Sub(k.probed) >= gap {
+			a = m.probe(a, id, now)
+		}
+	}
+	return a
+}
+
+func (m *Machine) dead(p *member) bool {
+	if p.failure == FailureRefused {
+		return p.failures >= deadAfterRefusals
+	}
+	return p.failures >= deadAfterSilences+1
+}
+
+// drain waits until nothing runs on the primary and the best replica has its log.
+func (m *Machine) drain(a []Action, now time.Time) []Action {
+	waited := now.Sub(m.since)
+	p := m.members[m.primary]
+	if p == nil || p.failures > 0 && m.dead(p) {
+		m.enter(PhaseChoosing, now, "the primary was lost while it drained")
+		return a
+	}
+	if !p.Leaving && !p.Out {
+		m.enter(PhaseLeading, now, "the primary may stay")
+		return a
+	}
+	if !m.quiet && waited < m.timing.DrainTime {
+		return a
+	}
+	best := m.best(now)
+	caughtUp := best != nil && best.status != nil && !best.status.Position.Less(m.acked)
+	if caughtUp || waited > m.timing.DrainTime+m.timing.CatchUpTime {
+		m.enter(PhaseChoosing, now, fmt.Sprintf("the primary is drained; a replica caught up: %t", caughtUp))
+		return a
+	}
+	for _, id := range m.order {
+		if id != m.primary && m.candidate(m.members[id], now) {
+			a = m.probe(a, id, now)
+		}
+	}
+	return a
+}
+
+// choose asks the replicas for their positions and takes the one that has most.
+func (m *Machine) choose(a []Action, now time.Time) []Action {
+	open, answered := 0, 0
+	for _, id := range m.order {
+		k := m.members[id]
+		if !m.candidate(k, now) {
+			continue
+		}
+		if k.status != nil && !k.statusAt.Before(m.since.Add(-m.timing.ProbeGap)) {
+			answered++
+			continue
+		}
+		open++
+		a = m.probe(a, id, now)
+	}
+	if answered == 0 {
+		if p := m.members[m.primary]; p != nil && !p.Out {
+			a = m.probe(a, m.primary, now)
+		}
+		return a
+	}
+	if open > 0 && now.Sub(m.since) < m.timing.ChooseTime {
+		return a
+	}
+	best := m.best(now)
+	if best == nil {
+		return a
+	}
+	m.target = best.ID
+	m.enter(PhasePromoting, now, fmt.Sprintf("promoting %s, whose log ends at %s; acknowledged %s; %d of %d replicas answered",
+		best.ID, best.status.Position, m.acked, answered, answered+open))
+	return a
+}
+
+// best returns the candidate with the longest log, a near one before others.
+func (m *Machine) best(now time.Time) *member {
+	var best *member
+	for _, id := range m.order {
+		k := m.members[id]
+		if !m.candidate(k, now) || k.status == nil {
+			continue
+		}
+		if best == nil || best.status.Position.Less(k.status.Position) ||
+			best.status.Position == k.status.Position && k.Near && !best.Near {
+			best = k
+		}
+	}
+	return best
+}
+
+func (m *Machine) candidate(k *member, now time.Time) bool {
+	if k == nil || k.Leaving || k.Out || k.ID == m.primary || now.Before(k.excluded) {
+		return false
+	}
+	return true
+}
+
+func (m *Machine) hasCandidate(now time.Time) bool {
+	for _, k := range m.members {
+		if m.candidate(k, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// sendOrder sends the order and repeats it until its outcome is known.
+func (m *Machine) sendOrder(a []Action, now time.Time) []Action {
+	if m.members[m.target] == nil {
+		m.enter(PhaseChoosing, now, "the target has left")
+		return a
+	}
+	if m.ordered || m.needsRenew {
+		return a
+	}
+	m.ordered = true
+	return append(a, Action{Kind: ActionPromote, Member: m.target})
+}
+
+// await asks the promoted member until it leads.
+func (m *Machine) await(a []Action, now time.Time) []Action {
+	k := m.members[m.target]
+	waited := now.Sub(m.since)
+	if k == nil || waited > m.timing.LeadTime {
+		m.enter(PhaseLearning, now, "the promoted member does not lead in time")
+		return a
+	}
+	if waited >= m.timing.ExpectedLead/3 || k.Role == upstream.RolePrimary {
+		a = m.probe(a, m.target, now)
+	}
+	return a
+}
+
+func (m *Machine) probe(a []Action, id upstream.MemberID, now time.Time) []Action {
+	k := m.members[id]
+	if k == nil || k.probing || now.Sub(k.probed) < m.timing.ProbeGap {
+		return a
+	}
+	k.probing, k.probed = true, now
+	return append(a, Action{Kind: ActionProbe, Member: id})
+}
+
+// Position returns the position that a member last reported to a probe.
+func (m *Machine) Position(id upstream.MemberID) position.Position {
+	if k := m.members[id]; k != nil && k.status != nil {
+		return k.status.Position
+	}
+	return position.Position{}
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,182 @@
+// Package quota keeps the customers' rates and bursts over the whole fleet. It has no goroutines, sockets or clock reads;
+// none of its types is safe for concurrent use.
+//
+// A customer's contract is split: the owner of each group has a fixed part of its own, which needs nobody else, and one
+// owner, the customer's coordinator, grants the rest in small amounts that lapse soon. The parts add up to the contract,
+// so that no fault can admit more. A process that starts begins with empty buckets.
+package quota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/celerystep/celerystep/internal/admission"
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/config"
+)
+
+const (
+	// ownShare is the part of a contract that the owners hold without asking the coordinator.
+	ownShare = 0.25
+	// GrantLife is how long granted tokens may be used after the request for them was sent.
+	GrantLife = time.Second
+	// stockTime is the consumption for which a stock asks ahead.
+	stockTime = 300 * time.Millisecond
+	// minStock is what a customer with recent traffic asks for at least.
+	minStock = 3
+	// maxGrant bounds the tokens of one grant.
+	maxGrant = 1000
+	// consumptionMemory is the time constant of the measured consumption.
+	consumptionMemory = time.Second
+)
+
+// CoordinatorIndex returns which of the groups, in order of name, has the customer's coordinator as its owner.
+func CoordinatorIndex(customer string, groups int) int {
+	if groups <= 1 {
+		return 0
+	}
+	return int(xxhash.Sum64String(customer) % uint64(groups))
+}
+
+func contract(c *catalog.Customer, share float64) config.Contract {
+	return config.Contract{RatePerSecond: c.Rate * share, Burst: int(c.Burst * share)}
+}
+
+// Pool grants the tokens of the customers whose coordinator this owner is.
+type Pool struct {
+	buckets map[string]*admission.Bucket
+	rates   map[string]catalog.Customer
+	start   time.Time
+}
+
+// NewPool returns a pool whose buckets are empty at start, the time from which nobody else grants.
+func NewPool(start time.Time) *Pool {
+	return &Pool{buckets: make(map[string]*admission.Bucket), rates: make(map[string]catalog.Customer), start: start}
+}
+
+// Grant takes at most n tokens of the customer and returns how many there were.
+func (p *Pool) Grant(c *catalog.Customer, n int, now time.Time) int {
+	b := p.buckets[c.Name]
+	if b == nil {
+		b = admission.NewBucket(contract(c, 1-ownShare), 0, p.start)
+		p.buckets[c.Name], p.rates[c.Name] = b, *c
+	}
+	if p.rates[c.Name] != *c {
+		b.Set(contract(c, 1-ownShare), now)
+		p.rates[c.Name] = *c
+	}
+	n = min(n, maxGrant, int(b.Level(now)/admission.Token))
+	if n <= 0 || !b.Take(n, now) {
+		return 0
+	}
+	return n
+}
+
+// account is what a stock knows of one customer.
+type account struct {
+	customer catalog.Customer
+	parts    int
+	own      *admission.Bucket
+	granted  int
+	lapse    time.Time
+	// consumption is in tokens a second, measured until at.
+	consumption float64
+	at          time.Time
+}
+
+// Stock holds the tokens that the owner of one group may spend.
+type Stock struct {
+	accounts map[string]*account
+	start    time.Time
+}
+
+// NewStock returns a stock whose own buckets are empty at start.
+func NewStock(start time.Time) *Stock {
+	return &Stock{accounts: make(map[string]*account), start: start}
+}
+
+// Take spends one token of the customer, whose contract is split over the given number of groups.
+func (s *Stock) Take(c *catalog.Customer, groups int, now time.Time) bool {
+	a := s.account(c, groups, now)
+	a.count(1, now)
+	if a.granted > 0 && now.Before(a.lapse) {
+		a.granted--
+		return true
+	}
+	return a.own.Take(1, now)
+}
+
+// Return gives back a token whose operation did not run.
+func (s *Stock) Return(c *catalog.Customer, now time.Time) {
+	if a := s.accounts[c.Name]; a != nil && now.Before(a.lapse) {
+		a.granted++
+	}
+}
+
+// Add records tokens that the coordinator granted on a request sent at the given time.
+func (s *Stock) Add(customer string, n int, sent, now time.Time) {
+	a := s.accounts[customer]
+	if a == nil || n <= 0 {
+		return
+	}
+	if !now.Before(a.lapse) {
+		a.granted = 0
+	}
+	a.granted += n
+	a.lapse = sent.Add(GrantLife)
+}
+
+// Wants calls f with each customer of whom the stock is short, and the tokens to ask for.
+func (s *Stock) Wants(now time.Time, f func(customer string, n int)) {
+	for name, a := range s.accounts {
+		if n := a.wants(now); n > 0 {
+			f(name, n)
+		}
+	}
+}
+
+// NextToken returns when a refused customer may come back.
+func (s *Stock) NextToken(c *catalog.Customer) time.Duration {
+	if c.Rate <= 0 {
+		return GrantLife
+	}
+	return min(max(time.Duration(float64(time.Second)/c.Rate), 10*time.Millisecond), GrantLife)
+}
+
+func (s *Stock) account(c *catalog.Customer, groups int, now time.Time) *account {
+	a := s.accounts[c.Name]
+	share := ownShare / float64(max(groups, 1))
+	switch {
+	case a == nil:
+		a = &account{customer: *c, parts: groups, own: admission.NewBucket(contract(c, share), 0, s.start), at: now}
+		s.accounts[c.Name] = a
+	case a.customer != *c || a.parts != groups:
+		a.own.Set(contract(c, share), now)
+		a.customer, a.parts = *c, groups
+	}
+	return a
+}
+
+// count adds to the measured consumption, which decays exponentially.
+func (a *account) count(n float64, now time.Time) {
+	elapsed := now.Sub(a.at)
+	if elapsed > 0 {
+		a.consumption *= max(0, 1-elapsed.Seconds()/consumptionMemory.Seconds())
+		a.at = now
+	}
+	a.consumption += n / consumptionMemory.Seconds()
+}
+
+func (a *account) wants(now time.Time) int {
+	a.count(0, now)
+	if a.consumption < 0.1 {
+		return 0
+	}
+	have := a.granted
+	if !now.Before(a.lapse) {
+		have = 0
+	}
+	target := min(int(a.consumption*stockTime.Seconds())+minStock, maxGrant)
+	return max(0, target-have)
+}
