Waste no tokens and connections; ask the store less

Change: tokens are fetched one by one for slow customers, own parts below one token go to the pool; an unleased owner keeps a third of its connections and none when keys are not proved; only owners follow members; watches gather changes while a fleet starts.

--- a/internal/dispatch/connections.go
+++ b/internal/dispatch/connections.go
@@ -259,6 +259,31 @@
 	}
 }
 
+// Trim closes the connections that have been idle for longest until each member has at most the limit, or only
+// connections in use.
+func (s *Scheduler) Trim() {
+	for _, m := range s.members {
+		for len(m.conns) > s.limits.Connections {
+			c := m.oldestIdle()
+			if c == nil {
+				break
+			}
+			s.drop(c)
+		}
+	}
+}
+
+// oldestIdle returns the connection that has been idle for longest, or nil.
+func (m *member) oldestIdle() *conn {
+	var oldest *conn
+	for _, c := range m.conns {
+		if c.state == connIdle && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
 // CloseIdle closes all idle connections, for an owner that gives the group up.
 func (s *Scheduler) CloseIdle() {
 	for _, c := range s.conns {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -22,6 +22,9 @@
 	maxRetry = 400 * time.Millisecond
 )
 
+// StartTime is how long a mirror counts as starting.
+const StartTime = 4 * time.Second
+
 // Entry is a stored value.
 type Entry struct {
 	Key      string
@@ -50,7 +53,7 @@
 	// Apply takes changes in order.
 	Apply(events []Event)
 	// Reset takes the complete content below the prefix.
-	Reset(entries []Entry)
+	Reset(prefix string, entries []Entry)
 }
 
 // Mirror follows one prefix.
@@ -58,13 +61,18 @@
 	Source Source
 	Prefix string
 	Sink   Sink
-	Log    hclog.Logger
+	// Gather is how long to wait after a change for others to come with it, which saves calls.
+	Gather time.Duration
+	// StartGather is used in its place during the first StartTime.
+	StartGather time.Duration
+	Log         hclog.Logger
 	// Connected, unless nil, is told when the store is lost and when it is back.
 	Connected func(ok bool)
 
 	revision uint64
 	// revisions holds the newest change of each key that the sink has been told.
 	revisions map[string]uint64
+	started   time.Time
 	synced    bool
 	lost      bool
 }
@@ -72,6 +80,7 @@
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	retry := minRetry
+	m.started = time.Now()
 	for ctx.Err() == nil {
 		err := m.step(ctx)
 		if err == nil {
@@ -104,7 +113,7 @@
 		for _, e := range entries {
 			m.revisions[e.Key] = e.Revision
 		}
-		m.Sink.Reset(entries)
+		m.Sink.Reset(m.Prefix, entries)
 		m.revision, m.synced = revision, true
 		return nil
 	}
@@ -116,9 +125,19 @@
 		m.Sink.Apply(events)
 	}
 	m.revision = max(m.revision, revision)
+	if len(events) > 0 {
+		pause(ctx, m.gather())
+	}
 	return nil
 }
 
+func (m *Mirror) gather() time.Duration {
+	if time.Since(m.started) < StartTime {
+		return max(m.Gather, m.StartGather)
+	}
+	return m.Gather
+}
+
 // newer drops the changes that the sink knows already: the pages of a list are not taken at one moment, so that the
 // watch repeats some of what they held.
 func (m *Mirror) newer(events []Event) []Event {
@@ -149,6 +168,9 @@
 }
 
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -20,7 +20,7 @@
 	// leaseMargin covers the time between the check of a lease and the effect of what was decided.
 	leaseMargin = 300 * time.Millisecond
 	// keyGap is the time between two proofs that keys are in force.
-	keyGap = 1300 * time.Millisecond
+	keyGap = 1900 * time.Millisecond
 	// storeRetry is the pause after a failed call.
 	storeRetry = 250 * time.Millisecond
 	// claimTimeout bounds a write to the store.
@@ -115,13 +115,17 @@
 
 // ensureLease returns the process's lease, granted if need be.
 func (n *Node) ensureLease(ctx context.Context) (platform.LeaseID, error) {
+	sent := n.o.Clock()
 	n.mu.Lock()
 	lease := n.lease
+	if sent.UnixNano() >= n.validTo.Load() && len(n.planner.Owned()) == 0 {
+		// Nothing depends on the lease, and it was not renewed.
+		lease, n.lease = 0, 0
+	}
 	n.mu.Unlock()
 	if lease != 0 {
 		return lease, nil
 	}
-	sent := n.o.Clock()
 	granted, ttl, err := n.o.Store.Grant(ctx, leaseTime)
 	if err != nil {
 		return 0, err
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -27,7 +27,7 @@
 }
 
 // Reset implements mirror.Sink. What is known and not listed has ended.
-func (n *Node) Reset(entries []mirror.Entry) {
+func (n *Node) Reset(prefix string, entries []mirror.Entry) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	touched := make(map[upstream.GroupID]bool)
@@ -46,20 +46,64 @@
 			out[c.Domain.Domain] = c.Domain.Out
 		}
 	}
+	switch prefixes := n.o.Decoder.Prefixes(); prefix {
+	case prefixes.Members:
+		n.dropMembers(listed, touched)
+	case prefixes.Claims:
+		n.dropClaims(claimed)
+	case prefixes.Operators:
+		n.out.Store(&out)
+	}
+	n.tellMembers(touched)
+	n.signal()
+}
+
+// dropMembers forgets the members that are not listed. The node is locked.
+func (n *Node) dropMembers(listed map[upstream.MemberID]bool, touched map[upstream.GroupID]bool) {
 	for id, m := range n.members {
 		if !listed[id] {
 			touched[m.Group] = true
 			delete(n.members, id)
+			n.o.Log.Info("member gone", "member", id, "group", m.Group)
 		}
 	}
-	for id := range n.Catalog().Groups {
-		if !claimed[id] && n.planner.Claim(id).Owner != "" {
+}
+
+// dropClaims forgets the claims that are not listed. The node is locked.
+func (n *Node) dropClaims(listed map[upstream.GroupID]bool) {
+	for id := range n.planner.Claims() {
+		if !listed[id] {
 			n.applyClaim(ClaimChange{Claim: ownership.Claim{Group: id}, Removed: true})
 		}
 	}
-	n.out.Store(&out)
-	n.tellMembers(touched)
-	n.signal()
+}
+
+// followMembers follows the members while this instance owns a group, and for a while after.
+func (n *Node) followMembers(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.owning:
+		}
+		follow, stop := context.WithCancel(ctx)
+		m := &mirror.Mirror{Source: n.o.Store, Prefix: n.o.Decoder.Prefixes().Members, Sink: n, Log: n.o.Log}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = m.Run(follow)
+		}()
+		for n.ownsAny() && sleep(ctx, membersLinger) {
+		}
+		stop()
+		<-done
+	}
+}
+
+func (n *Node) ownsAny() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.planner.Owned()) > 0
 }
 
 // apply takes one event. The node is locked.
@@ -138,6 +182,10 @@
 	n.o.Log.Info("claim", "group", id, "owner", c.Claim.Owner, "process", c.Claim.Process, "claim", c.Claim.Revision)
 	if n.mine(c.Claim) {
 		n.Owner.Acquire(context.Background(), c.Claim)
+		select {
+		case n.owning <- struct{}{}:
+		default:
+		}
 	} else {
 		n.Owner.Release(id, "another instance owns the group")
 	}
@@ -202,6 +250,8 @@
 	n.reading.do(ctx, func() {
 		if err := n.proveKeys(context.Background()); err != nil {
 			n.o.Log.Warn("could not read a newer configuration", "wanted", revision, "have", n.Catalog().Revision, "error", err)
+			// The calls that come meanwhile share this failure.
+			sleep(context.Background(), storeRetry)
 		}
 	})
 }
@@ -237,4 +287,10 @@
 const (
 	readTimeout    = 700 * time.Millisecond
 	catchUpTimeout = 150 * time.Millisecond
+	// membersLinger is how often it is asked whether the members are still of interest.
+	membersLinger = 10 * time.Second
+	// configGather is how long changes of the configuration are gathered.
+	configGather = 200 * time.Millisecond
+	// startGather is how long changes are gathered while a fleet starts.
+	startGather = 400 * time.Millisecond
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,15 @@
 	EncodeClaim(c ownership.Claim) []byte
 	// CatalogKey is the key of the configuration.
 	CatalogKey() string
+	// Prefixes are those of the operators' entries, of the claims and of the members.
+	Prefixes() Prefixes
+}
+
+// Prefixes tell where the entries of the store lie.
+type Prefixes struct {
+	Operators string
+	Claims    string
+	Members   string
 }
 
 // Settings configure a node.
@@ -111,6 +120,7 @@
 	out      atomic.Pointer[map[instance.FailureDomain]bool]
 	keysAt   atomic.Int64
 	validTo  atomic.Int64
+	owning   chan struct{}
 	lostAt   atomic.Int64
 	draining atomic.Bool
 	wake     chan struct{}
@@ -132,6 +142,7 @@
 		o:       o,
 		Peers:   fleetlink.NewPeers(),
 		wake:    make(chan struct{}, 1),
+		owning:  make(chan struct{}, 1),
 		planner: ownership.NewPlanner(o.Settings.Instance, o.Settings.Process, o.Clock()),
 		members: make(map[upstream.MemberID]member.Member),
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -36,8 +36,15 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	follow := &mirror.Mirror{Source: n.o.Store, Sink: n, Log: n.o.Log, Connected: n.connected}
-	group.Go(func() error { return ended(background, follow.Run(background)) })
+	prefixes := n.o.Decoder.Prefixes()
+	mirrors := []*mirror.Mirror{
+		{Source: n.o.Store, Prefix: prefixes.Operators, Sink: n, Log: n.o.Log, Gather: configGather, Connected: n.connected},
+		{Source: n.o.Store, Prefix: prefixes.Claims, Sink: n, Log: n.o.Log, StartGather: startGather},
+	}
+	for _, m := range mirrors {
+		group.Go(func() error { return ended(background, m.Run(background)) })
+	}
+	group.Go(func() error { return n.followMembers(background) })
 	group.Go(func() error { return n.keepClaims(background) })
 	group.Go(func() error { return n.keepLease(background) })
 	group.Go(func() error { return n.keepKeys(background) })
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -26,6 +26,9 @@
 	silenceLimit = 300 * time.Millisecond
 	// housekeepingGap is the time between two looks at idle connections and transactions.
 	housekeepingGap = 500 * time.Millisecond
+	// unleasedPart is the part of the connections that an owner keeps when its lease has lapsed: another instance may
+	// own the group by now and share the members' limit.
+	unleasedPart = 3
 	// defaultIdleInTransaction bounds transactions when the configuration does not.
 	defaultIdleInTransaction = 3 * time.Second
 )
@@ -229,9 +232,19 @@
 	if declared == nil {
 		return
 	}
-	if l := dispatch.DefaultLimits(declared.MaxConnections); l != g.limits {
+	l := dispatch.DefaultLimits(declared.MaxConnections)
+	switch {
+	case !g.o.Authority.KeysFresh():
+		// Nothing can be served, and another instance may need all connections.
+		l.Connections = 0
+	case !g.o.Authority.Leased(g.claim):
+		l.Connections = max(1, l.Connections/unleasedPart)
+	}
+	if l != g.limits {
+		g.log.Info("limit of connections to a member", "connections", l.Connections, "before", g.limits.Connections)
 		g.limits = l
 		g.sched.SetLimits(l)
+		g.sched.Trim()
 	}
 }
 
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -137,7 +137,7 @@
 		if customer == nil || coordinatorOf(c, w.Customer) != g.id {
 			continue
 		}
-		if n := g.pool.Grant(customer, w.Tokens, now); n > 0 {
+		if n := g.pool.Grant(customer, len(c.Groups), w.Tokens, now); n > 0 {
 			grants = append(grants, TokenRequest{Customer: w.Customer, Tokens: n})
 		}
 	}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -285,7 +285,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tokenWait)
 	defer cancel()
-	g.fetchTokens(ctx, coordinatorOf(c.catalog, c.customer.Name), []TokenRequest{{Customer: c.customer.Name, Tokens: 2}})
+	g.fetchTokens(ctx, coordinatorOf(c.catalog, c.customer.Name), []TokenRequest{{Customer: c.customer.Name, Tokens: 1}})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.stock.Take(c.customer, len(c.catalog.Groups), g.o.Clock())
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -23,8 +23,8 @@
 	farDelay = 100 * time.Millisecond
 	// heldDelay is added for each group that the instance owns, so that groups spread over the fleet.
 	heldDelay = 250 * time.Millisecond
-	// startDelay is added while the process has just started, when its peers may be better prepared.
-	startDelay = 150 * time.Millisecond
+	// startSpread is the range while the process has just started, when many instances may have.
+	startSpread = 700 * time.Millisecond
 	// RetryDelay is the pause after a claim that failed.
 	RetryDelay = 100 * time.Millisecond
 )
@@ -224,13 +224,14 @@
 	if g.before && !g.dead {
 		return 0
 	}
-	d := time.Duration(xxhash.Sum64String(string(p.self)+"/"+string(id)) % uint64(spread))
+	width := spread
+	if now.Sub(p.started) < 2*startSpread {
+		width = startSpread
+	}
+	d := time.Duration(xxhash.Sum64String(string(p.self)+"/"+string(id)) % uint64(width))
 	if !g.near {
 		d += farDelay
 	}
-	if now.Sub(p.started) < time.Second {
-		d += startDelay
-	}
 	for _, other := range p.groups {
 		if p.mine(other.claim) || other.busy {
 			d += heldDelay
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -18,13 +18,14 @@
 
 const (
 	// ownShare is the part of a contract that the owners hold without asking the coordinator.
-	ownShare = 0.25
+	ownShare = 0.2
 	// GrantLife is how long granted tokens may be used after the request for them was sent.
-	GrantLife = time.Second
+	GrantLife = 2 * time.Second
 	// stockTime is the consumption for which a stock asks ahead.
-	stockTime = 300 * time.Millisecond
-	// minStock is what a customer with recent traffic asks for at least.
-	minStock = 3
+	stockTime = 250 * time.Millisecond
+	// slowConsumption is in tokens a second. Below it tokens are asked for one by one, because those that wait in many
+	// stocks would lapse unused.
+	slowConsumption = 4
 	// maxGrant bounds the tokens of one grant.
 	maxGrant = 1000
 	// consumptionMemory is the time constant of the measured consumption.
@@ -43,31 +44,53 @@
 	return config.Contract{RatePerSecond: c.Rate * share, Burst: int(c.Burst * share)}
 }
 
+// ownPart returns the part of the contract that each of the groups' owners holds by itself: nothing when it would be less
+// than one token.
+func ownPart(c *catalog.Customer, groups int) float64 {
+	part := ownShare / float64(max(groups, 1))
+	if c.Burst*part < 1 {
+		return 0
+	}
+	return part
+}
+
+// pooledPart returns the part of the contract that the coordinator grants.
+func pooledPart(c *catalog.Customer, groups int) float64 {
+	return 1 - ownPart(c, groups)*float64(max(groups, 1))
+}
+
 // Pool grants the tokens of the customers whose coordinator this owner is.
 type Pool struct {
-	buckets map[string]*admission.Bucket
-	rates   map[string]catalog.Customer
+	buckets map[string]*pooled
 	start   time.Time
 }
 
+// pooled is the pooled part of one contract.
+type pooled struct {
+	bucket   *admission.Bucket
+	contract config.Contract
+}
+
 // NewPool returns a pool whose buckets are empty at start, the time from which nobody else grants.
 func NewPool(start time.Time) *Pool {
-	return &Pool{buckets: make(map[string]*admission.Bucket), rates: make(map[string]catalog.Customer), start: start}
+	return &Pool{buckets: make(map[string]*pooled), start: start}
 }
 
-// Grant takes at most n tokens of the customer and returns how many there were.
-func (p *Pool) Grant(c *catalog.Customer, n int, now time.Time) int {
+// Grant takes at most n tokens of the customer, whose contract is split over the given number of groups, and returns how
+// many there were.
+func (p *Pool) Grant(c *catalog.Customer, groups, n int, now time.Time) int {
+	want := contract(c, pooledPart(c, groups))
 	b := p.buckets[c.Name]
 	if b == nil {
-		b = admission.NewBucket(contract(c, 1-ownShare), 0, p.start)
-		p.buckets[c.Name], p.rates[c.Name] = b, *c
+		b = &pooled{bucket: admission.NewBucket(want, 0, p.start), contract: want}
+		p.buckets[c.Name] = b
 	}
-	if p.rates[c.Name] != *c {
-		b.Set(contract(c, 1-ownShare), now)
-		p.rates[c.Name] = *c
+	if b.contract != want {
+		b.bucket.Set(want, now)
+		b.contract = want
 	}
-	n = min(n, maxGrant, int(b.Level(now)/admission.Token))
-	if n <= 0 || !b.Take(n, now) {
+	n = min(n, maxGrant, int(b.bucket.Level(now)/admission.Token))
+	if n <= 0 || !b.bucket.Take(n, now) {
 		return 0
 	}
 	return n
@@ -100,11 +123,14 @@
 func (s *Stock) Take(c *catalog.Customer, groups int, now time.Time) bool {
 	a := s.account(c, groups, now)
 	a.count(1, now)
+	if a.own.Take(1, now) {
+		return true
+	}
 	if a.granted > 0 && now.Before(a.lapse) {
 		a.granted--
 		return true
 	}
-	return a.own.Take(1, now)
+	return false
 }
 
 // Return gives back a token whose operation did not run.
@@ -146,7 +172,7 @@
 
 func (s *Stock) account(c *catalog.Customer, groups int, now time.Time) *account {
 	a := s.accounts[c.Name]
-	share := ownShare / float64(max(groups, 1))
+	share := ownPart(c, groups)
 	switch {
 	case a == nil:
 		a = &account{customer: *c, parts: groups, own: admission.NewBucket(contract(c, share), 0, s.start), at: now}
@@ -170,13 +196,13 @@
 
 func (a *account) wants(now time.Time) int {
 	a.count(0, now)
-	if a.consumption < 0.1 {
+	if a.consumption < slowConsumption {
 		return 0
 	}
 	have := a.granted
 	if !now.Before(a.lapse) {
 		have = 0
 	}
-	target := min(int(a.consumption*stockTime.Seconds())+minStock, maxGrant)
+	target := min(int(a.consumption*stockTime.Seconds())+1, maxGrant)
 	return max(0, target-have)
 }
