Find peers that do not answer; keep an owner until there is another

Cause: an owner whose claim had ended was not asked any more although it served; calls to a dark owner hung until their time limit; an owner began with an old proof of keys; an instance that restarted waited to take its own groups back. Change: health of peers with a question of its own, the last claim as fallback, a proof of keys at each claim, no delay for an instance's own claims, grants at a third while unleased.

--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -99,7 +99,8 @@
 
 // notDone reports whether the request surely was not carried out.
 func notDone(err error) bool {
-	return errors.Is(err, errNoOwner) || errors.Is(err, fleetlink.ErrRefused) || errors.Is(err, fleetlink.ErrUnreached)
+	return errors.Is(err, errNoOwner) || errors.Is(err, fleetlink.ErrRefused) || errors.Is(err, fleetlink.ErrUnreached) ||
+		errors.Is(err, fleetlink.ErrDown)
 }
 
 // lost answers a request whose owner may have carried it out.
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -32,6 +32,8 @@
 	ErrRefused = errors.New("no process listens at the peer's address")
 	// ErrUnreached: no connection could be made. Nothing was done.
 	ErrUnreached = errors.New("peer cannot be reached")
+	// ErrDown: the peer did not answer others just now. Nothing was done.
+	ErrDown = errors.New("peer does not answer")
 	// ErrNotOwner: the peer does not own the group. Nothing was done.
 	ErrNotOwner = errors.New("peer does not own the group")
 )
@@ -40,7 +42,9 @@
 type Peer struct {
 	address string
 	client  fleetv1connect.FleetServiceClient
-	http    *http.Transport
+	// probe has a connection of its own, so that it is not held up by one that went silent.
+	probe  fleetv1connect.FleetServiceClient
+	health health
 }
 
 // Peers holds the connections to other instances by address. It is safe for concurrent use.
@@ -59,23 +63,40 @@
 	if known := p.peers[address]; known != nil {
 		return known
 	}
-	dialer := netopt.Dialer(dialTimeout)
+	peer := &Peer{address: address, client: newClient(address), probe: newClient(address)}
+	peer.health.identify = peer.identify
+	p.peers[address] = peer
+	return peer
+}
+
+// newClient returns a client with a connection of its own.
+func newClient(address string) fleetv1connect.FleetServiceClient {
 	t := &http.Transport{
 		Protocols:          new(http.Protocols),
-		DialContext:        dialer.DialContext,
+		DialContext:        netopt.Dialer(dialTimeout).DialContext,
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
-	peer := &Peer{address: address, http: t}
-	peer.client = fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address)
-	p.peers[address] = peer
-	return peer
+	return fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address)
 }
 
-// Run runs a statement at the peer.
+// identify asks the peer for a sign of life.
+func (p *Peer) identify(ctx context.Context) error {
+	if _, err := p.probe.Identify(ctx, connect.NewRequest(&fleetv1.IdentifyRequest{})); err != nil {
+		return classify(p.address, err)
+	}
+	return nil
+}
+
+// Run runs a statement at the peer. A call to a peer that stops answering ends before ctx does.
 func (p *Peer) Run(ctx context.Context, r *operation.Request) (operation.Response, error) {
+	ctx, done, err := p.health.begin(ctx)
+	if err != nil {
+		return operation.Response{}, errors.Wrapf(err, "peer %s", p.address)
+	}
+	defer done()
 	resp, err := p.client.Run(ctx, connect.NewRequest(toRequest(r)))
 	if err != nil {
 		return operation.Response{}, classify(p.address, err)
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -80,7 +80,8 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "lease")
 	}
-	if !n.KeysFresh() {
+	if n.o.Settings.KeyMaxAge > 0 && n.o.Clock().UnixNano()-n.keysAt.Load() > int64(keyGap) {
+		// An owner begins with a proof that holds until its next one.
 		if err := n.proveKeys(ctx); err != nil {
 			return 0, errors.Wrap(err, "prove keys")
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,6 +134,8 @@
 	members map[upstream.MemberID]member.Member
 	lease   platform.LeaseID
 	ttl     time.Duration
+	// coordinatorLost is true for groups whose owner did not answer the last request for tokens.
+	coordinatorLost map[upstream.GroupID]bool
 }
 
 // New returns a node that is not running yet.
@@ -145,6 +147,8 @@
 		owning:  make(chan struct{}, 1),
 		planner: ownership.NewPlanner(o.Settings.Instance, o.Settings.Process, o.Clock()),
 		members: make(map[upstream.MemberID]member.Member),
+
+		coordinatorLost: make(map[upstream.GroupID]bool),
 	}
 	n.claims.Store(&claimTable{changed: make(chan struct{})})
 	n.catalog.Store(catalog.New(0, 0))
@@ -180,10 +184,13 @@
 // DomainOut implements owner.Authority.
 func (n *Node) DomainOut(d instance.FailureDomain) bool { return (*n.out.Load())[d] }
 
-// Current implements caller.Claims.
+// Current implements caller.Claims. An owner whose claim has ended is named until there is another one.
 func (n *Node) Current(g upstream.GroupID) (ownership.Claim, bool, <-chan struct{}) {
 	t := n.claims.Load()
-	c := t.of(g)
+	c, ok := t.claims[g]
+	if !ok {
+		c = t.last[g]
+	}
 	return c, n.mine(c), t.changed
 }
 
@@ -191,9 +198,10 @@
 func (n *Node) OwnerEnded(c ownership.Claim) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.o.Log.Info("the process that owns a group has ended", "group", c.Group, "owner", c.Owner, "claim", c.Revision)
-	n.planner.OwnerDead(c.Group, c.Revision, n.o.Clock())
-	n.signal()
+	if n.planner.OwnerDead(c.Group, c.Revision, n.o.Clock()) {
+		n.o.Log.Info("the process that owns a group has ended", "group", c.Group, "owner", c.Owner, "claim", c.Revision)
+		n.signal()
+	}
 }
 
 // TakeTokens implements owner.TokenSource.
@@ -207,12 +215,20 @@
 		return nil
 	}
 	grants, err := n.Peers.At(claim.Address).TakeTokens(ctx, g, wants)
-	if err != nil {
-		n.o.Log.Info("no tokens from a coordinator", "group", g, "owner", claim.Owner, "error", err)
-	}
+	n.noteCoordinator(g, claim, err)
 	return grants
 }
 
+// noteCoordinator logs the loss and the return of a coordinator once each.
+func (n *Node) noteCoordinator(g upstream.GroupID, claim ownership.Claim, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if lost := err != nil; n.coordinatorLost[g] != lost {
+		n.coordinatorLost[g] = lost
+		n.o.Log.Info("coordinator of customers' rates", "group", g, "owner", claim.Owner, "claim", claim.Revision, "lost", lost, "error", err)
+	}
+}
+
 // Ready reports whether the instance should get new connections, and if not, why.
 func (n *Node) Ready() (bool, string) {
 	c := n.Catalog()
@@ -254,6 +270,7 @@
 // claimTable is an immutable copy of the known claims.
 type claimTable struct {
 	claims map[upstream.GroupID]ownership.Claim
+	last   map[upstream.GroupID]ownership.Claim
 	// changed is closed when the table is replaced.
 	changed chan struct{}
 }
@@ -262,7 +279,7 @@
 
 // announce publishes the claims and tells those who wait for a change. The node is locked.
 func (n *Node) announce() {
-	next := &claimTable{claims: n.planner.Claims(), changed: make(chan struct{})}
+	next := &claimTable{claims: n.planner.Claims(), last: n.planner.LastClaims(), changed: make(chan struct{})}
 	close(n.claims.Swap(next).changed)
 	n.signal()
 }
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -16,8 +16,10 @@
 const (
 	probeTimeout = 250 * time.Millisecond
 	orderTimeout = time.Second
-	// tokenGap is the time between two requests to a coordinator.
-	tokenTimeout = 250 * time.Millisecond
+	// unleasedTokenPrice is what a token costs at a coordinator whose lease has lapsed: another one may grant as well, and
+	// both together must stay within the tolerance of the contracts.
+	unleasedTokenPrice = 3
+	tokenTimeout       = 250 * time.Millisecond
 )
 
 // act carries out an action of the promotion machine. The group is locked.
@@ -127,9 +129,13 @@
 	c := g.o.Catalog()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.released || !g.o.Authority.Leased(g.claim) {
+	if g.released || !g.o.Authority.KeysFresh() {
 		return nil, false
 	}
+	price := 1
+	if !g.o.Authority.Leased(g.claim) {
+		price = unleasedTokenPrice
+	}
 	now := g.o.Clock()
 	var grants []TokenRequest
 	for _, w := range wants {
@@ -137,7 +143,7 @@
 		if customer == nil || coordinatorOf(c, w.Customer) != g.id {
 			continue
 		}
-		if n := g.pool.Grant(customer, len(c.Groups), w.Tokens, now); n > 0 {
+		if n := g.pool.Grant(customer, len(c.Groups), w.Tokens, price, now); n > 0 {
 			grants = append(grants, TokenRequest{Customer: w.Customer, Tokens: n})
 		}
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -63,6 +63,8 @@
 	before bool
 	retry  time.Time
 	busy   bool
+	// last is the newest claim, also after its end.
+	last Claim
 }
 
 // Planner decides for one instance. It is not safe for concurrent use.
@@ -113,7 +115,7 @@
 	if c.Revision < g.claim.Revision {
 		return
 	}
-	g.claim, g.dead, g.free = c, false, time.Time{}
+	g.claim, g.last, g.dead, g.free = c, c, false, time.Time{}
 	g.before = p.mine(c)
 	if c.Owner == p.self && !p.mine(c) {
 		// The owner was an earlier process of this instance.
@@ -131,13 +133,14 @@
 	g.dead, g.free = false, now
 }
 
-// OwnerDead records proof that the process that holds the claim has ended.
-func (p *Planner) OwnerDead(id upstream.GroupID, revision uint64, now time.Time) {
+// OwnerDead records proof that the process that holds the claim has ended. It returns false when that was known.
+func (p *Planner) OwnerDead(id upstream.GroupID, revision uint64, now time.Time) bool {
 	g := p.groups[id]
 	if g == nil || g.claim.Revision != revision || g.dead || p.mine(g.claim) {
-		return
+		return false
 	}
 	g.dead, g.free = true, now
+	return true
 }
 
 // Claim returns the known claim of a group; Owner is empty when there is none.
@@ -221,7 +224,7 @@
 
 // delay is how long the instance lets better placed ones go first.
 func (p *Planner) delay(id upstream.GroupID, g *group, now time.Time) time.Duration {
-	if g.before && !g.dead {
+	if g.before && !g.dead || g.dead && g.claim.Owner == p.self {
 		return 0
 	}
 	width := spread
@@ -254,10 +257,19 @@
 
 // Claims returns a copy of the known claims; groups without an owner are left out.
 func (p *Planner) Claims() map[upstream.GroupID]Claim {
+	return p.copyClaims(func(g *group) Claim { return g.claim })
+}
+
+// LastClaims returns the newest claim of each group, also when it has ended: its owner may serve until there is another.
+func (p *Planner) LastClaims() map[upstream.GroupID]Claim {
+	return p.copyClaims(func(g *group) Claim { return g.last })
+}
+
+func (p *Planner) copyClaims(which func(*group) Claim) map[upstream.GroupID]Claim {
 	claims := make(map[upstream.GroupID]Claim, len(p.groups))
 	for id, g := range p.groups {
-		if g.claim.Owner != "" {
-			claims[id] = g.claim
+		if c := which(g); c.Owner != "" {
+			claims[id] = c
 		}
 	}
 	return claims
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -77,8 +77,8 @@
 }
 
 // Grant takes at most n tokens of the customer, whose contract is split over the given number of groups, and returns how
-// many there were.
-func (p *Pool) Grant(c *catalog.Customer, groups, n int, now time.Time) int {
+// many there were. Each costs the given price in tokens of the pool.
+func (p *Pool) Grant(c *catalog.Customer, groups, n, price int, now time.Time) int {
 	want := contract(c, pooledPart(c, groups))
 	b := p.buckets[c.Name]
 	if b == nil {
@@ -89,8 +89,8 @@
 		b.bucket.Set(want, now)
 		b.contract = want
 	}
-	n = min(n, maxGrant, int(b.bucket.Level(now)/admission.Token))
-	if n <= 0 || !b.bucket.Take(n, now) {
+	n = min(n, maxGrant, int(b.bucket.Level(now)/admission.Token)/price)
+	if n <= 0 || !b.bucket.Take(n*price, now) {
 		return 0
 	}
 	return n
