--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,126 @@
+package mirror
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// script answers calls one after the other.
+type script struct {
+	steps []any
+	after []uint64
+	stop  context.CancelFunc
+}
+
+type listing struct {
+	entries  []Entry
+	revision uint64
+}
+
+type watched struct {
+	events   []Event
+	revision uint64
+}
+
+func (s *script) next() any {
+	if len(s.steps) == 0 {
+		s.stop()
+		return errors.New("end of the script")
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step
+}
+
+func (s *script) List(context.Context, string) ([]Entry, uint64, error) {
+	switch step := s.next().(type) {
+	case listing:
+		return step.entries, step.revision, nil
+	case error:
+		return nil, 0, step
+	default:
+		panic("the script has a watch where the mirror lists")
+	}
+}
+
+func (s *script) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]Event, uint64, error) {
+	s.after = append(s.after, after)
+	switch step := s.next().(type) {
+	case watched:
+		return step.events, step.revision, nil
+	case error:
+		return nil, 0, step
+	default:
+		panic("the script has a list where the mirror watches")
+	}
+}
+
+// record notes what the sink is told.
+type record struct {
+	resets int
+	keys   []string
+}
+
+func (r *record) Apply(events []Event) {
+	for _, e := range events {
+		r.keys = append(r.keys, e.Key)
+	}
+}
+
+func (r *record) Reset(string, []Entry) { r.resets++ }
+
+func play(steps ...any) (*script, *record, []bool) {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &script{steps: steps, stop: stop}
+	r := &record{}
+	var states []bool
+	m := Mirror{Source: s, Sink: r, Log: hclog.NewNullLogger(), Connected: func(ok bool) { states = append(states, ok) }}
+	_ = m.Run(ctx)
+	return s, r, states
+}
+
+func event(key string, revision uint64) Event {
+	return Event{Entry: Entry{Key: key, Revision: revision}}
+}
+
+func TestFollowsFromTheListsRevision(t *testing.T) {
+	is := is.New(t)
+	s, r, _ := play(
+		listing{revision: 7},
+		watched{events: []Event{event("a", 8)}, revision: 8},
+		watched{revision: 8},
+		watched{events: []Event{event("b", 9)}, revision: 9},
+	)
+	is.Equal(s.after[:4], []uint64{7, 8, 8, 9})
+	is.Equal(r.keys, []string{"a", "b"})
+	is.Equal(r.resets, 1)
+}
+
+func TestListsAgainAfterCompaction(t *testing.T) {
+	is := is.New(t)
+	_, r, states := play(listing{revision: 7}, ErrCompacted, listing{revision: 20}, watched{events: []Event{event("a", 21)}, revision: 21})
+	is.Equal(r.resets, 2)
+	is.Equal(r.keys, []string{"a"})
+	is.Equal(len(states), 0) // the store was never lost
+}
+
+// TestDropsWhatTheListHeldAlready plays a list whose later pages are newer than its revision.
+func TestDropsWhatTheListHeldAlready(t *testing.T) {
+	is := is.New(t)
+	_, r, _ := play(
+		listing{entries: []Entry{{Key: "a", Revision: 9}}, revision: 7},
+		watched{events: []Event{event("a", 8), event("a", 9), event("b", 8)}, revision: 9},
+	)
+	is.Equal(r.keys, []string{"b"})
+}
+
+func TestReportsLossAndReturnOnce(t *testing.T) {
+	is := is.New(t)
+	_, _, states := play(listing{revision: 1}, errors.New("away"), errors.New("away"), watched{revision: 1})
+	is.Equal(states, []bool{false, true})
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,152 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func customer(rate, burst float64) *catalog.Customer {
+	return &catalog.Customer{Name: "c", Rate: rate, Burst: burst}
+}
+
+// fleet is a customer's tokens over several owners, one of which coordinates.
+type fleet struct {
+	pool   *Pool
+	stocks []*Stock
+	c      *catalog.Customer
+}
+
+func newFleet(c *catalog.Customer, groups int, now time.Time) *fleet {
+	f := &fleet{pool: NewPool(now), c: c}
+	for range groups {
+		f.stocks = append(f.stocks, NewStock(now))
+	}
+	return f
+}
+
+// take runs one operation at the owner, which asks the coordinator when it is short, as owners do.
+func (f *fleet) take(i int, now time.Time) bool {
+	s := f.stocks[i]
+	if s.Take(f.c, len(f.stocks), now) {
+		return true
+	}
+	s.Add(f.c.Name, f.pool.Grant(f.c, len(f.stocks), 1, 1, now), now, now)
+	return s.Take(f.c, len(f.stocks), now)
+}
+
+// refill asks ahead for all owners.
+func (f *fleet) refill(now time.Time) {
+	for _, s := range f.stocks {
+		s.Wants(now, func(name string, n int) { s.Add(name, f.pool.Grant(f.c, len(f.stocks), n, 1, now), now, now) })
+	}
+}
+
+// TestUsualTrafficIsNotRefused plays a customer at five eighths of its rate, spread over eight groups.
+func TestUsualTrafficIsNotRefused(t *testing.T) {
+	for _, rate := range []float64{5, 20, 115} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(customer(rate, rate), 8, epoch)
+			gap := time.Duration(float64(time.Second) / (rate * 5 / 8))
+			now := epoch.Add(10 * time.Second)
+			refused, ran := 0, 0
+			for i := 0; now.Before(epoch.Add(40 * time.Second)); i++ {
+				now = now.Add(gap)
+				f.refill(now)
+				if f.take(i*i%8, now) {
+					ran++
+				} else {
+					refused++
+				}
+			}
+			is.Equal(refused, 0)
+			is.True(ran > 50)
+		})
+	}
+}
+
+// TestALoweredLimitIsUsedUp plays a customer at twice its rate: what it gets is its rate.
+func TestALoweredLimitIsUsedUp(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(customer(21, 21), 3, epoch)
+	ran := 0
+	for ms := 0; ms < 30_000; ms += 23 {
+		now := epoch.Add(10*time.Second + time.Duration(ms)*time.Millisecond)
+		f.refill(now)
+		if f.take(ms%3, now) {
+			ran++
+		}
+	}
+	is.True(ran >= 30*21*97/100) // at most 3 % of the limit is lost
+	is.True(ran <= 30*21+21+1)
+}
+
+// TestBoundOverTheFleet checks the bound over sliding windows under random demand and a restart of all owners, with an
+// unleased coordinator beside its successor.
+func TestBoundOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := float64(rapid.IntRange(1, 150).Draw(t, "rate"))
+		c := customer(rate, rate)
+		groups := rapid.IntRange(1, 10).Draw(t, "groups")
+		f := newFleet(c, groups, epoch)
+		restart := rapid.IntRange(3000, 15_000).Draw(t, "restart")
+		var times []int
+		for ms := 0; ms < 20_000; ms += 7 {
+			if ms >= restart && ms < restart+7 {
+				f = newFleet(c, groups, epoch.Add(time.Duration(ms)*time.Millisecond))
+			}
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			f.refill(now)
+			for range rapid.IntRange(0, 4).Draw(t, "demand") {
+				if f.take(rapid.IntRange(0, groups-1).Draw(t, "group"), now) {
+					times = append(times, ms)
+				}
+			}
+		}
+		const window = 5000
+		limit := (rate*window/1000+rate)*1.1 + 20
+		first := 0
+		for last, ms := range times {
+			for times[first] <= ms-window {
+				first++
+			}
+			if n := last - first + 1; float64(n) > limit {
+				t.Fatalf("%d operations in the window that ends at %d ms; the bound is %.0f", n, ms, limit)
+			}
+		}
+	})
+}
+
+func TestALowerLimitHoldsAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(epoch)
+	now := epoch.Add(time.Minute)
+	is.Equal(p.Grant(customer(100, 100), 1, 50, 1, now), 50)
+	is.Equal(p.Grant(customer(10, 10), 1, 50, 1, now), 8) // what was saved up is cut to the new burst
+}
+
+func TestUnleasedCoordinatorGrantsLess(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(epoch)
+	now := epoch.Add(time.Minute)
+	is.Equal(p.Grant(customer(100, 100), 1, 1000, 3, now), 26)
+	is.Equal(p.Grant(customer(100, 100), 1, 1000, 3, now), 0)
+}
+
+func TestGrantsLapse(t *testing.T) {
+	is := is.New(t)
+	c := customer(4, 4)
+	s := NewStock(epoch)
+	s.Take(c, 8, epoch)
+	s.Add("c", 2, epoch, epoch)
+	is.True(s.Take(c, 8, epoch.Add(GrantLife-time.Millisecond)))
+	is.True(!s.Take(c, 8, epoch.Add(GrantLife)))
+}
