Share the queue between customers and keep time in hand when admitting

Change: a customer's item goes behind its due time by what its waiting work takes under fair sharing; admission keeps a quarter of the time; an item opens again when its connection went elsewhere.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -122,21 +122,44 @@
 	}
 }
 
-// refuse returns a refusal when the item could not be served in time.
-func (s *Scheduler) refuse(it *Item, now time.Time) *Refusal {
+// share returns how long the customer's waiting work takes in the slots by itself, and how much longer when the slots are
+// shared with the other waiting customers.
+func (s *Scheduler) share(w *waiting, now time.Time) (alone, putOff time.Duration) {
+	var own time.Duration
+	others := make(map[string]bool)
+	for _, q := range s.queue {
+		switch {
+		case q.Need != w.Need:
+		case q.Customer == w.Customer:
+			own += q.Cost
+		default:
+			others[q.Customer] = true
+		}
+	}
+	slots, _, _ := s.capacity(w, now)
+	if slots == 0 {
+		return 0, 0
+	}
+	alone = own / time.Duration(slots)
+	return alone, alone * time.Duration(len(others))
+}
+
+// refuse returns a refusal when the item could not be served in time. fairWait is how long it waits when customers with
+// less waiting work go first.
+func (s *Scheduler) refuse(w *waiting, fairWait time.Duration, now time.Time) *Refusal {
 	if len(s.queue) >= s.limits.Waiting {
-		return &Refusal{Reason: ReasonFull, After: it.Cost + comeBack, Waiting: len(s.queue)}
+		return &Refusal{Reason: ReasonFull, After: w.Cost + comeBack, Waiting: len(s.queue)}
 	}
-	w := &waiting{Item: *it}
 	slots, running, idle := s.capacity(w, now)
 	if slots == 0 {
-		return s.refuseWithoutMember(it, now)
+		return s.refuseWithoutMember(&w.Item, now)
 	}
-	if it.Again || idle {
+	if w.Again || idle {
 		return nil
 	}
-	ahead := s.ahead(w, slots, running)
-	patience := max(it.Due.Sub(now)-it.Cost, minPatience)
+	ahead := max(s.ahead(w, slots, running), fairWait)
+	// A quarter of the time is kept for statements that take longer than expected.
+	patience := max(w.Due.Sub(now)*3/4-w.Cost, minPatience)
 	if ahead <= patience {
 		return nil
 	}
@@ -173,7 +196,7 @@
 func (s *Scheduler) ahead(w *waiting, slots, running int) time.Duration {
 	var work time.Duration
 	for _, q := range s.queue {
-		if q.Need == w.Need && !q.Due.After(w.Due) {
+		if q.Need == w.Need && !q.order.After(w.order) {
 			work += q.Cost
 		}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -3,7 +3,8 @@
 // none of its types is safe for concurrent use.
 //
 // A connection belongs to one member and one customer. Few statements are in flight at each member, so that the order of
-// the rest is decided here: by due time, those that can still be in time first.
+// the rest is decided here: by due time, those that can still be in time first. A customer with much waiting work goes
+// behind customers with little.
 package dispatch
 
 import (
@@ -156,6 +157,8 @@
 	ticket  Ticket
 	since   time.Time
 	opening ConnID
+	// order is the due time, put off by the customer's other waiting work.
+	order time.Time
 }
 
 // Scheduler is the state of one group.
@@ -163,7 +166,7 @@
 	limits  Limits
 	members []*member
 	conns   map[ConnID]*conn
-	// queue is in order of due time.
+	// queue is sorted by order.
 	queue      []*waiting
 	lastTicket Ticket
 	lastConn   ConnID
@@ -188,13 +191,16 @@
 
 // Submit puts an item into the queue, or refuses it at once when it could not be served in time.
 func (s *Scheduler) Submit(it Item, now time.Time) (Ticket, *Refusal) {
-	if r := s.refuse(&it, now); r != nil {
+	w := &waiting{Item: it, since: now, order: it.Due}
+	alone, putOff := s.share(w, now)
+	w.order = w.order.Add(putOff)
+	if r := s.refuse(w, alone+putOff, now); r != nil {
 		return 0, r
 	}
 	s.lastTicket++
-	w := &waiting{Item: it, ticket: s.lastTicket, since: now}
+	w.ticket = s.lastTicket
 	i := len(s.queue)
-	for i > 0 && s.queue[i-1].Due.After(it.Due) {
+	for i > 0 && s.queue[i-1].order.After(w.order) {
 		i--
 	}
 	s.queue = append(s.queue, nil)
@@ -230,6 +236,12 @@
 	return p
 }
 
+// isOpening reports whether the connection is on its way. One that is open already went to another item.
+func (s *Scheduler) isOpening(id ConnID) bool {
+	c := s.conns[id]
+	return c != nil && c.state == connOpening
+}
+
 // expire drops the items whose deadline has passed.
 func (s *Scheduler) expire(now time.Time, p *Plan) {
 	for i := 0; i < len(s.queue); {
@@ -263,7 +275,7 @@
 			}
 			p.Assignments = append(p.Assignments, Assignment{Ticket: w.ticket, Conn: c.id, Member: m.ID, Waited: now.Sub(w.since)})
 			continue
-		case m != nil && s.conns[w.opening] == nil:
+		case m != nil && !s.isOpening(w.opening):
 			if o, ok := s.open(m, w.Customer, now); ok {
 				w.opening = o.Conn
 				p.Opens = append(p.Opens, o)
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,276 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func pos(lsn int) position.Position { return position.Position{Term: 1, LSN: position.LSN(lsn)} }
+
+func members() []MemberConfig {
+	return []MemberConfig{
+		{ID: "p", Slots: 3, Primary: true, Usable: true},
+		{ID: "r1", Slots: 3, Usable: true},
+		{ID: "r2", Slots: 3, Usable: true, RoundTrip: 3 * time.Millisecond},
+	}
+}
+
+func newScheduler(connections int) *Scheduler {
+	s := New(DefaultLimits(connections))
+	s.SetMembers(members(), epoch)
+	return s
+}
+
+func write(customer string, now time.Time) Item {
+	return Item{Customer: customer, Need: NeedPrimary, Due: now.Add(150 * time.Millisecond), Deadline: now.Add(800 * time.Millisecond), Cost: 10 * time.Millisecond}
+}
+
+func read(customer string, floor position.Position, now time.Time) Item {
+	it := write(customer, now)
+	it.Need, it.Floor = NeedAny, floor
+	return it
+}
+
+// submit puts an item into the queue, which must not refuse it.
+func submit(t *testing.T, s *Scheduler, it Item, now time.Time) Ticket {
+	t.Helper()
+	ticket, refusal := s.Submit(it, now)
+	if refusal != nil {
+		t.Fatalf("refused: %s", refusal.Reason)
+	}
+	return ticket
+}
+
+// connect opens what the plans ask for until they ask for nothing, and returns all assignments.
+func connect(s *Scheduler, p Plan, now time.Time) []Assignment {
+	assigned := p.Assignments
+	for len(p.Opens) > 0 {
+		for _, o := range p.Opens {
+			s.Opened(o.Conn, now)
+		}
+		p = s.Plan(now)
+		assigned = append(assigned, p.Assignments...)
+	}
+	return assigned
+}
+
+func TestOpensAConnectionOfTheCustomer(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	submit(t, s, write("a", epoch), epoch)
+	p := s.Plan(epoch)
+	is.Equal(len(p.Opens), 1)
+	is.Equal(p.Opens[0].Customer, "a")
+	is.Equal(p.Opens[0].Member, upstream.MemberID("p"))
+	is.Equal(len(s.Plan(epoch).Opens), 0) // one connection is enough
+	assigned := connect(s, p, at(12))
+	is.Equal(len(assigned), 1)
+	s.Done(assigned[0].Conn, false, at(20))
+	submit(t, s, write("b", at(20)), at(20))
+	p = s.Plan(at(20))
+	is.Equal(len(p.Assignments), 0) // a's connection is not b's
+	is.Equal(p.Opens[0].Customer, "b")
+}
+
+func TestReadsGoToReplicasThatHoldTheFloor(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	s.Observe("p", pos(10), epoch)
+	s.Observe("r1", pos(4), epoch)
+	s.Observe("r2", pos(9), epoch)
+	submit(t, s, read("a", pos(8), epoch), epoch)
+	assigned := connect(s, s.Plan(epoch), epoch)
+	is.Equal(assigned[0].Member, upstream.MemberID("r2")) // r1 is near, but lacks the floor
+	submit(t, s, read("a", pos(10), epoch), epoch)
+	assigned = connect(s, s.Plan(epoch), epoch)
+	is.Equal(assigned[0].Member, upstream.MemberID("p")) // no replica holds it
+}
+
+func TestOneStatementAtATimeTriesALaggingReplica(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	s.SetMembers(members()[:2], epoch)
+	s.Observe("r1", pos(4), epoch)
+	later := at(int(lagProbe.Milliseconds()) + 1)
+	for range 4 {
+		submit(t, s, read("a", pos(8), later), later)
+	}
+	onReplica := 0
+	for _, a := range connect(s, s.Plan(later), later) {
+		if a.Member == "r1" {
+			onReplica++
+		}
+	}
+	is.Equal(onReplica, 1)
+}
+
+func TestFewStatementsAreInFlight(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	running := 0
+	for range 10 {
+		submit(t, s, write("a", epoch), epoch)
+	}
+	for range 20 {
+		running += len(connect(s, s.Plan(epoch), epoch))
+	}
+	is.Equal(running, 4) // three slots and one that covers the network delay
+	is.Equal(s.Len(), 6)
+}
+
+func TestDueTimeOrdersTheQueue(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	late := write("a", epoch)
+	late.Due = epoch.Add(-time.Millisecond)
+	relaxed := write("a", epoch)
+	relaxed.Due = at(500)
+	s.limits.Extra = -2 // one at a time
+	lateTicket := submit(t, s, late, epoch)
+	relaxedTicket := submit(t, s, relaxed, epoch)
+	urgentTicket := submit(t, s, write("a", epoch), epoch)
+	var order []Ticket
+	for range 6 {
+		for _, a := range connect(s, s.Plan(epoch), epoch) {
+			order = append(order, a.Ticket)
+			s.Done(a.Conn, false, epoch)
+		}
+	}
+	is.Equal(order, []Ticket{urgentTicket, relaxedTicket, lateTicket}) // what is late anyway goes last
+}
+
+func TestAnIdleConnectionGivesWay(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(2) // one connection to a member
+	submit(t, s, write("a", epoch), epoch)
+	a := connect(s, s.Plan(epoch), epoch)[0]
+	submit(t, s, write("b", epoch), epoch)
+	is.Equal(len(s.Plan(epoch).Opens), 0) // the only connection is in use
+	s.Done(a.Conn, false, at(10))
+	p := s.Plan(at(10 + int(evictAfter.Milliseconds())))
+	is.Equal(p.Closes, []ConnID{a.Conn})
+	is.Equal(p.Opens[0].Customer, "b")
+}
+
+func TestTransactionsLeaveConnectionsForOthers(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(11) // ten connections to a member, of which seven may be held
+	held := 0
+	now := epoch
+	for range 20 {
+		it := write("a", now)
+		it.Holds = true
+		if _, refusal := s.Submit(it, now); refusal != nil {
+			break
+		}
+		for _, a := range connect(s, s.Plan(now), now) {
+			held++
+			s.Done(a.Conn, true, now)
+		}
+	}
+	is.Equal(held, 7)
+	submit(t, s, write("a", now), now)
+	is.Equal(len(connect(s, s.Plan(now), now)), 1)
+}
+
+func TestStatementsOfTransactionsDoNotWait(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	it := write("a", epoch)
+	it.Holds = true
+	submit(t, s, it, epoch)
+	a := connect(s, s.Plan(epoch), epoch)[0]
+	s.Done(a.Conn, true, epoch)
+	s.Resume(a.Conn, epoch)
+	is.Equal(find(s.members, "p").running, 1)
+	s.Done(a.Conn, false, at(5))
+	is.Equal(find(s.members, "p").running, 0)
+	is.Equal(find(s.members, "p").held, 0)
+}
+
+func TestRefusesWithoutAMember(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	s.SetMembers(members()[1:], epoch)
+	_, refusal := s.Submit(write("a", epoch), epoch)
+	is.True(refusal != nil)
+	is.Equal(refusal.Reason, ReasonNoMember)
+	s.SetPrimaryExpected(at(600))
+	_, refusal = s.Submit(write("a", epoch), epoch)
+	is.Equal(refusal.After, 600*time.Millisecond) // when a primary is expected
+	s.SetPrimaryExpected(at(50))
+	submit(t, s, write("a", epoch), epoch) // in time for the caller
+}
+
+func TestDeadlinesEndTheWait(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	ticket := submit(t, s, write("a", epoch), epoch)
+	p := s.Plan(at(800))
+	is.Equal(p.Expired[0].Ticket, ticket)
+	is.Equal(s.Len(), 0)
+	is.True(!s.Cancel(ticket))
+}
+
+func TestMembersThatLeaveAreNotUsed(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	submit(t, s, read("a", position.Position{}, epoch), epoch)
+	a := connect(s, s.Plan(epoch), epoch)[0]
+	s.Done(a.Conn, false, epoch)
+	list := members()
+	for i := range list {
+		list[i].Usable = list[i].ID != a.Member
+	}
+	s.SetMembers(list, epoch)
+	is.Equal(s.Plan(epoch).Closes, []ConnID{a.Conn})
+	submit(t, s, read("a", position.Position{}, epoch), epoch)
+	is.True(connect(s, s.Plan(epoch), epoch)[0].Member != a.Member)
+}
+
+func TestTrimClosesTheLongestIdle(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	var conns []ConnID
+	for i, customer := range []string{"a", "b", "c"} {
+		submit(t, s, write(customer, at(i)), at(i))
+		a := connect(s, s.Plan(at(i)), at(i))[0]
+		s.Done(a.Conn, false, at(i))
+		conns = append(conns, a.Conn)
+	}
+	s.limits.Connections = 1
+	s.Trim()
+	is.Equal(s.Plan(at(3)).Closes, conns[:2])
+}
+
+func TestAColdMemberIsSpared(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	list := members()[:2]
+	list[1].PerSecond = 10
+	s.SetMembers(list, epoch)
+	for _, o := range s.Warm([]string{"a"}, epoch) {
+		s.Opened(o.Conn, epoch)
+	}
+	cold := 0
+	for ms := 0; ms < 1000; ms += 5 {
+		submit(t, s, read("a", position.Position{}, at(ms)), at(ms))
+		for _, a := range connect(s, s.Plan(at(ms)), at(ms)) {
+			if a.Member == "r1" {
+				cold++
+			}
+			s.Done(a.Conn, false, at(ms))
+		}
+	}
+	is.True(cold <= 11)
+	is.True(cold >= 5)
+}
--- /dev/null
+++ b/internal/dispatch/load_test.go
@@ -0,0 +1,225 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// load plays statements against members with slots and counts what callers get.
+type load struct {
+	s       *Scheduler
+	random  *rand.Rand
+	events  timeline
+	members map[upstream.MemberID]*server
+	callers map[Ticket]*caller
+
+	inTime, late, refused, expired int
+	perCustomer                    map[string]int
+	worstRefusal                   time.Duration
+}
+
+// server runs statements in slots, the rest in order of arrival.
+type server struct {
+	free  []time.Time
+	slots int
+}
+
+type caller struct {
+	it      Item
+	arrived time.Time
+}
+
+type moment struct {
+	at time.Time
+	do func()
+}
+
+type timeline []moment
+
+func (t timeline) Len() int           { return len(t) }
+func (t timeline) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timeline) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timeline) Push(x any)        { *t = append(*t, x.(moment)) }
+func (t *timeline) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+func newLoad(seed uint64) *load {
+	l := &load{
+		s: newScheduler(21), random: rand.New(rand.NewPCG(seed, 1)),
+		members: make(map[upstream.MemberID]*server), callers: make(map[Ticket]*caller), perCustomer: make(map[string]int),
+	}
+	for _, m := range members() {
+		l.members[m.ID] = &server{slots: m.Slots, free: make([]time.Time, m.Slots)}
+	}
+	return l
+}
+
+func (l *load) after(at time.Time, do func()) { heap.Push(&l.events, moment{at, do}) }
+
+func (l *load) run(until time.Time) {
+	for l.events.Len() > 0 {
+		m := heap.Pop(&l.events).(moment)
+		if m.at.After(until) {
+			return
+		}
+		m.do()
+		l.pump(m.at)
+	}
+}
+
+func (l *load) pump(now time.Time) {
+	p := l.s.Plan(now)
+	for _, e := range p.Expired {
+		delete(l.callers, e.Ticket)
+		l.expired++
+	}
+	for _, o := range p.Opens {
+		done := l.members[o.Member].run(now, 12*time.Millisecond)
+		l.after(done, func() { l.s.Opened(o.Conn, done) })
+	}
+	for _, a := range p.Assignments {
+		l.start(a, now)
+	}
+}
+
+func (l *load) start(a Assignment, now time.Time) {
+	c := l.callers[a.Ticket]
+	delete(l.callers, a.Ticket)
+	work := time.Duration(float64(c.it.Cost) * (0.3 + 1.4*l.random.Float64()))
+	done := l.members[a.Member].run(now, work)
+	l.after(done, func() {
+		l.s.Done(a.Conn, false, done)
+		l.perCustomer[c.it.Customer]++
+		if done.After(c.it.Due) {
+			l.late++
+		} else {
+			l.inTime++
+		}
+	})
+}
+
+// run returns when work that arrives now ends.
+func (s *server) run(now time.Time, work time.Duration) time.Time {
+	first := 0
+	for i, t := range s.free {
+		if t.Before(s.free[first]) {
+			first = i
+		}
+	}
+	begin := now
+	if s.free[first].After(begin) {
+		begin = s.free[first]
+	}
+	s.free[first] = begin.Add(work)
+	return s.free[first]
+}
+
+// arrive lets a customer's statements arrive at a rate a second, a share of them writes.
+func (l *load) arrive(customer string, perSecond, writes float64, until time.Time) {
+	var next func(now time.Time)
+	next = func(now time.Time) {
+		now = now.Add(time.Duration(l.random.ExpFloat64() / perSecond * float64(time.Second)))
+		if now.After(until) {
+			return
+		}
+		l.after(now, func() {
+			it := Item{Customer: customer, Need: NeedAny, Floor: position.Position{}, Due: now.Add(250 * time.Millisecond), Deadline: now.Add(800 * time.Millisecond), Cost: 18 * time.Millisecond}
+			if l.random.Float64() < writes {
+				it.Need = NeedPrimary
+			}
+			l.submit(it, now)
+			next(now)
+		})
+	}
+	next(epoch)
+}
+
+func (l *load) submit(it Item, now time.Time) {
+	ticket, refusal := l.s.Submit(it, now)
+	if refusal != nil {
+		l.refused++
+		l.worstRefusal = max(l.worstRefusal, refusal.After)
+		return
+	}
+	l.callers[ticket] = &caller{it: it, arrived: now}
+}
+
+func (l *load) String() string {
+	return fmt.Sprintf("in time %d, late %d, refused %d, expired %d", l.inTime, l.late, l.refused, l.expired)
+}
+
+// TestUsualLoadIsServedInTime plays 60 % of what the slots can do, the load of Kestrel's heavy days on one group.
+func TestUsualLoadIsServedInTime(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(1)
+	for i := range 8 {
+		l.arrive(fmt.Sprint(i), 30, 0.2, at(20_000))
+	}
+	l.run(at(21_000))
+	t.Log(l)
+	is.True(l.refused+l.expired == 0)
+	is.True(l.late*100 <= l.inTime) // at most 1 % late
+}
+
+// TestOverloadRefusesAtOnceAndServesTheRest plays half as much again as the slots can do: what is admitted is in time, the
+// rest is refused on arrival, and the slots stay busy.
+func TestOverloadRefusesAtOnceAndServesTheRest(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(2)
+	for i := range 8 {
+		l.arrive(fmt.Sprint(i), 94, 0.2, at(20_000))
+	}
+	l.run(at(21_000))
+	t.Log(l)
+	const capacity = 9 * 20 * 1000 / 18
+	is.True(l.inTime+l.late >= capacity*85/100)
+	is.True(l.late*10 <= l.inTime)      // at most a tenth of what is served is late
+	is.True(l.expired*100 <= l.refused) // nobody waits in vain
+	is.True(l.worstRefusal <= time.Second)
+}
+
+// TestALostReplicaLeavesTheRestInTime plays usual load while a replica is away for five seconds.
+func TestALostReplicaLeavesTheRestInTime(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(3)
+	for i := range 8 {
+		l.arrive(fmt.Sprint(i), 25, 0.2, at(20_000))
+	}
+	l.after(at(5000), func() {
+		list := members()
+		list[1].Usable = false
+		l.s.SetMembers(list, at(5000))
+	})
+	l.after(at(10_000), func() { l.s.SetMembers(members(), at(10_000)) })
+	l.run(at(21_000))
+	t.Log(l)
+	is.True((l.refused+l.expired)*100 <= l.inTime)
+	is.True(l.late*50 <= l.inTime)
+}
+
+// TestABusyCustomerDoesNotShutOthersOut plays a customer with ten times the load of the others on top of a full group.
+func TestABusyCustomerDoesNotShutOthersOut(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(4)
+	l.arrive("busy", 500, 0.2, at(20_000))
+	for i := range 4 {
+		l.arrive(fmt.Sprint(i), 20, 0.2, at(20_000))
+	}
+	l.run(at(21_000))
+	t.Log(l, l.perCustomer)
+	for i := range 4 {
+		is.True(l.perCustomer[fmt.Sprint(i)] >= 20*20*90/100) // 90 % of what they send
+	}
+}
