Test the promotion machine; promote only a log that holds what was acknowledged

Cause: with synchronous replicas the machine promoted the best of those that answered in time, which may lack an acknowledged commit (LOST). Measured: go test ./internal/promotion passes; the new case failed before (order for b).

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -232,6 +232,7 @@
 	if declared == nil {
 		return
 	}
+	g.machine.SetSyncReplicas(declared.SyncReplicas)
 	l := dispatch.DefaultLimits(declared.MaxConnections)
 	switch {
 	case !g.o.Authority.KeysFresh():
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -172,14 +172,16 @@
 	// ordered is true while an order awaits its result.
 	ordered bool
 	// confirmed is true once the platform has seen this owner's token.
-	confirmed   bool
-	confirmTry  time.Time
-	rejections  int
-	quiet       bool
-	acked       position.Position
-	log         []string
-	needsRenew  bool
-	renewalSent time.Time
+	confirmed  bool
+	confirmTry time.Time
+	rejections int
+	quiet      bool
+	// syncReplicas is the number of replicas that hold a commit before it is acknowledged.
+	syncReplicas int
+	acked        position.Position
+	log          []string
+	needsRenew   bool
+	renewalSent  time.Time
 }
 
 // New returns a machine that has to learn the primary.
@@ -240,6 +242,9 @@
 	}
 }
 
+// SetSyncReplicas tells how many replicas hold a commit before it is acknowledged.
+func (m *Machine) SetSyncReplicas(n int) { m.syncReplicas = n }
+
 // Heard records an answer of the member.
 func (m *Machine) Heard(id upstream.MemberID, now time.Time) {
 	if k := m.members[id]; k != nil {
--- /dev/null
+++ b/internal/promotion/promotion_test.go
@@ -0,0 +1,306 @@
+package promotion
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/celerystep/celerystep/internal/position"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// group plays the members and the platform for a machine: a step is 10 ms long, and answers come in the next step.
+type group struct {
+	t       *testing.T
+	m       *Machine
+	now     time.Time
+	infos   []Info
+	members map[upstream.MemberID]*played
+	// orders are the promotions that were sent; accept decides their result.
+	orders  []upstream.MemberID
+	renewed int
+	accept  func(id upstream.MemberID) Result
+}
+
+// played is a member as it is.
+type played struct {
+	status Status
+	fail   Failure
+	probes int
+}
+
+func at(term, lsn int) position.Position {
+	return position.Position{Term: position.Term(term), LSN: position.LSN(lsn)}
+}
+
+func newGroup(t *testing.T) *group {
+	g := &group{t: t, now: epoch, members: map[upstream.MemberID]*played{
+		"a": {status: Status{Role: upstream.RolePrimary, Term: 1, Position: at(1, 9)}},
+		"b": {status: Status{Role: upstream.RoleReplica, Term: 1, Position: at(1, 7)}},
+		"c": {status: Status{Role: upstream.RoleReplica, Term: 1, Position: at(1, 8)}},
+	}}
+	g.infos = []Info{{ID: "a", Role: upstream.RolePrimary}, {ID: "b", Role: upstream.RoleReplica}, {ID: "c", Role: upstream.RoleReplica}}
+	g.accept = g.promote
+	g.m = New(DefaultTiming(), epoch)
+	return g
+}
+
+// promote makes the member lead the next term.
+func (g *group) promote(id upstream.MemberID) Result {
+	for other, p := range g.members {
+		if other == id {
+			if p.status.Role != upstream.RolePrimary {
+				p.status.Role, p.status.Term = upstream.RolePrimary, p.status.Term+1
+				p.status.Position.Term = p.status.Term
+			}
+			continue
+		}
+		p.status.Role = upstream.RoleReplica
+	}
+	return ResultAccepted
+}
+
+func (g *group) run(d time.Duration) {
+	for end := g.now.Add(d); g.now.Before(end); g.now = g.now.Add(10 * time.Millisecond) {
+		g.m.SetMembers(g.infos, g.now)
+		for _, a := range g.m.Tick(g.now) {
+			g.act(a)
+		}
+	}
+}
+
+func (g *group) act(a Action) {
+	switch a.Kind {
+	case ActionProbe:
+		p := g.members[a.Member]
+		p.probes++
+		if p.fail != 0 {
+			g.m.StatusFailed(a.Member, p.fail, g.now)
+			return
+		}
+		g.m.StatusDone(a.Member, p.status, g.now)
+	case ActionPromote, ActionConfirm:
+		if a.Kind == ActionPromote {
+			g.orders = append(g.orders, a.Member)
+		}
+		g.m.PromoteDone(a.Member, g.accept(a.Member), g.now)
+	case ActionRenewToken:
+		g.renewed++
+		g.m.TokenRenewed()
+	}
+}
+
+func (g *group) leads(id upstream.MemberID) bool {
+	primary, _, leads := g.m.Primary()
+	return leads && primary == id
+}
+
+func (g *group) probes() int {
+	n := 0
+	for _, p := range g.members {
+		n += p.probes
+	}
+	return n
+}
+
+func TestLearnsThePrimaryWithOneProbe(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(5 * time.Second)
+	is.True(g.leads("a"))
+	is.True(g.m.Confirmed())
+	is.Equal(g.probes(), 1) // status requests are dear
+	is.Equal(len(g.orders), 0)
+}
+
+func TestReplacesACrashedPrimaryByTheLongestLog(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	g.members["a"].fail = FailureRefused
+	g.m.Failed("a", FailureLost, g.now)
+	crashed := g.now
+	for !g.leads("c") && g.now.Before(crashed.Add(2*time.Second)) {
+		g.run(10 * time.Millisecond)
+	}
+	is.True(g.leads("c"))
+	is.Equal(g.orders, []upstream.MemberID{"c"})
+	is.True(g.now.Sub(crashed) < 600*time.Millisecond)
+}
+
+func TestReplacesADarkPrimary(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	g.members["a"].fail = FailureSilent
+	g.m.Failed("a", FailureSilent, g.now)
+	g.run(time.Second)
+	is.True(g.leads("c"))
+}
+
+func TestASingleResetReplacesNothing(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	for range 5 {
+		g.m.Failed("a", FailureLost, g.now)
+		g.run(500 * time.Millisecond)
+	}
+	is.True(g.leads("a"))
+	is.Equal(len(g.orders), 0)
+}
+
+func TestABusyPrimaryStays(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	g.members["a"].fail = FailureBusy
+	g.m.Failed("a", FailureSilent, g.now)
+	g.run(2 * time.Second)
+	is.True(g.leads("a"))
+}
+
+func TestADrainingPrimaryIsReplacedOnceAReplicaHasItsLog(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	g.m.Acknowledged(at(1, 9))
+	g.infos[0].Leaving = true
+	g.run(100 * time.Millisecond)
+	phase, _, _ := g.m.Phase()
+	is.Equal(phase, PhaseDraining)
+	g.m.Quiet()
+	g.run(200 * time.Millisecond)
+	is.Equal(len(g.orders), 0) // no replica has 1/9
+	g.members["b"].status.Position = at(1, 9)
+	g.run(500 * time.Millisecond)
+	is.Equal(g.orders, []upstream.MemberID{"b"})
+	is.True(g.leads("b"))
+}
+
+func TestADrainingPrimaryWithoutASuccessorStays(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	for i := range g.infos {
+		g.infos[i].Leaving = true
+	}
+	g.run(3 * time.Second)
+	is.True(g.leads("a"))
+}
+
+func TestAMemberThatIsOutIsReplacedAndNeverChosen(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	g.infos[0].Out, g.infos[2].Out = true, true
+	g.run(3 * time.Second)
+	is.True(g.leads("b")) // c has the longer log, but is out
+}
+
+func TestARejectedOrderRenewsTheToken(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	rejections := 0
+	g.accept = func(id upstream.MemberID) Result {
+		if rejections++; rejections == 1 {
+			return ResultRejected
+		}
+		return g.promote(id)
+	}
+	g.members["a"].fail = FailureRefused
+	g.m.Failed("a", FailureLost, g.now)
+	g.run(3 * time.Second)
+	is.True(g.renewed >= 1)
+	is.True(g.leads("c"))
+}
+
+func TestAnOrderWithoutAnswerIsRepeatedForTheSameMember(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	tries := 0
+	g.accept = func(id upstream.MemberID) Result {
+		if tries++; tries < 4 {
+			g.members["b"].status.Position = at(1, 20) // another one looks better meanwhile
+			return ResultUnknown
+		}
+		return g.promote(id)
+	}
+	g.members["a"].fail = FailureRefused
+	g.m.Failed("a", FailureLost, g.now)
+	g.run(2 * time.Second)
+	is.Equal(g.orders, []upstream.MemberID{"c", "c", "c", "c"})
+	is.True(g.leads("c"))
+}
+
+func TestFollowsAPromotionByAnotherOwner(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	g.promote("b")
+	g.m.LostLead("a", g.now)
+	g.infos[0].Role, g.infos[1].Role = upstream.RoleReplica, upstream.RolePrimary
+	g.run(500 * time.Millisecond)
+	is.True(g.leads("b"))
+	is.Equal(len(g.orders), 0)
+}
+
+func TestNobodyIsPromotedWhileNobodyAnswers(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	for _, p := range g.members {
+		p.fail = FailureSilent
+	}
+	g.run(5 * time.Second)
+	is.Equal(len(g.orders), 0)
+	for _, p := range g.members {
+		p.fail = 0
+	}
+	g.run(time.Second)
+	is.True(g.leads("a"))
+}
+
+func TestAFailingReplicaIsAskedUntilItAnswers(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	g.members["b"].fail = FailureRefused
+	g.m.Failed("b", FailureRefused, g.now)
+	g.run(2 * time.Second)
+	is.True(!g.m.Healthy("b"))
+	is.True(g.members["b"].probes <= 12) // at a growing pause
+	g.members["b"].fail = 0
+	g.run(time.Second)
+	is.True(g.m.Healthy("b"))
+	is.True(g.leads("a"))
+}
+
+func TestDecisionsAreExplained(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	is.Equal(len(g.m.Explanations()), 1)
+	is.Equal(len(g.m.Explanations()), 0)
+}
+
+// TestAcknowledgedCommitsSurviveWithSyncReplicas: one of the two replicas holds each commit, so both have to answer, unless
+// the one that does is known to hold all.
+func TestAcknowledgedCommitsSurviveWithSyncReplicas(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.m.SetSyncReplicas(1)
+	g.run(time.Second)
+	g.m.Acknowledged(at(1, 8))
+	g.members["a"].fail, g.members["c"].fail = FailureRefused, FailureSilent
+	g.m.Failed("a", FailureLost, g.now)
+	g.run(2 * time.Second)
+	is.Equal(len(g.orders), 0) // b ends at 1/7
+	g.members["c"].fail = 0
+	g.run(time.Second)
+	is.True(g.leads("c"))
+}
--- a/internal/promotion/tick.go
+++ b/internal/promotion/tick.go
@@ -191,7 +191,7 @@
 		return a
 	}
 	best := m.best(now)
-	if best == nil {
+	if best == nil || !m.holdsAcknowledged(best, answered) {
 		return a
 	}
 	m.target = best.ID
@@ -200,6 +200,20 @@
 	return a
 }
 
+// holdsAcknowledged reports whether the longest log found surely holds every acknowledged commit, where that is promised:
+// so many replicas have answered that one of them took part in each commit, or the log reaches the newest commit that this
+// owner knows of.
+func (m *Machine) holdsAcknowledged(best *member, answered int) bool {
+	if m.syncReplicas == 0 {
+		return true
+	}
+	replicas := len(m.members)
+	if m.members[m.primary] != nil {
+		replicas--
+	}
+	return answered > replicas-m.syncReplicas || !m.acked.IsZero() && !best.status.Position.Less(m.acked)
+}
+
 // best returns the candidate with the longest log, a near one before others.
 func (m *Machine) best(now time.Time) *member {
 	var best *member
