--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -122,7 +122,7 @@
 }
 
 func (r *Router) refuse(q *operation.Request, code statement.Code, detail string, claim ownership.Claim, err error, after time.Duration) operation.Response {
-	r.Log.Info("not served by an owner", "request", q.Statement.ID, "kind", q.Statement.Kind, "database", q.Database, "group", q.Group,
+	r.Log.Warn("not served by an owner", "request", q.Statement.ID, "kind", q.Statement.Kind, "database", q.Database, "group", q.Group,
 		"owner", claim.Owner, "claim", claim.Revision, "outcome", code, "reason", detail, "error", err)
 	return operation.Refuse(code, detail, after)
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -146,6 +146,10 @@
 		started := time.Now()
 		resp := session.Do(ctx, st)
 		s.Metrics.observe(st.Kind, resp.Code, time.Since(started))
+		if resp.Code != statement.CodeOK {
+			s.Log.Warn("request failed", "request", st.ID, "session", session.id.Number, "kind", st.Kind, "database", session.database,
+				"outcome", resp.Code, "reason", resp.Detail, "retry_after", resp.RetryAfter, "took", time.Since(started), "config", s.Catalog().Version)
+		}
 		if err := codec.Write(st.ID, resp); err != nil {
 			s.Log.Debug("caller is gone", "session", session.id.Number, "request", st.ID, "error", err)
 			return
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -165,12 +165,22 @@
 	return refusal(statement.CodeBusy, r.Reason.String(), r.After)
 }
 
+// logRefusal logs that a statement was refused before it ran.
 func (g *Group) logRefusal(r *operation.Request, outcome, reason string, more ...any) {
-	g.log.Info("refused", append([]any{"request", r.Statement.ID, "kind", r.Statement.Kind, "database", r.Database,
-		"outcome", outcome, "reason", reason}, more...)...)
+	g.log.Warn("refused", append([]any{"request", r.Statement.ID, "session", r.Session.Number, "kind", r.Statement.Kind,
+		"database", r.Database, "outcome", outcome, "reason", reason, "config", g.o.Catalog().Version}, more...)...)
 }
 
+// logFailure logs that an attempt failed, and whether another one follows.
 func (g *Group) logFailure(c *call, l *link, outcome, reason string, again bool) {
-	g.log.Info("attempt failed", "request", c.r.Statement.ID, "kind", c.r.Statement.Kind, "database", c.r.Database, "member", l.member.ID,
-		"outcome", outcome, "reason", reason, "again", again, "attempt", c.attempts, "age", g.o.Clock().Sub(c.arrived), "waited", c.waited)
+	g.log.Warn("attempt failed", "request", c.r.Statement.ID, "session", c.r.Session.Number, "kind", c.r.Statement.Kind,
+		"database", c.r.Database, "member", l.member.ID, "outcome", outcome, "reason", reason, "again", again,
+		"attempt", c.attempts, "age", g.o.Clock().Sub(c.arrived), "waited", c.waited)
+}
+
+// logAnswer logs a statement that was served, with what decided its way.
+func (g *Group) logAnswer(c *call, l *link, primary bool, a statement.Answer) {
+	g.log.Info("answered", "request", c.r.Statement.ID, "session", c.r.Session.Number, "kind", c.r.Statement.Kind,
+		"database", c.r.Database, "member", l.member.ID, "primary", primary, "floor", c.floor, "position", a.Position,
+		"attempt", c.attempts, "age", g.o.Clock().Sub(c.arrived), "waited", c.waited, "config", c.catalog.Version)
 }
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -39,6 +39,8 @@
 	// mustPrimary is true after a replica could not serve the read.
 	mustPrimary bool
 	waited      time.Duration
+	// floor is what the replica's log had to hold in the last attempt.
+	floor position.Position
 }
 
 // reads reports whether the statement and its transaction cannot change data.
@@ -226,8 +228,10 @@
 		Avoid:    c.avoid,
 		Again:    c.attempts > 0,
 	}
+	c.floor = position.Position{}
 	if floor, ok := g.floor(c); ok && !c.mustPrimary {
 		it.Need, it.Floor = dispatch.NeedAny, floor
+		c.floor = floor
 	}
 	return it
 }
@@ -324,6 +328,7 @@
 	}
 	g.count(primary, answer.Code)
 	if answer.Code == statement.CodeOK {
+		g.logAnswer(c, l, primary, answer)
 		return operation.Response{Answer: answer}, false
 	}
 	again := g.noteFailure(c, l, primary, answer)
@@ -440,6 +445,9 @@
 	defer cancel()
 	answer, err := g.executeNext(ctx, c, l, t.primary)
 	g.count(t.primary, answer.Code)
+	if err == nil && answer.Code == statement.CodeOK {
+		g.logAnswer(c, l, t.primary, answer)
+	}
 	return g.settleTransaction(ctx, c, t, answer, err)
 }
 
