Let the calls of peers end during a shutdown

Cause: an owner that stopped closed its peers' connections while statements ran; TestAnotherInstanceTakesOverAfterAStop saw INDOUBT on a planned stop. Change: the peer server is shut down gracefully after the hand-over.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -27,6 +27,8 @@
 	handoverTime = 800 * time.Millisecond
 	// exitMargin is kept from the grace time for the end of the process.
 	exitMargin = time.Second
+	// peerCallTime is how long calls of peers may take to end during the shutdown.
+	peerCallTime = 900 * time.Millisecond
 	// drainPoll is the time between two looks at open transactions during the shutdown.
 	drainPoll = 20 * time.Millisecond
 )
@@ -63,6 +65,7 @@
 		n.shutDown(callers)
 	case <-background.Done():
 	}
+	n.finishPeerCalls(servers[0])
 	stop()
 	for _, s := range servers {
 		_ = s.Close()
@@ -74,6 +77,15 @@
 	return err
 }
 
+// finishPeerCalls lets the calls of peers end whose statements run already.
+func (n *Node) finishPeerCalls(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTime)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		n.o.Log.Warn("calls of peers were cut", "error", err)
+	}
+}
+
 // ended hides the errors of parts that were stopped.
 func ended(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
