--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -24,6 +24,12 @@
 	startTimeout = 5 * time.Second
 	// drainSpread is the time over which idle sessions are closed during a shutdown.
 	drainSpread = 1500 * time.Millisecond
+	// firstStatement is how long a session that is opened during a shutdown may take to its first statement. With less
+	// time left it is refused, so that its caller goes elsewhere at once.
+	firstStatement = time.Second
+	// quietTime is how long a session must say nothing during a shutdown before it is closed: the next statement of an
+	// operation follows its answer at once.
+	quietTime = 250 * time.Millisecond
 )
 
 // Start is what a caller says when it connects.
@@ -55,6 +61,8 @@
 
 	numbers  atomic.Uint64
 	draining atomic.Bool
+	// drainEnd is when the rest of the sessions is closed; it is set before draining.
+	drainEnd time.Time
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
 	wg       sync.WaitGroup
@@ -92,6 +100,7 @@
 
 // Drain closes sessions as they become idle. It returns when all are closed or ctx ends; then it closes the rest.
 func (s *Server) Drain(ctx context.Context) {
+	s.drainEnd, _ = ctx.Deadline()
 	s.draining.Store(true)
 	s.mu.Lock()
 	for c := range s.conns {
@@ -154,8 +163,8 @@
 			s.Log.Debug("caller is gone", "session", session.id.Number, "request", st.ID, "error", err)
 			return
 		}
-		if s.draining.Load() && session.State() == statement.TxIdle {
-			return
+		if s.draining.Load() {
+			_ = c.SetReadDeadline(time.Now().Add(quietTime))
 		}
 	}
 }
@@ -165,6 +174,7 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) || session.State() == statement.TxIdle {
 		return false
 	}
+	// Its next answer sets a deadline again.
 	return c.SetReadDeadline(time.Time{}) == nil
 }
 
@@ -177,7 +187,12 @@
 	}
 	deadline := time.Time{}
 	if s.draining.Load() {
-		deadline = time.Now().Add(rand.N(drainSpread))
+		deadline = time.Now().Add(firstStatement)
+		if deadline.After(s.drainEnd) {
+			s.Metrics.Rejected.WithLabelValues(statement.CodeBusy.String()).Inc()
+			_ = codec.Reject(statement.CodeBusy, "the instance is shutting down; connect again")
+			return nil
+		}
 	}
 	_ = c.SetReadDeadline(deadline)
 	session := &Session{
--- /dev/null
+++ b/internal/caller/server_test.go
@@ -0,0 +1,153 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/statement"
+)
+
+// byteCodec is a wire protocol of single bytes: any byte is a read, and each answer is the byte of its code.
+type byteCodec struct{ c net.Conn }
+
+func (k byteCodec) ReadStart() (Start, error) {
+	_, err := io.ReadFull(k.c, make([]byte, 1))
+	return Start{Database: "db", Key: "k"}, err
+}
+
+func (k byteCodec) Ready() error { return k.write(statement.CodeOK) }
+
+func (k byteCodec) Reject(code statement.Code, _ string) error { return k.write(code) }
+
+func (k byteCodec) Read() (statement.Statement, error) {
+	_, err := io.ReadFull(k.c, make([]byte, 1))
+	return statement.Statement{ID: "1", Kind: statement.KindRead}, err
+}
+
+func (k byteCodec) Write(_ string, r operation.Response) error { return k.write(r.Code) }
+
+func (k byteCodec) write(code statement.Code) error {
+	_, err := k.c.Write([]byte{byte(code)})
+	return err
+}
+
+// slow answers after it was released.
+type slow struct {
+	scripted
+	release chan struct{}
+}
+
+func (s *slow) Run(context.Context, *operation.Request) operation.Response {
+	<-s.release
+	return operation.Response{}
+}
+
+func startServer(t *testing.T, run operation.Runner) (*Server, string) {
+	t.Helper()
+	c := catalog.New(1, 1)
+	c.Routes["db"] = &catalog.Route{Database: "db", Group: "g", Public: true}
+	s := &Server{
+		Instance: "i", Catalog: func() *catalog.Catalog { return c }, Runner: run,
+		NewCodec: func(c net.Conn) Codec { return byteCodec{c} },
+		Clock:    time.Now, Log: hclog.NewNullLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(context.Background(), l) })
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	return s, l.Addr().String()
+}
+
+// dial opens a connection and sends the start; code is the server's answer.
+func dial(t *testing.T, address string) (c net.Conn, code statement.Code) {
+	t.Helper()
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c, send(t, c)
+}
+
+const patience = 20 * time.Second
+
+func send(t *testing.T, c net.Conn) statement.Code {
+	t.Helper()
+	b := []byte{1}
+	if _, err := c.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, b); err != nil {
+		t.Fatal(err)
+	}
+	return statement.Code(b[0])
+}
+
+func TestDrainLetsRunningStatementsEndAndClosesIdleSessions(t *testing.T) {
+	is := is.New(t)
+	run := &slow{release: make(chan struct{})}
+	s, address := startServer(t, run)
+	idle, code := dial(t, address)
+	is.Equal(code, statement.CodeOK)
+	busy, _ := dial(t, address)
+	answered := make(chan statement.Code, 1)
+	go func() { answered <- send(t, busy) }()
+	drained := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		s.Drain(ctx)
+		close(drained)
+	}()
+	_, err := idle.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // closed without anything lost
+	select {
+	case <-drained:
+		t.Fatal("drained although a statement runs")
+	default:
+	}
+	close(run.release)
+	is.Equal(<-answered, statement.CodeOK)
+	<-drained
+}
+
+// TestASessionOpenedDuringTheDrainIsServedOrRefused: such a session was closed before its first statement came.
+func TestASessionOpenedDuringTheDrainIsServedOrRefused(t *testing.T) {
+	is := is.New(t)
+	run := &slow{release: make(chan struct{})}
+	close(run.release)
+	s, address := startServer(t, run)
+	s.drainEnd = time.Now().Add(patience)
+	s.draining.Store(true)
+	c, code := dial(t, address)
+	is.Equal(code, statement.CodeOK)
+	time.Sleep(firstStatement / 5)
+	is.Equal(send(t, c), statement.CodeOK)
+	time.Sleep(quietTime / 5)
+	is.Equal(send(t, c), statement.CodeOK) // the next statement of the same operation
+	_, err := c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // it ends after its operation
+
+	s.draining.Store(false)
+	s.drainEnd = time.Now().Add(firstStatement / 2)
+	s.draining.Store(true)
+	_, code = dial(t, address)
+	is.Equal(code, statement.CodeBusy) // nothing ran, and the caller knows at once
+}
