--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"net"
-	"os/exec"
+	osexec "os/exec"
 	"runtime"
 	"strconv"
 	"syscall"
@@ -88,7 +88,7 @@
 func TestIdleMemory(t *testing.T) {
 	const limit = 10 << 10
 	if raceDetector {
-		child := exec.Command("go", "test", "-count=1", "-run", "^TestIdleMemory$", ".")
+		child := osexec.Command("go", "test", "-count=1", "-run", "^TestIdleMemory$", ".")
 		if out, err := child.CombinedOutput(); err != nil {
 			t.Fatalf("without the race detector: %v\n%s", err, out)
 		}
