--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -80,6 +80,11 @@
 
 // Run executes the command line without the program's name and returns the exit code.
 func Run(ctx context.Context, env Environment, args []string) int {
+	// "config show" has a flag of this name, so kingpin cannot declare it for the whole program.
+	if len(args) == 1 && args[0] == "--version" {
+		_, _ = io.WriteString(env.Out, version.String()+"\n")
+		return 0
+	}
 	a := &app{env: env, commands: make(map[string]func(context.Context) error)}
 	cli, ended := a.newCommandLine()
 	name, err := cli.Parse(args)
@@ -113,7 +118,6 @@
 	cli.UsageWriter(a.env.Out).ErrorWriter(a.env.Err)
 	cli.Terminate(func(code int) { *ended = code })
 	cli.HelpFlag.Short('h')
-	cli.Version(version.String())
 	a.declareFlags(cli)
 	a.declareCustomer(cli)
 	a.declareKey(cli)
