--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -64,14 +64,22 @@
 	// drainEnd is when the rest of the sessions is closed; it is set before draining.
 	drainEnd time.Time
 	mu       sync.Mutex
-	conns    map[net.Conn]struct{}
+	conns    map[net.Conn]*activity
 	wg       sync.WaitGroup
 }
 
+// activity tells what a session does; the server's lock guards it.
+type activity struct {
+	// busy is true from the arrival of a statement to its answer.
+	busy bool
+	// ends is true when the session has to end after its answer.
+	ends bool
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.mu.Lock()
-	s.conns = make(map[net.Conn]struct{})
+	s.conns = make(map[net.Conn]*activity)
 	s.mu.Unlock()
 	for {
 		c, err := l.Accept()
@@ -85,7 +93,7 @@
 		}
 		s.wg.Add(1)
 		s.mu.Lock()
-		s.conns[c] = struct{}{}
+		s.conns[c] = &activity{}
 		s.mu.Unlock()
 		go s.serve(ctx, c)
 	}
@@ -98,9 +106,10 @@
 	return len(s.conns)
 }
 
-// Drain closes sessions as they become idle. It returns when all are closed or ctx ends; then it closes the rest.
-func (s *Server) Drain(ctx context.Context) {
-	s.drainEnd, _ = ctx.Deadline()
+// Drain closes sessions as they become idle. When soft ends it closes those that are between two statements, and when hard
+// ends the rest. It returns when all are closed.
+func (s *Server) Drain(soft, hard context.Context) {
+	s.drainEnd, _ = soft.Deadline()
 	s.draining.Store(true)
 	s.mu.Lock()
 	for c := range s.conns {
@@ -113,18 +122,39 @@
 		s.wg.Wait()
 		close(done)
 	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		s.mu.Lock()
-		s.Log.Info("closing the sessions that did not end in time", "sessions", len(s.conns))
-		for c := range s.conns {
+	for _, limit := range []context.Context{soft, hard} {
+		select {
+		case <-done:
+			return
+		case <-limit.Done():
+			s.cut(limit == hard)
+		}
+	}
+	<-done
+}
+
+// cut closes the sessions that are between two statements, or all.
+func (s *Server) cut(all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, a := range s.conns {
+		s.Log.Info("closing a session that did not end in time", "caller", c.RemoteAddr(), "statement_running", a.busy, "all", all)
+		a.ends = true
+		if all || !a.busy {
 			_ = c.Close()
 		}
-		s.mu.Unlock()
 	}
 }
 
+// setBusy notes that a statement of the session runs or has been answered. It returns false when the session has to end.
+func (s *Server) setBusy(c net.Conn, busy bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.conns[c]
+	a.busy = busy
+	return !a.ends
+}
+
 func (s *Server) forget(c net.Conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
@@ -152,6 +182,7 @@
 			}
 			return
 		}
+		s.setBusy(c, true)
 		started := time.Now()
 		resp := session.Do(ctx, st)
 		s.Metrics.observe(st.Kind, resp.Code, time.Since(started))
@@ -163,6 +194,9 @@
 			s.Log.Debug("caller is gone", "session", session.id.Number, "request", st.ID, "error", err)
 			return
 		}
+		if !s.setBusy(c, false) {
+			return
+		}
 		if s.draining.Load() {
 			_ = c.SetReadDeadline(time.Now().Add(quietTime))
 		}
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -113,7 +113,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		s.Drain(ctx)
+		s.Drain(ctx, ctx)
 		close(drained)
 	}()
 	_, err := idle.Read(make([]byte, 1))
@@ -151,3 +151,44 @@
 	_, code = dial(t, address)
 	is.Equal(code, statement.CodeBusy) // nothing ran, and the caller knows at once
 }
+
+// TestAStatementThatRunsWhenTheDrainEndsIsAnswered: its session was closed before the answer.
+func TestAStatementThatRunsWhenTheDrainEndsIsAnswered(t *testing.T) {
+	is := is.New(t)
+	run := &slow{release: make(chan struct{})}
+	s, address := startServer(t, run)
+	busy, _ := dial(t, address)
+	answered := make(chan statement.Code, 1)
+	go func() { answered <- send(t, busy) }()
+	for end := time.Now().Add(patience); !s.anyBusy(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the statement does not run")
+		}
+	}
+	soft, stop := context.WithCancel(context.Background())
+	stop()
+	hard, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		s.Drain(soft, hard)
+		close(drained)
+	}()
+	time.Sleep(20 * time.Millisecond)
+	close(run.release)
+	is.Equal(<-answered, statement.CodeOK)
+	_, err := busy.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	<-drained
+}
+
+func (s *Server) anyBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.conns {
+		if a.busy {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/celerystep/celerystep/internal/caller"
@@ -88,7 +89,7 @@
 
 // ended hides the errors of parts that were stopped.
 func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
@@ -103,6 +104,7 @@
 	n.planner.SetBarred(true)
 	owned := n.planner.Owned()
 	n.mu.Unlock()
+	// Transactions have half of the grace time to end, and a little for what is on its way.
 	limit := n.o.Settings.Grace/2 + n.o.Settings.Grace/12
 	ctx, cancel := context.WithTimeout(context.Background(), min(limit, n.o.Settings.Grace-exitMargin))
 	defer cancel()
@@ -113,8 +115,10 @@
 			return nil
 		})
 	}
+	hard, cancelHard := context.WithTimeout(context.Background(), n.o.Settings.Grace-exitMargin)
+	defer cancelHard()
 	work.Go(func() error {
-		callers.Drain(ctx)
+		callers.Drain(ctx, hard)
 		return nil
 	})
 	_ = work.Wait()
