--- a/internal/dispatch/connections.go
+++ b/internal/dispatch/connections.go
@@ -59,7 +59,6 @@
 	// warm bounds the statements to a starting member.
 	warmTokens float64
 	warmAt     time.Time
-	removed    bool
 }
 
 // SetMembers replaces the members. Idle connections of members that are gone or not usable are closed.
@@ -75,8 +74,7 @@
 		s.members = append(s.members, m)
 	}
 	for _, m := range old {
-		m.removed = find(s.members, m.ID) == nil
-		if m.removed {
+		if find(s.members, m.ID) == nil {
 			m.Usable = false
 		}
 	}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -42,9 +42,10 @@
 // transaction is an open transaction of a session.
 type transaction struct {
 	link *link
-	// replica is true when it runs on a replica.
-	primary  bool
-	busy     bool
+	// primary is true when it runs on the primary.
+	primary bool
+	busy    bool
+	// ended is true when the caller has left while a statement runs.
 	ended    bool
 	lastUsed time.Time
 }
@@ -72,12 +73,12 @@
 	released bool
 	stopped  bool
 	// leader is the member that the scheduler uses as primary.
-	leader  upstream.MemberID
-	limits  dispatch.Limits
-	tokens  map[upstream.GroupID]bool
-	tidied  time.Time
-	warmed  time.Time
-	changed bool
+	leader upstream.MemberID
+	limits dispatch.Limits
+	// tokens is true for coordinators that are being asked.
+	tokens map[upstream.GroupID]bool
+	tidied time.Time
+	warmed time.Time
 }
 
 func newGroup(o Options, claim ownership.Claim) *Group {
@@ -97,7 +98,6 @@
 		waiters: make(map[dispatch.Ticket]chan grantOrRefusal),
 		txs:     make(map[operation.SessionID]*transaction),
 		tokens:  make(map[upstream.GroupID]bool),
-		changed: true,
 	}
 }
 
@@ -159,7 +159,6 @@
 		}
 	}
 	g.members = next
-	g.changed = true
 	g.signal()
 }
 
@@ -266,13 +265,12 @@
 
 // applyMembers tells the scheduler which members may be used.
 func (g *Group) applyMembers(now time.Time) {
-	primary, _, leads := g.machine.Primary()
+	replaced, _, leads := g.machine.Primary()
+	primary := replaced
 	if !leads {
 		primary = ""
 	}
-	if primary != g.leader {
-		g.leader, g.changed = primary, true
-	}
+	g.leader = primary
 	g.sched.SetPrimaryExpected(g.machine.Expected(now))
 	list := make([]dispatch.MemberConfig, 0, len(g.members))
 	warmRate := 0.0
@@ -287,7 +285,8 @@
 		c.Usable = !g.released && g.machine.Healthy(m.ID) && !g.o.Authority.DomainOut(m.Domain) && !m.Leaving
 		if c.Primary {
 			c.Usable = !g.released && !g.o.Authority.DomainOut(m.Domain)
-		} else if m.ID == g.leaderBefore() {
+		} else if m.ID == replaced {
+			// A primary that is being replaced gets no new work.
 			c.Usable = false
 		}
 		if now.Before(m.WarmUntil) {
@@ -298,12 +297,6 @@
 	g.sched.SetMembers(list, now)
 }
 
-// leaderBefore returns the primary that is being replaced; it gets no new work.
-func (g *Group) leaderBefore() upstream.MemberID {
-	id, _, _ := g.machine.Primary()
-	return id
-}
-
 // quiet reports whether nothing runs on the present primary.
 func (g *Group) quiet() bool {
 	id, _, _ := g.machine.Primary()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -209,7 +209,7 @@
 	return operation.Response{Answer: statement.Answer{Code: statement.CodeAborted, Detail: detail, State: statement.TxFailed}}
 }
 
-// quotaGroups returns the groups in order of name and the coordinator's group of the customer.
+// coordinatorOf returns the group whose owner grants the customer's tokens.
 func coordinatorOf(c *catalog.Catalog, customer string) upstream.GroupID {
 	ids := c.GroupIDs()
 	if len(ids) == 0 {
--- a/internal/promotion/tick.go
+++ b/internal/promotion/tick.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -281,11 +280,3 @@
 	k.probing, k.probed = true, now
 	return append(a, Action{Kind: ActionProbe, Member: id})
 }
-
-// Position returns the position that a member last reported to a probe.
-func (m *Machine) Position(id upstream.MemberID) position.Position {
-	if k := m.members[id]; k != nil && k.status != nil {
-		return k.status.Position
-	}
-	return position.Position{}
-}
