Let new sessions wait for the configuration of a process that just started

Change: a session waits at most 1.5 s for the configuration, then it is told to connect again; the answer is true either way. Result: TestASessionWaitsForTheConfigurationOfANewProcess answers unknown_database without the change.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -27,6 +27,11 @@
 	// firstStatement is how long a session that is opened during a shutdown may take to its first statement. With less
 	// time left it is refused, so that its caller goes elsewhere at once.
 	firstStatement = time.Second
+	// catalogWait is how long a new session waits for the configuration of a process that has just started. Callers give up
+	// after two seconds.
+	catalogWait = 1500 * time.Millisecond
+	// catalogPoll is the time between two looks for it.
+	catalogPoll = 10 * time.Millisecond
 	// quietTime is how long a session must say nothing during a shutdown before it is closed: the next statement of an
 	// operation follows its answer at once.
 	quietTime = 250 * time.Millisecond
@@ -212,6 +217,16 @@
 	return c.SetReadDeadline(time.Time{}) == nil
 }
 
+// awaitCatalog waits until the process knows a configuration. Without one it cannot tell a wrong name or key from a right one.
+func (s *Server) awaitCatalog() bool {
+	for end := time.Now().Add(catalogWait); s.Catalog().Revision == 0; time.Sleep(catalogPoll) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 // open reads the start of a session. It returns nil when the caller was refused.
 func (s *Server) open(c net.Conn, codec Codec) *Session {
 	_ = c.SetReadDeadline(time.Now().Add(startTimeout))
@@ -228,6 +243,12 @@
 			return nil
 		}
 	}
+	if !s.awaitCatalog() {
+		s.Metrics.Rejected.WithLabelValues(statement.CodeBusy.String()).Inc()
+		s.Log.Warn("session rejected", "database", start.Database, "code", statement.CodeBusy, "reason", "no configuration yet")
+		_ = codec.Reject(statement.CodeBusy, "the instance has no configuration yet; connect again")
+		return nil
+	}
 	_ = c.SetReadDeadline(deadline)
 	session := &Session{
 		id:       operation.SessionID{Instance: s.Instance, Number: s.numbers.Add(1)},
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,3 +193,23 @@
 	}
 	return false
 }
+
+// TestASessionWaitsForTheConfigurationOfANewProcess: a process that has just started must not call a database unknown.
+func TestASessionWaitsForTheConfigurationOfANewProcess(t *testing.T) {
+	is := is.New(t)
+	var known atomic.Pointer[catalog.Catalog]
+	known.Store(catalog.New(0, 0))
+	s, address := startServer(t, &slow{})
+	s.Catalog = known.Load
+	_, code := dial(t, address)
+	is.Equal(code, statement.CodeBusy) // none came in time: nothing is said of the database
+
+	go func() {
+		c := catalog.New(1, 1)
+		c.Routes["db"] = &catalog.Route{Database: "db", Group: "g", Public: true}
+		time.Sleep(5 * catalogPoll)
+		known.Store(c)
+	}()
+	_, code = dial(t, address)
+	is.Equal(code, statement.CodeOK)
+}
