Do not compress messages between instances

Cause: connect-go compresses answers with gzip unless the client says otherwise; a CPU profile of three instances in one process (17,264 statements in 8 s) spent 10.2 % in compressionPool.Compress. Change: the clients of peers accept no compression.

--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -79,7 +79,8 @@
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
-	return fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address)
+	// Messages are a few hundred bytes: compressing them costs more time than it saves.
+	return fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
 }
 
 // identify asks the peer for a sign of life.
