Ask for tokens once for many statements, and pause after a denial

Cause: each statement of a customer above its rate asked the customer's coordinator for one token and waited 30 ms for it. Change: one question at a time for a customer, shared by all that wait; after a denial nothing is asked for 20 to 100 ms, growing; the callers' instances keep the same pause for each customer and group and refuse without a call. TestACustomerOverItsRateIsRefusedWithoutACall and TestACustomerFarAboveItsRateCostsFewQuestions fail without the change (one call for each statement).

--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -41,10 +41,28 @@
 	CatchUp func(ctx context.Context, revision uint64)
 	Clock   boottime.Clock
 	Log     hclog.Logger
+
+	overRate overRate
 }
 
 // Run implements operation.Runner.
 func (r *Router) Run(ctx context.Context, q *operation.Request) operation.Response {
+	customer := r.Catalog().Holder(q.Key)
+	if customer == nil || q.InTransaction {
+		return r.route(ctx, q)
+	}
+	if left := r.overRate.left(customer, q.Group, r.Clock()); left > 0 {
+		return operation.Refuse(statement.CodeBusy, operation.DetailOverRate, left)
+	}
+	resp := r.route(ctx, q)
+	if resp.OverRate || resp.Code == statement.CodeOK {
+		r.overRate.note(customer, q.Group, resp.OverRate, r.Clock())
+	}
+	return resp
+}
+
+// route finds the owner of the group and runs the statement there.
+func (r *Router) route(ctx context.Context, q *operation.Request) operation.Response {
 	started := r.Clock()
 	route := r.Catalog().Routes[q.Database]
 	patience := ownerRetryAfter
--- /dev/null
+++ b/internal/caller/router_test.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// localOwner runs statements as an owner in this process would.
+type localOwner struct {
+	calls int
+	run   func(*operation.Request) operation.Response
+}
+
+func (o *localOwner) Run(_ context.Context, r *operation.Request) operation.Response {
+	o.calls++
+	return o.run(r)
+}
+
+func (o *localOwner) End(context.Context, upstream.GroupID, operation.SessionID) {}
+
+// ownClaims says that this process owns every group.
+type ownClaims struct{}
+
+func (ownClaims) Current(g upstream.GroupID) (ownership.Claim, bool, <-chan struct{}) {
+	return ownership.Claim{Group: g, Owner: "self"}, true, nil
+}
+
+func (ownClaims) OwnerEnded(ownership.Claim) {}
+
+func newRouter(o *localOwner, clock func() time.Time) *Router {
+	c := catalog.New(1, 1)
+	c.Routes["orders"] = &catalog.Route{Name: "orders", Database: "orders", Group: "g", Timeout: time.Second, Target: time.Second}
+	c.AddCustomer(&catalog.Customer{Name: "mill", Rate: 100, Burst: 100}, []string{"k1"})
+	c.AddCustomer(&catalog.Customer{Name: "quiet", Rate: 100, Burst: 100}, []string{"k2"})
+	return &Router{
+		Local: o, Claims: ownClaims{}, Catalog: func() *catalog.Catalog { return c }, Clock: clock, Log: hclog.NewNullLogger(),
+	}
+}
+
+func request(key string) *operation.Request {
+	return &operation.Request{Group: "g", Database: "orders", Key: key, Statement: statement.Statement{Kind: statement.KindRead}}
+}
+
+// A customer at many times its rate must not cost its owner a call for each refusal.
+func TestACustomerOverItsRateIsRefusedWithoutACall(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tokens := 0
+	owner := &localOwner{run: func(r *operation.Request) operation.Response {
+		if r.Key == "k1" && tokens == 0 {
+			resp := operation.Refuse(statement.CodeBusy, operation.DetailOverRate, time.Millisecond)
+			resp.OverRate = true
+			return resp
+		}
+		return operation.Response{}
+	}}
+	r := newRouter(owner, func() time.Time { return now })
+	ctx := context.Background()
+	for range 1000 {
+		resp := r.Run(ctx, request("k1"))
+		is.Equal(resp.Code, statement.CodeBusy)
+		is.True(resp.RetryAfter > 0)
+		now = now.Add(time.Millisecond)
+	}
+	is.True(owner.calls <= 15)                                 // 20, 40, 80 and then 100 ms
+	is.Equal(r.Run(ctx, request("k2")).Code, statement.CodeOK) // others are not concerned
+	inside := request("k1")
+	inside.InTransaction = true
+	before := owner.calls
+	r.Run(ctx, inside)
+	is.Equal(owner.calls, before+1) // a transaction has its token already
+	tokens = 1
+	now = now.Add(100 * time.Millisecond)
+	is.Equal(r.Run(ctx, request("k1")).Code, statement.CodeOK)
+	is.Equal(r.Run(ctx, request("k1")).Code, statement.CodeOK)
+}
--- a/internal/fleetlink/convert.go
+++ b/internal/fleetlink/convert.go
@@ -75,7 +75,7 @@
 	return &fleetv1.RunResponse{
 		Rows: r.Rows, Receipt: r.Receipt, Code: uint32(r.Code), Detail: r.Detail, State: uint32(r.State),
 		Position: toPosition(r.Position), RetryAfterMs: uint32(r.RetryAfter.Milliseconds()), NotOwner: r.NotOwner,
-		CatalogRevision: r.CatalogRevision,
+		CatalogRevision: r.CatalogRevision, OverRate: r.OverRate,
 	}
 }
 
@@ -86,6 +86,7 @@
 			State: statement.TxState(r.GetState()), Position: fromPosition(r.GetPosition()),
 		},
 		RetryAfter:      time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		OverRate:        r.GetOverRate(),
 		NotOwner:        r.GetNotOwner(),
 		CatalogRevision: r.GetCatalogRevision(),
 	}
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -46,6 +46,8 @@
 	statement.Answer
 	// RetryAfter tells a refused caller when to come back; 0 when nothing is known.
 	RetryAfter time.Duration
+	// OverRate is true when the statement was refused because its customer had no tokens; nothing ran.
+	OverRate bool
 	// NotOwner is true when the receiver does not own the group; nothing ran.
 	NotOwner bool
 	// CatalogRevision is the configuration that the owner used.
@@ -60,6 +62,9 @@
 	End(ctx context.Context, g upstream.GroupID, s SessionID)
 }
 
+// DetailOverRate explains a refusal with Response.OverRate.
+const DetailOverRate = "the customer is above its rate"
+
 // Refuse returns a response that refuses the statement with a code that says that nothing ran.
 func Refuse(code statement.Code, detail string, after time.Duration) Response {
 	return Response{Answer: statement.Answer{Code: code, Detail: detail}, RetryAfter: after}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -75,8 +75,8 @@
 	// leader is the member that the scheduler uses as primary.
 	leader upstream.MemberID
 	limits dispatch.Limits
-	// tokens is true for coordinators that are being asked.
-	tokens map[upstream.GroupID]bool
+	// asking holds, for each customer whose coordinator is being asked for tokens, a channel that is closed afterwards.
+	asking map[string]chan struct{}
 	tidied time.Time
 	warmed time.Time
 }
@@ -97,7 +97,7 @@
 		links:   make(map[dispatch.ConnID]*link),
 		waiters: make(map[dispatch.Ticket]chan grantOrRefusal),
 		txs:     make(map[operation.SessionID]*transaction),
-		tokens:  make(map[upstream.GroupID]bool),
+		asking:  make(map[string]chan struct{}),
 	}
 }
 
@@ -221,7 +221,7 @@
 		g.tidied = now
 		g.tidy(c, now)
 	}
-	g.askTokens(ctx, c, now)
+	g.askAhead(ctx, c, now)
 	g.pump(now)
 }
 
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/celerystep/celerystep/internal/catalog"
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/operation"
@@ -16,10 +15,6 @@
 const (
 	probeTimeout = 250 * time.Millisecond
 	orderTimeout = time.Second
-	// unleasedTokenPrice is what a token costs at a coordinator whose lease has lapsed: another one may grant as well, and
-	// both together must stay within the tolerance of the contracts.
-	unleasedTokenPrice = 3
-	tokenTimeout       = 250 * time.Millisecond
 )
 
 // act carries out an action of the promotion machine. The group is locked.
@@ -86,70 +81,6 @@
 	g.signal()
 }
 
-// askTokens asks the customers' coordinators for what the stock is short of. The group is locked.
-func (g *Group) askTokens(ctx context.Context, c *catalog.Catalog, now time.Time) {
-	if g.released {
-		return
-	}
-	wants := make(map[upstream.GroupID][]TokenRequest)
-	g.stock.Wants(now, func(customer string, n int) {
-		to := coordinatorOf(c, customer)
-		wants[to] = append(wants[to], TokenRequest{Customer: customer, Tokens: n})
-	})
-	for to, list := range wants {
-		if g.tokens[to] {
-			continue
-		}
-		g.tokens[to] = true
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
-			defer cancel()
-			g.fetchTokens(ctx, to, list)
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.tokens[to] = false
-		}()
-	}
-}
-
-// fetchTokens asks one coordinator and adds what it grants to the stock.
-func (g *Group) fetchTokens(ctx context.Context, to upstream.GroupID, wants []TokenRequest) {
-	sent := g.o.Clock()
-	granted := g.o.Tokens.TakeTokens(ctx, to, wants)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.o.Clock()
-	for _, t := range granted {
-		g.stock.Add(t.Customer, t.Tokens, sent, now)
-	}
-}
-
-// grant gives tokens of the customers that this group's owner coordinates.
-func (g *Group) grant(wants []TokenRequest) ([]TokenRequest, bool) {
-	c := g.o.Catalog()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.released || !g.o.Authority.KeysFresh() {
-		return nil, false
-	}
-	price := 1
-	if !g.o.Authority.Leased(g.claim) {
-		price = unleasedTokenPrice
-	}
-	now := g.o.Clock()
-	var grants []TokenRequest
-	for _, w := range wants {
-		customer := c.Customer(w.Customer)
-		if customer == nil || coordinatorOf(c, w.Customer) != g.id {
-			continue
-		}
-		if n := g.pool.Grant(customer, len(c.Groups), w.Tokens, price, now); n > 0 {
-			grants = append(grants, TokenRequest{Customer: w.Customer, Tokens: n})
-		}
-	}
-	return grants, true
-}
-
 func (g *Group) count(primary bool, code statement.Code) {
 	kind := "replica"
 	if primary {
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -19,8 +19,6 @@
 const (
 	// maxAttempts bounds the tries of a statement that surely did not run, or that only reads.
 	maxAttempts = 4
-	// tokenWait is how long a statement waits for tokens of its customer's coordinator.
-	tokenWait = 30 * time.Millisecond
 	// defaultTimeout bounds statements of routes without a time limit.
 	defaultTimeout = 2 * time.Second
 )
@@ -103,10 +101,11 @@
 		g.logRefusal(r, refused.Code.String(), refused.Detail, "retry_after", refused.RetryAfter)
 		return *refused
 	}
-	if !g.takeToken(ctx, c) {
-		after := g.stock.NextToken(c.customer)
-		g.logRefusal(r, "busy", "the customer is above its rate", "customer", c.name(), "rate", c.customer.Rate, "retry_after", after)
-		return operation.Refuse(statement.CodeBusy, "the customer is above its rate", after)
+	if ok, after := g.takeToken(ctx, c); !ok {
+		g.logRefusal(r, "busy", operation.DetailOverRate, "customer", c.name(), "rate", c.customer.Rate, "retry_after", after)
+		resp := operation.Refuse(statement.CodeBusy, operation.DetailOverRate, after)
+		resp.OverRate = true
+		return resp
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(c.deadline.Sub(g.o.Clock())))
 	defer cancel()
@@ -276,34 +275,6 @@
 	return nil
 }
 
-// takeToken spends a token of the customer, if need be one that the coordinator grants at once.
-func (g *Group) takeToken(ctx context.Context, c *call) bool {
-	if c.customer == nil || c.customer.Rate <= 0 {
-		return true
-	}
-	g.mu.Lock()
-	ok := g.stock.Take(c.customer, len(c.catalog.Groups), g.o.Clock())
-	g.mu.Unlock()
-	if ok {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, tokenWait)
-	defer cancel()
-	g.fetchTokens(ctx, coordinatorOf(c.catalog, c.customer.Name), []TokenRequest{{Customer: c.customer.Name, Tokens: 1}})
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.stock.Take(c.customer, len(c.catalog.Groups), g.o.Clock())
-}
-
-func (g *Group) returnToken(c *call) {
-	if c.customer == nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.stock.Return(c.customer, g.o.Clock())
-}
-
 // settle turns what a member said into the response and gives the connection back.
 func (g *Group) settle(ctx context.Context, c *call, l *link, primary bool, answer statement.Answer, err error) (operation.Response, bool) {
 	if err != nil {
--- /dev/null
+++ b/internal/owner/tokens.go
@@ -0,0 +1,150 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/quota"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// tokenWait is how long a statement waits for tokens of its customer's coordinator.
+	tokenWait = 30 * time.Millisecond
+	// tokenTimeout bounds a request for tokens.
+	tokenTimeout = 250 * time.Millisecond
+	// unleasedTokenPrice is what a token costs at a coordinator whose lease has lapsed: another one may grant as well, and
+	// both together must stay within the tolerance of the contracts.
+	unleasedTokenPrice = 3
+)
+
+// takeToken spends a token of the customer, if need be one that the coordinator grants at once. Without one it returns when
+// to come back.
+func (g *Group) takeToken(ctx context.Context, c *call) (ok bool, after time.Duration) {
+	if c.customer == nil || c.customer.Rate <= 0 {
+		return true, 0
+	}
+	g.mu.Lock()
+	g.stock.Demand(c.customer, len(c.catalog.Groups), g.o.Clock())
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, tokenWait)
+	defer cancel()
+	for {
+		asked, pause, ok := g.spendToken(ctx, c)
+		switch {
+		case ok:
+			return true, 0
+		case asked == nil:
+			return false, pause
+		}
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			return false, quota.NextToken(c.customer)
+		}
+	}
+}
+
+// spendToken spends a token that the group has. Otherwise it returns a channel that is closed when the coordinator has
+// answered, or nil and the rest of the pause when it has just had no tokens.
+func (g *Group) spendToken(ctx context.Context, c *call) (asked <-chan struct{}, pause time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock()
+	if g.stock.Take(c.customer, len(c.catalog.Groups), now) {
+		return nil, 0, true
+	}
+	name := c.customer.Name
+	if done := g.asking[name]; done != nil {
+		return done, 0, false
+	}
+	n, pause := g.stock.Ask(c.customer, now)
+	if n == 0 {
+		return nil, pause, false
+	}
+	return g.ask(context.WithoutCancel(ctx), coordinatorOf(c.catalog, name), []TokenRequest{{Customer: name, Tokens: n}}), 0, false
+}
+
+func (g *Group) returnToken(c *call) {
+	if c.customer == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stock.Return(c.customer, g.o.Clock())
+}
+
+// askAhead asks the customers' coordinators for what the stock is short of. The group is locked.
+func (g *Group) askAhead(ctx context.Context, c *catalog.Catalog, now time.Time) {
+	if g.released {
+		return
+	}
+	wants := make(map[upstream.GroupID][]TokenRequest)
+	g.stock.Wants(now, func(customer string, n int) {
+		if g.asking[customer] == nil {
+			to := coordinatorOf(c, customer)
+			wants[to] = append(wants[to], TokenRequest{Customer: customer, Tokens: n})
+		}
+	})
+	for to, list := range wants {
+		g.ask(ctx, to, list)
+	}
+}
+
+// ask asks one coordinator in the background. The channel is closed when it has answered. The group is locked.
+func (g *Group) ask(ctx context.Context, to upstream.GroupID, wants []TokenRequest) <-chan struct{} {
+	done := make(chan struct{})
+	for _, w := range wants {
+		g.asking[w.Customer] = done
+	}
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+		defer cancel()
+		g.fetchTokens(ctx, to, wants)
+	}()
+	return done
+}
+
+// fetchTokens asks one coordinator and adds what it grants to the stock.
+func (g *Group) fetchTokens(ctx context.Context, to upstream.GroupID, wants []TokenRequest) {
+	sent := g.o.Clock()
+	granted := make(map[string]int, len(wants))
+	for _, t := range g.o.Tokens.TakeTokens(ctx, to, wants) {
+		granted[t.Customer] = t.Tokens
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock()
+	for _, w := range wants {
+		delete(g.asking, w.Customer)
+		g.stock.Add(w.Customer, w.Tokens, granted[w.Customer], sent, now)
+	}
+}
+
+// grant gives tokens of the customers that this group's owner coordinates.
+func (g *Group) grant(wants []TokenRequest) ([]TokenRequest, bool) {
+	c := g.o.Catalog()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.released || !g.o.Authority.KeysFresh() {
+		return nil, false
+	}
+	price := 1
+	if !g.o.Authority.Leased(g.claim) {
+		price = unleasedTokenPrice
+	}
+	now := g.o.Clock()
+	var grants []TokenRequest
+	for _, w := range wants {
+		customer := c.Customer(w.Customer)
+		if customer == nil || coordinatorOf(c, w.Customer) != g.id {
+			continue
+		}
+		if n := g.pool.Grant(customer, len(c.Groups), w.Tokens, price, now); n > 0 {
+			grants = append(grants, TokenRequest{Customer: w.Customer, Tokens: n})
+		}
+	}
+	return grants, true
+}
--- /dev/null
+++ b/internal/quota/pause.go
@@ -0,0 +1,41 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+)
+
+const (
+	// minPause and maxPause bound the time for which nothing is asked for a customer without tokens.
+	minPause = 20 * time.Millisecond
+	maxPause = 100 * time.Millisecond
+)
+
+// Pause says for how long operations of a customer are refused without asking for tokens, after there were none. It grows
+// while each question is in vain, so that a customer far above its rate costs few messages. What its contract yields in the
+// meantime stays in the bucket. The zero Pause is over.
+type Pause struct {
+	until  time.Time
+	length time.Duration
+}
+
+// Denied starts the next pause: at least the time in which the customer's contract yields a token.
+func (p *Pause) Denied(c *catalog.Customer, now time.Time) {
+	p.length = min(max(2*p.length, minPause), maxPause)
+	p.until = now.Add(max(p.length, NextToken(c)))
+}
+
+// Granted ends the pause; the next one is short again.
+func (p *Pause) Granted() { *p = Pause{} }
+
+// Left returns the rest of the pause, 0 when it is over.
+func (p *Pause) Left(now time.Time) time.Duration { return max(0, p.until.Sub(now)) }
+
+// NextToken returns the time in which the customer's contract yields a token.
+func NextToken(c *catalog.Customer) time.Duration {
+	if c.Rate <= 0 {
+		return GrantLife
+	}
+	return min(max(time.Duration(float64(time.Second)/c.Rate), 10*time.Millisecond), GrantLife)
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -106,6 +106,7 @@
 	// consumption is in tokens a second, measured until at.
 	consumption float64
 	at          time.Time
+	pause       Pause
 }
 
 // Stock holds the tokens that the owner of one group may spend.
@@ -119,10 +120,14 @@
 	return &Stock{accounts: make(map[string]*account), start: start}
 }
 
+// Demand notes that an operation of the customer wants a token. The contract is split over the given number of groups.
+func (s *Stock) Demand(c *catalog.Customer, groups int, now time.Time) {
+	s.account(c, groups, now).count(1, now)
+}
+
 // Take spends one token of the customer, whose contract is split over the given number of groups.
 func (s *Stock) Take(c *catalog.Customer, groups int, now time.Time) bool {
 	a := s.account(c, groups, now)
-	a.count(1, now)
 	if a.own.Take(1, now) {
 		return true
 	}
@@ -140,16 +145,24 @@
 	}
 }
 
-// Add records tokens that the coordinator granted on a request sent at the given time.
-func (s *Stock) Add(customer string, n int, sent, now time.Time) {
+// Add records the coordinator's answer to a request for tokens that was sent at the given time.
+func (s *Stock) Add(customer string, asked, granted int, sent, now time.Time) {
 	a := s.accounts[customer]
-	if a == nil || n <= 0 {
+	if a == nil {
+		return
+	}
+	if granted < asked {
+		a.pause.Denied(&a.customer, now)
+	} else {
+		a.pause.Granted()
+	}
+	if granted <= 0 {
 		return
 	}
 	if !now.Before(a.lapse) {
 		a.granted = 0
 	}
-	a.granted += n
+	a.granted += granted
 	a.lapse = sent.Add(GrantLife)
 }
 
@@ -162,12 +175,17 @@
 	}
 }
 
-// NextToken returns when a refused customer may come back.
-func (s *Stock) NextToken(c *catalog.Customer) time.Duration {
-	if c.Rate <= 0 {
-		return GrantLife
+// Ask returns how many tokens to ask the customer's coordinator for, so that an operation can run that Take has refused, or
+// 0 and the rest of the pause when the coordinator has just had none.
+func (s *Stock) Ask(c *catalog.Customer, now time.Time) (n int, pause time.Duration) {
+	a := s.accounts[c.Name]
+	if a == nil {
+		return 1, 0
+	}
+	if left := a.pause.Left(now); left > 0 {
+		return 0, left
 	}
-	return min(max(time.Duration(float64(time.Second)/c.Rate), 10*time.Millisecond), GrantLife)
+	return max(1, a.wants(now)), 0
 }
 
 func (s *Stock) account(c *catalog.Customer, groups int, now time.Time) *account {
@@ -196,7 +214,7 @@
 
 func (a *account) wants(now time.Time) int {
 	a.count(0, now)
-	if a.consumption < slowConsumption {
+	if a.consumption < slowConsumption || a.pause.Left(now) > 0 {
 		return 0
 	}
 	have := a.granted
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -22,6 +22,8 @@
 	pool   *Pool
 	stocks []*Stock
 	c      *catalog.Customer
+	// asked counts the requests for tokens.
+	asked int
 }
 
 func newFleet(c *catalog.Customer, groups int, now time.Time) *fleet {
@@ -35,17 +37,26 @@
 // take runs one operation at the owner, which asks the coordinator when it is short, as owners do.
 func (f *fleet) take(i int, now time.Time) bool {
 	s := f.stocks[i]
+	s.Demand(f.c, len(f.stocks), now)
 	if s.Take(f.c, len(f.stocks), now) {
 		return true
 	}
-	s.Add(f.c.Name, f.pool.Grant(f.c, len(f.stocks), 1, 1, now), now, now)
+	n, _ := s.Ask(f.c, now)
+	if n == 0 {
+		return false
+	}
+	f.asked++
+	s.Add(f.c.Name, n, f.pool.Grant(f.c, len(f.stocks), n, 1, now), now, now)
 	return s.Take(f.c, len(f.stocks), now)
 }
 
 // refill asks ahead for all owners.
 func (f *fleet) refill(now time.Time) {
 	for _, s := range f.stocks {
-		s.Wants(now, func(name string, n int) { s.Add(name, f.pool.Grant(f.c, len(f.stocks), n, 1, now), now, now) })
+		s.Wants(now, func(name string, n int) {
+			f.asked++
+			s.Add(name, n, f.pool.Grant(f.c, len(f.stocks), n, 1, now), now, now)
+		})
 	}
 }
 
@@ -141,12 +152,54 @@
 	is.Equal(p.Grant(customer(100, 100), 1, 1000, 3, now), 0)
 }
 
+// TestACustomerFarAboveItsRateCostsFewQuestions plays a customer at 20 times its rate for ten seconds: it gets its rate, and
+// the coordinators are not asked for each operation.
+func TestACustomerFarAboveItsRateCostsFewQuestions(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(customer(50, 50), 3, epoch)
+	ran, operations := 0, 0
+	for ms := range 10_000 {
+		now := epoch.Add(10*time.Second + time.Duration(ms)*time.Millisecond)
+		if ms%40 == 0 {
+			f.refill(now)
+		}
+		operations++
+		if f.take(ms%3, now) {
+			ran++
+		}
+	}
+	is.True(ran >= 10*50*97/100)
+	is.True(ran <= 10*50+50+1)
+	is.Equal(operations, 10_000)
+	// Three owners, each with one question in 20 ms at the most.
+	is.True(f.asked <= 3*10*50)
+}
+
+func TestAPauseGrowsAndEnds(t *testing.T) {
+	is := is.New(t)
+	c := customer(1000, 1000)
+	var p Pause
+	now := epoch
+	is.Equal(p.Left(now), time.Duration(0))
+	for _, want := range []time.Duration{20, 40, 80, 100, 100} {
+		p.Denied(c, now)
+		is.Equal(p.Left(now), want*time.Millisecond)
+	}
+	p.Granted()
+	is.Equal(p.Left(now), time.Duration(0))
+	p.Denied(c, now)
+	is.Equal(p.Left(now), 20*time.Millisecond)
+	is.Equal(p.Left(now.Add(20*time.Millisecond)), time.Duration(0))
+	p.Denied(customer(4, 4), now)
+	is.Equal(p.Left(now), 250*time.Millisecond) // the time in which the contract yields a token
+}
+
 func TestGrantsLapse(t *testing.T) {
 	is := is.New(t)
 	c := customer(4, 4)
 	s := NewStock(epoch)
 	s.Take(c, 8, epoch)
-	s.Add("c", 2, epoch, epoch)
+	s.Add("c", 2, 2, epoch, epoch)
 	is.True(s.Take(c, 8, epoch.Add(GrantLife-time.Millisecond)))
 	is.True(!s.Take(c, 8, epoch.Add(GrantLife)))
 }
