Let instances with more processor time own the groups

Cause: claims took no account of the machines' sizes. On the grown sites 8 of 72 machines have 0.8 cores and 200 Mbit/s, the others 0.192 and 10; an owner runs the statements of a whole group (about 250 a second there). Change: claims carry the owner's processor time; an instance waits longer, the weaker it is beside the strongest known owner, and at the first start of the fleet by its own size. Equal instances wait no longer than before.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -86,7 +86,8 @@
 			return 0, errors.Wrap(err, "prove keys")
 		}
 	}
-	c := ownership.Claim{Group: id, Owner: n.o.Settings.Instance, Process: n.o.Settings.Process, Address: n.o.Settings.PeerAddress}
+	self := n.o.Settings
+	c := ownership.Claim{Group: id, Owner: self.Instance, Process: self.Process, Address: self.PeerAddress, Cores: self.Cores}
 	revision, err := n.o.Store.Swap(ctx, n.o.Decoder.ClaimKey(id), expected, n.o.Decoder.EncodeClaim(c), lease)
 	if errors.Is(err, platform.ErrLeaseExpired) {
 		n.dropLease(lease)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,10 @@
 	Domain   instance.FailureDomain
 	// PeerAddress is told to the other instances.
 	PeerAddress string
+	// Cores is the processor time of the instance in cores; 0 when unknown.
+	Cores float64
+	// FirstStart is true when the whole fleet starts for the first time.
+	FirstStart bool
 	// KeyMaxAge is how old the proof may be that a key is in force; 0 when keys need no proof.
 	KeyMaxAge time.Duration
 	// Grace is the time from the order to stop until the process is killed.
@@ -141,11 +145,13 @@
 // New returns a node that is not running yet.
 func New(o Options) *Node {
 	n := &Node{
-		o:       o,
-		Peers:   fleetlink.NewPeers(),
-		wake:    make(chan struct{}, 1),
-		owning:  make(chan struct{}, 1),
-		planner: ownership.NewPlanner(o.Settings.Instance, o.Settings.Process, o.Clock()),
+		o:      o,
+		Peers:  fleetlink.NewPeers(),
+		wake:   make(chan struct{}, 1),
+		owning: make(chan struct{}, 1),
+		planner: ownership.NewPlanner(ownership.Self{
+			Instance: o.Settings.Instance, Process: o.Settings.Process, Cores: o.Settings.Cores, FirstStart: o.Settings.FirstStart,
+		}, o.Clock()),
 		members: make(map[upstream.MemberID]member.Member),
 
 		coordinatorLost: make(map[upstream.GroupID]bool),
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -25,6 +25,11 @@
 	heldDelay = 250 * time.Millisecond
 	// startSpread is the range while the process has just started, when many instances may have.
 	startSpread = 700 * time.Millisecond
+	// weakDelay is added for each time that the strongest known owner has more processor time than the instance.
+	weakDelay = 150 * time.Millisecond
+	// firstStartDelay is that of an instance with one core while the whole fleet starts, when nothing is known of the others
+	// and callers do not come yet.
+	firstStartDelay = 400 * time.Millisecond
 	// RetryDelay is the pause after a claim that failed.
 	RetryDelay = 100 * time.Millisecond
 )
@@ -37,6 +42,8 @@
 	Process string
 	// Address is the owner's host:port for its peers.
 	Address string
+	// Cores is the owner's processor time in cores; 0 when unknown.
+	Cores float64
 	// Revision is the store's revision of the claim: the fencing token.
 	Revision uint64
 }
@@ -67,19 +74,30 @@
 	last Claim
 }
 
-// Planner decides for one instance. It is not safe for concurrent use.
+// Self describes the process that a Planner decides for.
+type Self struct {
+	Instance instance.ID
+	Process  string
+	// Cores is its processor time in cores; 0 when unknown.
+	Cores float64
+	// FirstStart is true when the whole fleet starts for the first time.
+	FirstStart bool
+}
+
+// Planner decides for one process of an instance. It is not safe for concurrent use.
 type Planner struct {
-	self    instance.ID
-	process string
-	groups  map[upstream.GroupID]*group
-	started time.Time
+	self Self
+	// strongest is the most processor time, in cores, of any known owner or of this process.
+	strongest float64
+	groups    map[upstream.GroupID]*group
+	started   time.Time
 	// barred is true while the instance must not take groups: it leaves or cannot serve.
 	barred bool
 }
 
-// NewPlanner returns a planner for one process of an instance.
-func NewPlanner(self instance.ID, process string, now time.Time) *Planner {
-	return &Planner{self: self, process: process, groups: make(map[upstream.GroupID]*group), started: now}
+// NewPlanner returns a planner without groups.
+func NewPlanner(self Self, now time.Time) *Planner {
+	return &Planner{self: self, strongest: self.Cores, groups: make(map[upstream.GroupID]*group), started: now}
 }
 
 // SetGroups replaces the groups.
@@ -115,9 +133,10 @@
 	if c.Revision < g.claim.Revision {
 		return
 	}
+	p.strongest = max(p.strongest, c.Cores)
 	g.claim, g.last, g.dead, g.free = c, c, false, time.Time{}
 	g.before = p.mine(c)
-	if c.Owner == p.self && !p.mine(c) {
+	if c.Owner == p.self.Instance && !p.mine(c) {
 		// The owner was an earlier process of this instance.
 		g.dead, g.free = true, now
 	}
@@ -209,7 +228,9 @@
 	return owned
 }
 
-func (p *Planner) mine(c Claim) bool { return c.Owner == p.self && c.Process == p.process }
+func (p *Planner) mine(c Claim) bool {
+	return c.Owner == p.self.Instance && c.Process == p.self.Process
+}
 
 func (g *group) cause() string {
 	switch {
@@ -224,17 +245,18 @@
 
 // delay is how long the instance lets better placed ones go first.
 func (p *Planner) delay(id upstream.GroupID, g *group, now time.Time) time.Duration {
-	if g.before && !g.dead || g.dead && g.claim.Owner == p.self {
+	if g.before && !g.dead || g.dead && g.claim.Owner == p.self.Instance {
 		return 0
 	}
 	width := spread
 	if now.Sub(p.started) < 2*startSpread {
 		width = startSpread
 	}
-	d := time.Duration(xxhash.Sum64String(string(p.self)+"/"+string(id)) % uint64(width))
+	d := time.Duration(xxhash.Sum64String(string(p.self.Instance)+"/"+string(id)) % uint64(width))
 	if !g.near {
 		d += farDelay
 	}
+	d += p.weakness(now)
 	for _, other := range p.groups {
 		if p.mine(other.claim) || other.busy {
 			d += heldDelay
@@ -243,6 +265,19 @@
 	return d
 }
 
+// weakness is how long the instance lets those with more processor time go first: an owner runs the statements of a whole
+// group.
+func (p *Planner) weakness(now time.Time) time.Duration {
+	switch {
+	case p.self.Cores <= 0:
+		return 0
+	case p.self.FirstStart && now.Sub(p.started) < 2*startSpread+firstStartDelay:
+		return time.Duration(float64(firstStartDelay) / p.self.Cores)
+	default:
+		return time.Duration(float64(weakDelay) * (p.strongest/p.self.Cores - 1))
+	}
+}
+
 func (p *Planner) order() []upstream.GroupID {
 	ids := make([]upstream.GroupID, 0, len(p.groups))
 	for id := range p.groups {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 }
 
 func running(id instance.ID) *Planner {
-	p := NewPlanner(id, "p1", epoch.Add(-time.Hour))
+	p := NewPlanner(Self{Instance: id, Process: "p1"}, epoch.Add(-time.Hour))
 	p.SetGroups([]upstream.GroupID{"g"}, epoch)
 	return p
 }
@@ -69,7 +70,7 @@
 	p.Removed("g", epoch)
 	is.Equal(len(p.Plan(epoch)), 1)
 
-	restarted := NewPlanner("a", "p2", epoch)
+	restarted := NewPlanner(Self{Instance: "a", Process: "p2"}, epoch)
 	restarted.SetGroups([]upstream.GroupID{"g"}, epoch)
 	restarted.SetClaim(claim("g", "a", "p1", 5), epoch)
 	is.Equal(len(restarted.Owned()), 0)
@@ -105,40 +106,107 @@
 	is.Equal(p.LastClaims()["g"].Owner, instance.ID("b"))
 }
 
-// TestGroupsSpreadOverTheFleet plays six instances that start together and write to one store.
-func TestGroupsSpreadOverTheFleet(t *testing.T) {
-	is := is.New(t)
-	groups := []upstream.GroupID{"g1", "g2", "g3", "g4", "g5", "g6"}
-	var planners []*Planner
-	for i := range 6 {
-		p := NewPlanner(instance.ID(fmt.Sprintf("i%d", i)), "p", epoch)
-		p.SetGroups(groups, epoch)
-		planners = append(planners, p)
+// fleet is a set of instances that write to one store.
+type fleet struct {
+	planners []*Planner
+	groups   []upstream.GroupID
+	claims   map[upstream.GroupID]Claim
+	revision uint64
+}
+
+// newFleet returns instances with the given processor time in cores, which start at epoch.
+func newFleet(groups int, first bool, cores ...float64) *fleet {
+	f := &fleet{claims: make(map[upstream.GroupID]Claim)}
+	for i := range groups {
+		f.groups = append(f.groups, upstream.GroupID(fmt.Sprintf("g%d", i+1)))
+	}
+	for i, c := range cores {
+		p := NewPlanner(Self{Instance: instance.ID(fmt.Sprintf("i%d", i)), Process: "p", Cores: c, FirstStart: first}, epoch)
+		p.SetGroups(f.groups, epoch)
+		f.planners = append(f.planners, p)
 	}
-	owners := make(map[upstream.GroupID]int)
-	revision := uint64(0)
-	for ms := 0; ms < 5000; ms++ {
-		now := epoch.Add(time.Duration(ms) * time.Millisecond)
-		for i, p := range planners {
+	return f
+}
+
+// play lets the instances claim what they plan, from one time after epoch to another.
+func (f *fleet) play(from, to time.Duration) {
+	for at := from; at < to; at += time.Millisecond {
+		now := epoch.Add(at)
+		for _, p := range f.planners {
 			for _, a := range p.Plan(now) {
 				p.ClaimDone(a.Group, now)
-				if _, taken := owners[a.Group]; taken {
+				if f.claims[a.Group].Revision != a.Expected {
 					continue
 				}
-				owners[a.Group] = i
-				revision++
-				for _, other := range planners {
-					other.SetClaim(claim(a.Group, instance.ID(fmt.Sprintf("i%d", i)), "p", revision), now)
+				f.revision++
+				c := Claim{Group: a.Group, Owner: p.self.Instance, Process: "p", Address: "10.0.0.1:1", Cores: p.self.Cores, Revision: f.revision}
+				f.claims[a.Group] = c
+				for _, other := range f.planners {
+					other.SetClaim(c, now)
 				}
 			}
 		}
 	}
-	is.Equal(len(owners), len(groups))
-	held := make(map[int]int)
-	for _, i := range owners {
-		held[i]++
+}
+
+// held returns how many groups each instance owns.
+func (f *fleet) held() map[instance.ID]int {
+	held := make(map[instance.ID]int)
+	for _, c := range f.claims {
+		held[c.Owner]++
 	}
-	for _, n := range held {
+	return held
+}
+
+func TestGroupsSpreadOverTheFleet(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, false, 0, 0, 0, 0, 0, 0)
+	f.play(0, 5*time.Second)
+	is.Equal(len(f.claims), len(f.groups))
+	for _, n := range f.held() {
 		is.True(n <= 3) // no instance holds more than half of the groups
 	}
 }
+
+// TestStrongInstancesOwnTheGroups plays a fleet of a few strong and many weak instances, its first start and the loss of an
+// owner.
+func TestStrongInstancesOwnTheGroups(t *testing.T) {
+	is := is.New(t)
+	cores := []float64{0.8, 0.8, 0.8, 0.8}
+	for range 30 {
+		cores = append(cores, 0.192)
+	}
+	f := newFleet(4, true, cores...)
+	f.play(0, 10*time.Second)
+	is.Equal(len(f.claims), 4)
+	for i := range 4 {
+		is.True(f.held()[instance.ID(fmt.Sprintf("i%d", i))] <= 2)
+	}
+	for id := range f.held() {
+		is.True(id <= "i3")
+	}
+	lost := f.claims["g1"]
+	f.planners = slices.DeleteFunc(f.planners, func(p *Planner) bool { return p.self.Instance == lost.Owner })
+	for _, p := range f.planners {
+		p.OwnerDead("g1", lost.Revision, epoch.Add(10*time.Second))
+	}
+	f.play(10*time.Second, 11*time.Second)
+	is.True(f.claims["g1"].Owner != lost.Owner)
+	is.True(f.claims["g1"].Owner <= "i3")
+}
+
+// TestEqualInstancesTakeOverWithoutDelay: what weak instances wait for must not cost a fleet of equal ones.
+func TestEqualInstancesTakeOverWithoutDelay(t *testing.T) {
+	is := is.New(t)
+	weak, plain := NewPlanner(Self{Instance: "a", Cores: 0.2}, epoch.Add(-time.Hour)), running("a")
+	weak.SetGroups([]upstream.GroupID{"g"}, epoch)
+	c := claim("g", "b", "x", 5)
+	c.Cores = 0.2
+	weak.SetClaim(c, epoch)
+	plain.SetClaim(c, epoch)
+	weak.Removed("g", epoch)
+	plain.Removed("g", epoch)
+	a, _ := weak.Next(epoch)
+	b, _ := plain.Next(epoch)
+	is.Equal(a, b)
+}
