Do not refuse for good what only an older configuration forbids

Change: an owner whose configuration is older than the sender's runs the statement when its own one says the same of route and key holder, and is busy for a while otherwise.

--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -197,12 +197,14 @@
 		}
 		s.group = route.Group
 	}
+	c := s.catalog()
 	r := &operation.Request{
 		Session:         s.id,
 		Group:           s.group,
 		Database:        s.database,
 		Key:             s.key,
-		CatalogRevision: s.catalog().Revision,
+		CatalogRevision: c.Revision,
+		Customer:        c.HolderName(s.key),
 		Statement:       st,
 		Begin:           s.begin,
 		InTransaction:   s.open,
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -106,6 +106,14 @@
 	return c.customers[sha256.Sum256([]byte(key))]
 }
 
+// HolderName returns the name of the customer that holds the key, or "".
+func (c *Catalog) HolderName(key string) string {
+	if h := c.Holder(key); h != nil {
+		return h.Name
+	}
+	return ""
+}
+
 // Customer returns the customer of the name, or nil.
 func (c *Catalog) Customer(name string) *Customer { return c.byName[name] }
 
--- a/internal/fleetlink/convert.go
+++ b/internal/fleetlink/convert.go
@@ -48,6 +48,7 @@
 		Values:        r.Values,
 		Floor:         toPosition(r.Floor),
 		ElapsedMs:     uint32(r.Elapsed.Milliseconds()),
+		Customer:      r.Customer,
 	}
 }
 
@@ -68,6 +69,7 @@
 		Values:        r.GetValues(),
 		Floor:         fromPosition(r.GetFloor()),
 		Elapsed:       time.Duration(r.GetElapsedMs()) * time.Millisecond,
+		Customer:      r.GetCustomer(),
 	}
 }
 
--- a/internal/matrix/judge.go
+++ b/internal/matrix/judge.go
@@ -114,7 +114,8 @@
 	for i := range in.Operations {
 		op := &in.Operations[i]
 		if op.Customer != overCustomer && op.Outcome != check.OutcomeOK {
-			w.problem(AssertPlanned, "statement %s of kind %d ended %s %s", op.Statement, op.Kind, op.Outcome, op.Code)
+			w.problem(AssertPlanned, "statement %s of kind %d ended %s %s after %s; a request may take %s",
+				op.Statement, op.Kind, op.Outcome, op.Code, op.Return.Sub(op.Invoke), requestTimeout)
 			return
 		}
 	}
--- /dev/null
+++ b/internal/node/flight_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+func TestCallersShareOneRun(t *testing.T) {
+	is := is.New(t)
+	var f flight
+	runs, release := 0, make(chan struct{})
+	first, wait := f.join(func() error { runs++; <-release; return nil })
+	is.True(wait > 0)
+	second, _ := f.join(func() error { t.Error("a second run"); return nil })
+	is.Equal(first, second)
+	close(release)
+	<-first
+	is.Equal(runs, 1)
+}
+
+// A store that does not answer must not delay each statement: only those at the beginning of the read wait for it.
+func TestNobodyWaitsForARunThatTakesLongOrHasFailed(t *testing.T) {
+	is := is.New(t)
+	var f flight
+	release := make(chan struct{})
+	done, _ := f.join(func() error { <-release; return errors.New("the store is away") })
+	f.mu.Lock()
+	f.started = f.started.Add(-flightPatience)
+	f.mu.Unlock()
+	_, wait := f.join(nil)
+	is.True(wait <= 0)
+	f.do(context.Background(), nil) // returns at once
+	close(release)
+	<-done
+	_, wait = f.join(func() error { t.Error("a run right after a failed one"); return nil })
+	is.Equal(wait, time.Duration(0))
+	f.mu.Lock()
+	f.failed = f.failed.Add(-flightPause)
+	f.mu.Unlock()
+	ran := make(chan struct{})
+	f.do(context.Background(), func() error { close(ran); return nil })
+	<-ran
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"sync"
 	"time"
 
 	"github.com/celerystep/celerystep/internal/catalog"
@@ -245,48 +244,17 @@
 	if n.Catalog().Revision >= revision {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
-	n.reading.do(ctx, func() {
-		if err := n.proveKeys(context.Background()); err != nil {
+	n.reading.do(ctx, func() error {
+		err := n.proveKeys(context.Background())
+		if err != nil {
 			n.o.Log.Warn("could not read a newer configuration", "wanted", revision, "have", n.Catalog().Revision, "error", err)
-			// The calls that come meanwhile share this failure.
-			sleep(context.Background(), storeRetry)
 		}
+		return err
 	})
 }
 
-// flight lets concurrent callers share one run of a function.
-type flight struct {
-	mu   sync.Mutex
-	done chan struct{}
-}
-
-// do runs f, or waits for the run that is under way, until ctx ends.
-func (f *flight) do(ctx context.Context, run func()) {
-	f.mu.Lock()
-	done := f.done
-	if done == nil {
-		done = make(chan struct{})
-		f.done = done
-		go func() {
-			run()
-			f.mu.Lock()
-			f.done = nil
-			f.mu.Unlock()
-			close(done)
-		}()
-	}
-	f.mu.Unlock()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 const (
-	readTimeout    = 700 * time.Millisecond
-	catchUpTimeout = 150 * time.Millisecond
+	readTimeout = 700 * time.Millisecond
 	// membersLinger is how often it is asked whether the members are still of interest.
 	membersLinger = 10 * time.Second
 	// configGather is how long changes of the configuration are gathered.
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -26,8 +26,9 @@
 	// Database is the name under which the caller connected; it identifies the route.
 	Database string
 	Key      string
-	// CatalogRevision is the configuration that the sender used.
+	// CatalogRevision is the configuration that the sender used, Customer the holder of the key in it.
 	CatalogRevision uint64
+	Customer        string
 	Statement       statement.Statement
 	// Begin is the kind of transaction that the statement opens, or statement.KindInvalid.
 	Begin statement.Kind
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -19,6 +19,8 @@
 const (
 	// maxAttempts bounds the tries of a statement that surely did not run, or that only reads.
 	maxAttempts = 4
+	// olderCatalogRetry is told to callers whose owner is behind their own instance.
+	olderCatalogRetry = 250 * time.Millisecond
 	// defaultTimeout bounds statements of routes without a time limit.
 	defaultTimeout = 2 * time.Second
 )
@@ -55,10 +57,13 @@
 	now := g.o.Clock()
 	c := g.o.Catalog()
 	route := c.Routes[r.Database]
+	customer := c.Holder(r.Key)
+	if c.Revision < r.CatalogRevision && !g.agrees(c, r) {
+		return nil, refusal(statement.CodeBusy, "this owner does not know the newest configuration yet", olderCatalogRetry)
+	}
 	if route == nil || route.Group != g.id {
 		return nil, refusal(statement.CodeUnknownDatabase, "no route leads to the database", 0)
 	}
-	customer := c.Holder(r.Key)
 	if customer == nil && !route.Public {
 		return nil, refusal(statement.CodeUnauthenticated, "the key is not known", 0)
 	}
@@ -78,6 +83,12 @@
 	return k, nil
 }
 
+// agrees reports whether an older configuration says of the request's route and key what the sender's newer one does.
+func (g *Group) agrees(c *catalog.Catalog, r *operation.Request) bool {
+	route := c.Routes[r.Database]
+	return route != nil && route.Group == g.id && c.HolderName(r.Key) == r.Customer
+}
+
 func refusal(code statement.Code, detail string, after time.Duration) *operation.Response {
 	r := operation.Refuse(code, detail, after)
 	return &r
