Leave half of a member's connections free while they are idle

Change: connections beyond half of the limit are closed after two idle seconds; bursts still get seven eighths. TestIdleConnectionsLeaveRoomForAnotherOwner.

--- a/internal/dispatch/connections.go
+++ b/internal/dispatch/connections.go
@@ -24,6 +24,8 @@
 const (
 	// maxIdle is shorter than the time after which members close idle connections.
 	maxIdle = 45 * time.Second
+	// surplusIdle is how long a connection beyond Limits.Kept may be idle.
+	surplusIdle = 2 * time.Second
 	// evictAfter is how long a connection must be idle before it gives way to another customer's.
 	evictAfter = 30 * time.Millisecond
 	// openRetry is the pause after a failed connection.
@@ -255,6 +257,15 @@
 			s.drop(c)
 		}
 	}
+	for _, m := range s.members {
+		for len(m.conns) > s.limits.Kept {
+			c := m.oldestIdle()
+			if c == nil || now.Sub(c.since) <= surplusIdle {
+				break
+			}
+			s.drop(c)
+		}
+	}
 }
 
 // Trim closes the connections that have been idle for longest until each member has at most the limit, or only
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,6 +69,9 @@
 type Limits struct {
 	// Connections bounds the open connections to one member.
 	Connections int
+	// Kept is the number of connections to one member that stay open while they are idle. The rest is left free, so that
+	// another owner finds room at once when this one disappears with its connections.
+	Kept int
 	// Extra is the number of statements in flight at a member beyond its slots, which covers the network delay.
 	Extra int
 	// Waiting bounds the waiting items.
@@ -85,6 +88,7 @@
 	reserve := max(1, connections/8)
 	return Limits{
 		Connections: max(1, connections-reserve),
+		Kept:        max(1, connections/2),
 		Extra:       1,
 		Waiting:     400,
 		Handshake:   15 * time.Millisecond,
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -252,6 +252,27 @@
 	is.Equal(s.Plan(at(3)).Closes, conns[:2])
 }
 
+// TestIdleConnectionsLeaveRoomForAnotherOwner: members keep the connections of an owner that lost power for seconds; what it
+// does not need must not fill them.
+func TestIdleConnectionsLeaveRoomForAnotherOwner(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(6)
+	is.Equal(s.limits.Connections, 5)
+	var held []ConnID
+	for i, customer := range []string{"a", "b", "c", "d", "e"} {
+		it := write(customer, at(i))
+		submit(t, s, it, at(i))
+		held = append(held, connect(s, s.Plan(at(i)), at(i))[0].Conn)
+		s.Done(held[i], false, at(i))
+	}
+	s.Idle(at(100))
+	is.Equal(len(s.Plan(at(100)).Closes), 0) // they may be needed again at once
+	s.Idle(at(3000))
+	is.Equal(s.Plan(at(3000)).Closes, held[:2]) // those that were idle for longest
+	s.Idle(at(9000))
+	is.Equal(len(s.Plan(at(9000)).Closes), 0) // half of the limit stays
+}
+
 func TestAColdMemberIsSpared(t *testing.T) {
 	is := is.New(t)
 	s := newScheduler(21)
