Give a coordinator that is back after a restart a few tokens

Cause: token buckets of a new process are empty. Change: an owner that takes a group over from an earlier process of its own instance, which surely has ended, starts its customers with six tokens and the yield of 250 ms.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -180,7 +180,7 @@
 	n.planner.SetClaim(c.Claim, now)
 	n.o.Log.Info("claim", "group", id, "owner", c.Claim.Owner, "process", c.Claim.Process, "claim", c.Claim.Revision)
 	if n.mine(c.Claim) {
-		n.Owner.Acquire(context.Background(), c.Claim)
+		n.Owner.Acquire(context.Background(), c.Claim, n.planner.Reclaimed(id))
 		select {
 		case n.owning <- struct{}{}:
 		default:
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -81,7 +81,7 @@
 	warmed time.Time
 }
 
-func newGroup(o Options, claim ownership.Claim) *Group {
+func newGroup(o Options, claim ownership.Claim, reclaimed bool) *Group {
 	now := o.Clock()
 	return &Group{
 		o:       o,
@@ -92,7 +92,7 @@
 		sched:   dispatch.New(dispatch.DefaultLimits(1)),
 		machine: promotion.New(promotion.DefaultTiming(), now),
 		stock:   quota.NewStock(now),
-		pool:    quota.NewPool(now),
+		pool:    quota.NewPool(now, reclaimed),
 		members: make(map[upstream.MemberID]member.Member),
 		links:   make(map[dispatch.ConnID]*link),
 		waiters: make(map[dispatch.Ticket]chan grantOrRefusal),
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -83,15 +83,16 @@
 	}
 }
 
-// Acquire starts a group under the claim, or puts a renewed claim in force.
-func (m *Manager) Acquire(ctx context.Context, claim ownership.Claim) {
+// Acquire starts a group under the claim, or puts a renewed claim in force. reclaimed is true when the last owner was an
+// earlier process of this instance.
+func (m *Manager) Acquire(ctx context.Context, claim ownership.Claim, reclaimed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if g := m.groups[claim.Group]; g != nil {
 		g.renew(claim)
 		return
 	}
-	g := newGroup(m.o, claim)
+	g := newGroup(m.o, claim, reclaimed)
 	if old := m.draining[claim.Group]; old != nil {
 		delete(m.draining, claim.Group)
 		old.stop()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -68,8 +68,10 @@
 	near bool
 	// before is true when this process was the last owner.
 	before bool
-	retry  time.Time
-	busy   bool
+	// reclaimed is true when this process took the group over from an earlier one of its instance.
+	reclaimed bool
+	retry     time.Time
+	busy      bool
 	// last is the newest claim, also after its end.
 	last Claim
 }
@@ -134,6 +136,7 @@
 		return
 	}
 	p.strongest = max(p.strongest, c.Cores)
+	g.reclaimed = p.mine(c) && (g.reclaimed || g.claim.Owner == p.self.Instance && !p.mine(g.claim))
 	g.claim, g.last, g.dead, g.free = c, c, false, time.Time{}
 	g.before = p.mine(c)
 	if c.Owner == p.self.Instance && !p.mine(c) {
@@ -162,6 +165,13 @@
 	return true
 }
 
+// Reclaimed reports whether this process owns the group and took it over from an earlier process of its instance, which
+// surely has ended.
+func (p *Planner) Reclaimed(id upstream.GroupID) bool {
+	g := p.groups[id]
+	return g != nil && g.reclaimed
+}
+
 // Claim returns the known claim of a group; Owner is empty when there is none.
 func (p *Planner) Claim(id upstream.GroupID) Claim {
 	if g := p.groups[id]; g != nil {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -77,6 +77,12 @@
 	actions := restarted.Plan(epoch)
 	is.Equal(len(actions), 1)
 	is.Equal(actions[0].Expected, uint64(5))
+	is.True(!restarted.Reclaimed("g"))
+	restarted.SetClaim(claim("g", "a", "p2", 6), epoch)
+	is.True(restarted.Reclaimed("g"))
+	restarted.SetClaim(claim("g", "b", "x", 7), epoch)
+	restarted.SetClaim(claim("g", "a", "p2", 8), epoch)
+	is.True(!restarted.Reclaimed("g")) // another instance was the last owner
 }
 
 func TestALaterClaimOfAnotherEndsTheOwnership(t *testing.T) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -26,6 +26,11 @@
 	// slowConsumption is in tokens a second. Below it tokens are asked for one by one, because those that wait in many
 	// stocks would lapse unused.
 	slowConsumption = 4
+	// restartTokens and restartRate are what a coordinator starts with when it succeeds an earlier process of the same
+	// instance, which surely has ended: some tokens, and the yield of some time. Several restarts within one window of the
+	// contract stay within its tolerance, as nothing is granted while the process is down.
+	restartTokens = 6
+	restartRate   = 250 * time.Millisecond
 	// maxGrant bounds the tokens of one grant.
 	maxGrant = 1000
 	// consumptionMemory is the time constant of the measured consumption.
@@ -61,8 +66,9 @@
 
 // Pool grants the tokens of the customers whose coordinator this owner is.
 type Pool struct {
-	buckets map[string]*pooled
-	start   time.Time
+	buckets   map[string]*pooled
+	start     time.Time
+	restarted bool
 }
 
 // pooled is the pooled part of one contract.
@@ -71,9 +77,18 @@
 	contract config.Contract
 }
 
-// NewPool returns a pool whose buckets are empty at start, the time from which nobody else grants.
-func NewPool(start time.Time) *Pool {
-	return &Pool{buckets: make(map[string]*pooled), start: start}
+// NewPool returns a pool whose buckets are empty at start, the time from which nobody else grants. restarted is true when the
+// coordinator before was an earlier process of this instance; the buckets then hold a little.
+func NewPool(start time.Time, restarted bool) *Pool {
+	return &Pool{buckets: make(map[string]*pooled), start: start, restarted: restarted}
+}
+
+// startTokens returns what a bucket holds at the start.
+func (p *Pool) startTokens(c *catalog.Customer) int {
+	if !p.restarted {
+		return 0
+	}
+	return min(restartTokens+int(c.Rate*restartRate.Seconds()), int(c.Burst))
 }
 
 // Grant takes at most n tokens of the customer, whose contract is split over the given number of groups, and returns how
@@ -82,7 +97,7 @@
 	want := contract(c, pooledPart(c, groups))
 	b := p.buckets[c.Name]
 	if b == nil {
-		b = &pooled{bucket: admission.NewBucket(want, 0, p.start), contract: want}
+		b = &pooled{bucket: admission.NewBucket(want, admission.MicroTokens(p.startTokens(c))*admission.Token, p.start), contract: want}
 		p.buckets[c.Name] = b
 	}
 	if b.contract != want {
