Keep claims beyond the lease, bound to a sign of life; shorten the lease

Change: a claim is a key without a lease; each owner's process has one sign of life, bound to its lease of 1.6 s and written in the same transaction. A claim whose owner has lapsed is replaced only if the sign of life is still missing in the store at that moment, so that a stale reading cannot replace a live owner. A restarted process finds its claims however long it was away. The wide spread of claims now applies to the first start of the fleet only. TestALapsedOwnerIsReplacedUnderItsSignOfLife, TestARestartAfterTheLeaseFindsItsGroups.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -14,17 +14,17 @@
 
 const (
 	// leaseTime is how long a claim outlives its owner.
-	leaseTime = 2500 * time.Millisecond
+	leaseTime = 1600 * time.Millisecond
 	// keepGap is the time between two renewals.
-	keepGap = 700 * time.Millisecond
+	keepGap = 450 * time.Millisecond
 	// leaseMargin covers the time between the check of a lease and the effect of what was decided.
-	leaseMargin = 300 * time.Millisecond
+	leaseMargin = 250 * time.Millisecond
 	// keyGap is the time between two proofs that keys are in force.
 	keyGap = 1900 * time.Millisecond
 	// storeRetry is the pause after a failed call.
 	storeRetry = 250 * time.Millisecond
 	// claimTimeout bounds a write to the store.
-	claimTimeout = 800 * time.Millisecond
+	claimTimeout = 600 * time.Millisecond
 )
 
 func storeMax(v *atomic.Int64, x int64) {
@@ -66,7 +66,7 @@
 func (n *Node) claim(ctx context.Context, a ownership.Action) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	revision, err := n.swapClaim(ctx, a.Group, a.Expected)
+	revision, err := n.swapClaim(ctx, a)
 	n.o.Log.Info("claimed a group", "group", a.Group, "cause", a.Cause, "expected", a.Expected, "waited", a.Waited, "claim", revision, "error", err)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -74,8 +74,8 @@
 	n.signal()
 }
 
-// swapClaim writes this process's claim in place of the expected revision and puts it in force.
-func (n *Node) swapClaim(ctx context.Context, id upstream.GroupID, expected uint64) (uint64, error) {
+// swapClaim writes this process's claim in place of the expected one and puts it in force.
+func (n *Node) swapClaim(ctx context.Context, a ownership.Action) (uint64, error) {
 	lease, err := n.ensureLease(ctx)
 	if err != nil {
 		return 0, errors.Wrap(err, "lease")
@@ -87,8 +87,17 @@
 		}
 	}
 	self := n.o.Settings
-	c := ownership.Claim{Group: id, Owner: self.Instance, Process: self.Process, Address: self.PeerAddress, Cores: self.Cores}
-	revision, err := n.o.Store.Swap(ctx, n.o.Decoder.ClaimKey(id), expected, n.o.Decoder.EncodeClaim(c), lease)
+	c := ownership.Claim{Group: a.Group, Owner: self.Instance, Process: self.Process, Address: self.PeerAddress, Cores: self.Cores}
+	expected := []Expected{{Key: n.o.Decoder.ClaimKey(a.Group), Revision: a.Expected}}
+	if a.Lapsed != (ownership.Process{}) {
+		// What this process has read may be older than the owner's new sign of life.
+		expected = append(expected, Expected{Key: n.o.Decoder.ProcessKey(a.Lapsed)})
+	}
+	writes := []Write{{Key: expected[0].Key, Value: n.o.Decoder.EncodeClaim(c)}}
+	if !n.hasSigned(lease) {
+		writes = append(writes, Write{Key: n.o.Decoder.ProcessKey(c.By()), Lease: lease})
+	}
+	revision, err := n.o.Store.Swap(ctx, expected, writes)
 	if errors.Is(err, platform.ErrLeaseExpired) {
 		n.dropLease(lease)
 	}
@@ -99,10 +108,19 @@
 	c.Revision = revision
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.signed = lease
+	n.planner.SetAlive(c.By(), true, n.o.Clock())
 	n.applyClaim(ClaimChange{Claim: c})
 	return revision, nil
 }
 
+// hasSigned reports whether this process's sign of life is bound to the lease.
+func (n *Node) hasSigned(lease platform.LeaseID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.signed == lease
+}
+
 // renewClaim replaces this process's claim by one with a higher revision.
 func (n *Node) renewClaim(id upstream.GroupID) {
 	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
@@ -111,7 +129,7 @@
 	if !mine {
 		return
 	}
-	revision, err := n.swapClaim(ctx, id, c.Revision)
+	revision, err := n.swapClaim(ctx, ownership.Action{Group: id, Expected: c.Revision})
 	n.o.Log.Info("renewed the claim on a group", "group", id, "before", c.Revision, "claim", revision, "error", err)
 }
 
@@ -183,7 +201,7 @@
 			n.mu.Unlock()
 		case errors.Is(err, platform.ErrLeaseExpired):
 			n.dropLease(lease)
-			n.reclaim()
+			n.lapse()
 		default:
 			n.o.Log.Warn("could not renew the lease", "lease", lease, "valid_for", time.Duration(n.validTo.Load()-n.o.Clock().UnixNano()), "error", err)
 			gap = storeRetry
@@ -191,14 +209,11 @@
 	}
 }
 
-// reclaim treats the claims that were bound to a lapsed lease as removed.
-func (n *Node) reclaim() {
+// lapse treats this process's sign of life as gone, after its lease has lapsed.
+func (n *Node) lapse() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.o.Clock()
-	for _, c := range n.planner.Owned() {
-		n.planner.Removed(c.Group, now)
-	}
+	n.planner.SetAlive(ownership.Process{Instance: n.o.Settings.Instance, ID: n.o.Settings.Process}, false, n.o.Clock())
 	n.announce()
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -32,6 +32,7 @@
 	touched := make(map[upstream.GroupID]bool)
 	listed := make(map[upstream.MemberID]bool)
 	claimed := make(map[upstream.GroupID]bool)
+	alive := make(map[ownership.Process]bool)
 	out := make(map[instance.FailureDomain]bool)
 	for _, e := range entries {
 		c, ok := n.apply(mirror.Event{Entry: e}, touched)
@@ -41,6 +42,8 @@
 			listed[c.Member.ID] = true
 		case c.Claim != nil:
 			claimed[c.Claim.Claim.Group] = true
+		case c.Process != nil:
+			alive[c.Process.Process] = true
 		case c.Domain != nil:
 			out[c.Domain.Domain] = c.Domain.Out
 		}
@@ -48,8 +51,10 @@
 	switch prefixes := n.o.Decoder.Prefixes(); prefix {
 	case prefixes.Members:
 		n.dropMembers(listed, touched)
-	case prefixes.Claims:
+	case prefixes.Ownership:
 		n.dropClaims(claimed)
+		n.planner.SetAllAlive(alive, n.o.Clock())
+		n.announce()
 	case prefixes.Operators:
 		n.out.Store(&out)
 	}
@@ -70,8 +75,8 @@
 
 // dropClaims forgets the claims that are not listed. The node is locked.
 func (n *Node) dropClaims(listed map[upstream.GroupID]bool) {
-	for id := range n.planner.Claims() {
-		if !listed[id] {
+	for id := range n.planner.LastClaims() {
+		if !listed[id] && n.planner.Claim(id).Owner != "" {
 			n.applyClaim(ClaimChange{Claim: ownership.Claim{Group: id}, Removed: true})
 		}
 	}
@@ -120,6 +125,8 @@
 		n.applyDomain(*c.Domain)
 	case c.Claim != nil:
 		n.applyClaim(*c.Claim)
+	case c.Process != nil:
+		n.applyProcess(*c.Process)
 	}
 	return c, true
 }
@@ -191,6 +198,15 @@
 	n.announce()
 }
 
+// applyProcess follows the signs of life of the owners. The node is locked.
+func (n *Node) applyProcess(c ProcessChange) {
+	if !c.Alive {
+		n.o.Log.Info("sign of life lapsed", "instance", c.Process.Instance, "process", c.Process.ID)
+	}
+	n.planner.SetAlive(c.Process, c.Alive, n.o.Clock())
+	n.announce()
+}
+
 func (n *Node) mine(c ownership.Claim) bool {
 	return c.Owner == n.o.Settings.Instance && c.Process == n.o.Settings.Process
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,8 +28,8 @@
 	mirror.Source
 	// Get returns the entry or platform.ErrNotFound. The answer is linearizable.
 	Get(ctx context.Context, key string) (mirror.Entry, error)
-	// Swap stores the value when the key's revision equals expected (0: key absent), bound to the lease.
-	Swap(ctx context.Context, key string, expected uint64, value []byte, lease platform.LeaseID) (uint64, error)
+	// Swap makes the writes, all or none, when each expected key has its revision.
+	Swap(ctx context.Context, expected []Expected, writes []Write) (uint64, error)
 	// Remove deletes the key when its revision equals expected.
 	Remove(ctx context.Context, key string, expected uint64) error
 	// Grant creates a lease and returns the time that applies.
@@ -38,12 +38,32 @@
 	End(ctx context.Context, id platform.LeaseID) error
 }
 
+// Expected is a condition of Store.Swap. Revision 0 means that the key must be absent.
+type Expected struct {
+	Key      string
+	Revision uint64
+}
+
+// Write is a value to be stored by Store.Swap, bound to the lease unless that is 0.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease platform.LeaseID
+}
+
 // Change is what an entry of the store says. Exactly one field is set.
 type Change struct {
 	Catalog *catalog.Catalog
 	Member  *MemberChange
 	Domain  *DomainChange
 	Claim   *ClaimChange
+	Process *ProcessChange
+}
+
+// ProcessChange is the appearance or the end of a process's sign of life.
+type ProcessChange struct {
+	Process ownership.Process
+	Alive   bool
 }
 
 // MemberChange is the arrival, change or end of a member.
@@ -71,17 +91,19 @@
 	Decode(e mirror.Event) (Change, bool)
 	// ClaimKey returns the key of a group's claim, EncodeClaim its value.
 	ClaimKey(g upstream.GroupID) string
+	// ProcessKey returns the key of a process's sign of life; its value says nothing.
+	ProcessKey(p ownership.Process) string
 	EncodeClaim(c ownership.Claim) []byte
 	// CatalogKey is the key of the configuration.
 	CatalogKey() string
-	// Prefixes are those of the operators' entries, of the claims and of the members.
+	// Prefixes are those of the operators' entries, of the claims with the signs of life, and of the members.
 	Prefixes() Prefixes
 }
 
 // Prefixes tell where the entries of the store lie.
 type Prefixes struct {
 	Operators string
-	Claims    string
+	Ownership string
 	Members   string
 }
 
@@ -138,6 +160,8 @@
 	members map[upstream.MemberID]member.Member
 	lease   platform.LeaseID
 	ttl     time.Duration
+	// signed is the lease to which this process's sign of life is bound.
+	signed platform.LeaseID
 	// coordinatorLost is true for groups whose owner did not answer the last request for tokens.
 	coordinatorLost map[upstream.GroupID]bool
 }
@@ -250,7 +274,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for g := range c.Groups {
-		if n.planner.Claim(g).Owner == "" && n.lostAt.Load() == 0 && n.o.Clock().Sub(n.started()) < startLimit {
+		if (n.planner.Claim(g).Owner == "" || n.planner.Lapsed(g)) && n.lostAt.Load() == 0 && n.o.Clock().Sub(n.started()) < startLimit {
 			return false, "a group has no owner yet"
 		}
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -42,7 +42,7 @@
 	prefixes := n.o.Decoder.Prefixes()
 	mirrors := []*mirror.Mirror{
 		{Source: n.o.Store, Prefix: prefixes.Operators, Sink: n, Log: n.o.Log, Gather: configGather, Connected: n.connected},
-		{Source: n.o.Store, Prefix: prefixes.Claims, Sink: n, Log: n.o.Log, StartGather: startGather},
+		{Source: n.o.Store, Prefix: prefixes.Ownership, Sink: n, Log: n.o.Log, StartGather: startGather},
 	}
 	for _, m := range mirrors {
 		group.Go(func() error { return ended(background, m.Run(background)) })
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -1,6 +1,7 @@
-// Package ownership decides which database groups an instance should own. Ownership is a key in the platform's store,
-// taken by compare-and-swap and bound to a lease; the key's revision is the fencing token. The package has no goroutines,
-// sockets or clock reads.
+// Package ownership decides which database groups an instance should own. Ownership is a claim, a key in the platform's
+// store that is taken by compare-and-swap; its revision is the fencing token. A claim holds while its owner's process has a
+// sign of life, another key, which is bound to a lease. The claim itself stays when that lapses, so that a process that was
+// restarted finds its groups. The package has no goroutines, sockets or clock reads.
 //
 // No list of instances is needed: an instance that sees a group without an owner claims it after a delay of its own, and
 // the store lets one of them win.
@@ -23,7 +24,7 @@
 	farDelay = 100 * time.Millisecond
 	// heldDelay is added for each group that the instance owns, so that groups spread over the fleet.
 	heldDelay = 250 * time.Millisecond
-	// startSpread is the range while the process has just started, when many instances may have.
+	// startSpread is the range while the whole fleet starts for the first time.
 	startSpread = 700 * time.Millisecond
 	// weakDelay is added for each time that the strongest known owner has more processor time than the instance.
 	weakDelay = 150 * time.Millisecond
@@ -48,11 +49,23 @@
 	Revision uint64
 }
 
+// Process is one run of an instance.
+type Process struct {
+	Instance instance.ID
+	ID       string
+}
+
+// By returns the process that made the claim.
+func (c Claim) By() Process { return Process{Instance: c.Owner, ID: c.Process} }
+
 // Action asks to claim a group.
 type Action struct {
 	Group upstream.GroupID
 	// Expected is the revision of the claim to be replaced; 0 when there is none.
 	Expected uint64
+	// Lapsed is the process whose sign of life must still be missing when the claim is replaced; the zero Process when that
+	// process surely has ended.
+	Lapsed Process
 	// Cause says why.
 	Cause string
 	// Waited is the delay that the instance kept.
@@ -62,10 +75,12 @@
 // group is what is known of one group.
 type group struct {
 	claim Claim
-	// free is when the group was found without an owner, or its owner dead; zero while it is owned.
+	// free is when the group was found without an owner, or its owner dead or lapsed; zero while it is owned.
 	free time.Time
-	dead bool
-	near bool
+	// dead is true when the owner's process surely has ended, lapsed when its sign of life is missing.
+	dead   bool
+	lapsed bool
+	near   bool
 	// before is true when this process was the last owner.
 	before bool
 	// reclaimed is true when this process took the group over from an earlier one of its instance.
@@ -92,14 +107,16 @@
 	// strongest is the most processor time, in cores, of any known owner or of this process.
 	strongest float64
 	groups    map[upstream.GroupID]*group
-	started   time.Time
+	// alive holds the processes with a sign of life in the store.
+	alive   map[Process]bool
+	started time.Time
 	// barred is true while the instance must not take groups: it leaves or cannot serve.
 	barred bool
 }
 
 // NewPlanner returns a planner without groups.
 func NewPlanner(self Self, now time.Time) *Planner {
-	return &Planner{self: self, strongest: self.Cores, groups: make(map[upstream.GroupID]*group), started: now}
+	return &Planner{self: self, strongest: self.Cores, groups: make(map[upstream.GroupID]*group), alive: make(map[Process]bool), started: now}
 }
 
 // SetGroups replaces the groups.
@@ -137,7 +154,7 @@
 	}
 	p.strongest = max(p.strongest, c.Cores)
 	g.reclaimed = p.mine(c) && (g.reclaimed || g.claim.Owner == p.self.Instance && !p.mine(g.claim))
-	g.claim, g.last, g.dead, g.free = c, c, false, time.Time{}
+	g.claim, g.last, g.dead, g.lapsed, g.free = c, c, false, false, time.Time{}
 	g.before = p.mine(c)
 	if c.Owner == p.self.Instance && !p.mine(c) {
 		// The owner was an earlier process of this instance.
@@ -152,7 +169,37 @@
 		return
 	}
 	g.claim = Claim{Group: id}
-	g.dead, g.free = false, now
+	g.dead, g.lapsed, g.free = false, false, now
+}
+
+// SetAlive records whether the store holds a sign of life of the process.
+func (p *Planner) SetAlive(of Process, alive bool, now time.Time) {
+	if !alive {
+		delete(p.alive, of)
+		p.lapse(now)
+		return
+	}
+	p.alive[of] = true
+	for _, g := range p.groups {
+		if g.lapsed && g.claim.By() == of {
+			g.lapsed, g.free = false, time.Time{}
+		}
+	}
+}
+
+// SetAllAlive replaces the processes that have a sign of life.
+func (p *Planner) SetAllAlive(alive map[Process]bool, now time.Time) {
+	p.alive = alive
+	p.lapse(now)
+}
+
+// lapse frees the groups whose owners have no sign of life.
+func (p *Planner) lapse(now time.Time) {
+	for _, g := range p.groups {
+		if g.claim.Owner != "" && !g.dead && !g.lapsed && !p.alive[g.claim.By()] {
+			g.lapsed, g.free = true, now
+		}
+	}
 }
 
 // OwnerDead records proof that the process that holds the claim has ended. It returns false when that was known.
@@ -161,7 +208,10 @@
 	if g == nil || g.claim.Revision != revision || g.dead || p.mine(g.claim) {
 		return false
 	}
-	g.dead, g.free = true, now
+	if !g.lapsed {
+		g.free = now
+	}
+	g.dead = true
 	return true
 }
 
@@ -172,7 +222,7 @@
 	return g != nil && g.reclaimed
 }
 
-// Claim returns the known claim of a group; Owner is empty when there is none.
+// Claim returns the known claim of a group, also when it has lapsed; Owner is empty when there is none.
 func (p *Planner) Claim(id upstream.GroupID) Claim {
 	if g := p.groups[id]; g != nil {
 		return g.claim
@@ -180,6 +230,12 @@
 	return Claim{}
 }
 
+// Lapsed reports whether the owner's sign of life is missing.
+func (p *Planner) Lapsed(id upstream.GroupID) bool {
+	g := p.groups[id]
+	return g != nil && g.lapsed
+}
+
 // Plan returns the claims to make now and marks them; ClaimDone must follow for each.
 func (p *Planner) Plan(now time.Time) []Action {
 	if p.barred {
@@ -196,7 +252,11 @@
 			continue
 		}
 		g.busy = true
-		actions = append(actions, Action{Group: id, Expected: g.claim.Revision, Cause: g.cause(), Waited: wait})
+		a := Action{Group: id, Expected: g.claim.Revision, Cause: g.cause(), Waited: wait}
+		if g.lapsed && !g.dead && !p.mine(g.claim) {
+			a.Lapsed = g.claim.By()
+		}
+		actions = append(actions, a)
 	}
 	return actions
 }
@@ -231,8 +291,8 @@
 func (p *Planner) Owned() []Claim {
 	var owned []Claim
 	for _, id := range p.order() {
-		if c := p.groups[id].claim; p.mine(c) {
-			owned = append(owned, c)
+		if g := p.groups[id]; p.mine(g.claim) && !g.lapsed {
+			owned = append(owned, g.claim)
 		}
 	}
 	return owned
@@ -246,7 +306,7 @@
 	switch {
 	case g.dead:
 		return "owner_dead"
-	case g.before:
+	case g.lapsed:
 		return "lease_lapsed"
 	default:
 		return "no_owner"
@@ -259,7 +319,7 @@
 		return 0
 	}
 	width := spread
-	if now.Sub(p.started) < 2*startSpread {
+	if p.self.FirstStart && now.Sub(p.started) < 2*startSpread {
 		width = startSpread
 	}
 	d := time.Duration(xxhash.Sum64String(string(p.self.Instance)+"/"+string(id)) % uint64(width))
@@ -268,7 +328,7 @@
 	}
 	d += p.weakness(now)
 	for _, other := range p.groups {
-		if p.mine(other.claim) || other.busy {
+		if p.mine(other.claim) && !other.lapsed || other.busy {
 			d += heldDelay
 		}
 	}
@@ -300,9 +360,14 @@
 // Started returns when the process started.
 func (p *Planner) Started() time.Time { return p.started }
 
-// Claims returns a copy of the known claims; groups without an owner are left out.
+// Claims returns a copy of the known claims; groups without an owner, and lapsed claims, are left out.
 func (p *Planner) Claims() map[upstream.GroupID]Claim {
-	return p.copyClaims(func(g *group) Claim { return g.claim })
+	return p.copyClaims(func(g *group) Claim {
+		if g.lapsed {
+			return Claim{}
+		}
+		return g.claim
+	})
 }
 
 // LastClaims returns the newest claim of each group, also when it has ended: its owner may serve until there is another.
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -85,6 +85,48 @@
 	is.True(!restarted.Reclaimed("g")) // another instance was the last owner
 }
 
+// TestALapsedOwnerIsReplacedUnderItsSignOfLife: a claim that stays after its owner's sign of life may be replaced only while
+// that is still missing.
+func TestALapsedOwnerIsReplacedUnderItsSignOfLife(t *testing.T) {
+	is := is.New(t)
+	p := running("a")
+	of := Process{Instance: "b", ID: "x"}
+	p.SetClaim(claim("g", "b", "x", 5), epoch)
+	p.SetAlive(of, true, epoch)
+	is.Equal(len(p.Plan(epoch.Add(time.Hour))), 0)
+	p.SetAlive(of, false, epoch)
+	is.True(p.Lapsed("g"))
+	is.Equal(len(p.Claims()), 0)
+	is.Equal(p.LastClaims()["g"].Owner, instance.ID("b"))
+	actions := p.Plan(epoch.Add(time.Second))
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0].Expected, uint64(5))
+	is.Equal(actions[0].Lapsed, of)
+	is.Equal(actions[0].Cause, "lease_lapsed")
+	p.ClaimDone("g", epoch.Add(time.Second))
+	p.SetAlive(of, true, epoch.Add(time.Second)) // it has a new lease before anybody has claimed
+	is.Equal(len(p.Plan(epoch.Add(time.Hour))), 0)
+	is.Equal(p.Claims()["g"].Revision, uint64(5))
+	p.SetAllAlive(map[Process]bool{}, epoch.Add(time.Hour))
+	is.True(p.OwnerDead("g", 5, epoch.Add(time.Hour)))
+	actions = p.Plan(epoch.Add(2 * time.Hour))
+	is.Equal(actions[0].Lapsed, Process{}) // its process has ended, whatever the store says
+}
+
+// TestARestartAfterTheLeaseFindsItsGroups: after an outage of all instances that outlasted their leases each one takes its
+// groups back at once.
+func TestARestartAfterTheLeaseFindsItsGroups(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner(Self{Instance: "a", Process: "p2"}, epoch)
+	p.SetGroups([]upstream.GroupID{"g"}, epoch)
+	p.SetClaim(claim("g", "a", "p1", 5), epoch)
+	p.SetAllAlive(map[Process]bool{}, epoch)
+	actions := p.Plan(epoch)
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0].Expected, uint64(5))
+	is.Equal(actions[0].Lapsed, Process{})
+}
+
 func TestALaterClaimOfAnotherEndsTheOwnership(t *testing.T) {
 	is := is.New(t)
 	p := running("a")
