Claim groups also while the store is slow

Cause: a claim made up to three calls one after the other (lease, proof of keys, swap) within 0.6 s; with a store 60 times slower than usual (240 ms an answer) the first tries failed. Change: lease and proof at the same time, two seconds for the whole. TestASlowStoreDelaysOwnershipOnly (450 ms an answer) fails without the change.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/platform"
@@ -23,8 +24,10 @@
 	keyGap = 1900 * time.Millisecond
 	// storeRetry is the pause after a failed call.
 	storeRetry = 250 * time.Millisecond
-	// claimTimeout bounds a write to the store.
-	claimTimeout = 600 * time.Millisecond
+	// keepTimeout bounds the renewal of a lease.
+	keepTimeout = 600 * time.Millisecond
+	// claimTimeout bounds a claim: a few calls to a store that may be a hundred times slower than usual.
+	claimTimeout = 2 * time.Second
 )
 
 func storeMax(v *atomic.Int64, x int64) {
@@ -76,15 +79,9 @@
 
 // swapClaim writes this process's claim in place of the expected one and puts it in force.
 func (n *Node) swapClaim(ctx context.Context, a ownership.Action) (uint64, error) {
-	lease, err := n.ensureLease(ctx)
+	lease, err := n.prepareOwnership(ctx)
 	if err != nil {
-		return 0, errors.Wrap(err, "lease")
-	}
-	if n.o.Settings.KeyMaxAge > 0 && n.o.Clock().UnixNano()-n.keysAt.Load() > int64(keyGap) {
-		// An owner begins with a proof that holds until its next one.
-		if err := n.proveKeys(ctx); err != nil {
-			return 0, errors.Wrap(err, "prove keys")
-		}
+		return 0, err
 	}
 	self := n.o.Settings
 	c := ownership.Claim{Group: a.Group, Owner: self.Instance, Process: self.Process, Address: self.PeerAddress, Cores: self.Cores}
@@ -114,6 +111,30 @@
 	return revision, nil
 }
 
+// prepareOwnership returns a lease and, at the same time, proves the keys if that has to be done soon: an owner begins with a
+// proof that holds until its next one.
+func (n *Node) prepareOwnership(ctx context.Context) (lease platform.LeaseID, err error) {
+	calls, ctx := errgroup.WithContext(ctx)
+	calls.Go(func() error {
+		var err error
+		if lease, err = n.ensureLease(ctx); err != nil {
+			return errors.Wrap(err, "lease")
+		}
+		return nil
+	})
+	calls.Go(func() error {
+		if n.o.Settings.KeyMaxAge <= 0 || n.o.Clock().UnixNano()-n.keysAt.Load() <= int64(keyGap) {
+			return nil
+		}
+		if err := n.proveKeys(ctx); err != nil {
+			return errors.Wrap(err, "prove keys")
+		}
+		return nil
+	})
+	err = calls.Wait()
+	return lease, err
+}
+
 // hasSigned reports whether this process's sign of life is bound to the lease.
 func (n *Node) hasSigned(lease platform.LeaseID) bool {
 	n.mu.Lock()
@@ -191,7 +212,7 @@
 			continue
 		}
 		sent := n.o.Clock()
-		call, cancel := context.WithTimeout(ctx, claimTimeout)
+		call, cancel := context.WithTimeout(ctx, keepTimeout)
 		err := n.o.Store.Keep(call, lease)
 		cancel()
 		switch {
