Place the first owners near the primaries

Cause: at the first start nobody follows the members but owners, so that no instance knew where the primaries are and owners were placed by hash alone: two of three statements for a primary crossed failure domains once more. Change: at the first start of the fleet each instance lists the members once; instances far from a primary wait the whole spread longer. The list is used for nothing else. TestTheFirstOwnersAreNearThePrimaries fails without the change.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -82,6 +82,27 @@
 	}
 }
 
+// learnPlacement reads once which groups have their primary in this instance's failure domain, so that the fleet's first
+// owners are near to what they use most. The members themselves are followed by owners only.
+func (n *Node) learnPlacement(ctx context.Context) {
+	entries, _, err := n.o.Store.List(ctx, n.o.Decoder.Prefixes().Members)
+	if err != nil {
+		n.o.Log.Warn("could not learn where the primaries are", "error", err)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, e := range entries {
+		c, ok := n.o.Decoder.Decode(mirror.Event{Entry: e})
+		if !ok || c.Member == nil || c.Member.Member == nil {
+			continue
+		}
+		if m := c.Member.Member; m.Role == upstream.RolePrimary && m.Domain == n.o.Settings.Domain {
+			n.planner.SetNear(m.Group, true)
+		}
+	}
+}
+
 // followMembers follows the members while this instance owns a group, and for a while after.
 func (n *Node) followMembers(ctx context.Context) error {
 	for {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -47,6 +47,9 @@
 	for _, m := range mirrors {
 		group.Go(func() error { return ended(background, m.Run(background)) })
 	}
+	if n.o.Settings.FirstStart {
+		group.Go(func() error { n.learnPlacement(background); return nil })
+	}
 	group.Go(func() error { return n.followMembers(background) })
 	group.Go(func() error { return n.keepClaims(background) })
 	group.Go(func() error { return n.keepLease(background) })
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -108,7 +108,9 @@
 	strongest float64
 	groups    map[upstream.GroupID]*group
 	// alive holds the processes with a sign of life in the store.
-	alive   map[Process]bool
+	alive map[Process]bool
+	// near holds the groups whose primary is in the instance's failure domain.
+	near    map[upstream.GroupID]bool
 	started time.Time
 	// barred is true while the instance must not take groups: it leaves or cannot serve.
 	barred bool
@@ -116,7 +118,7 @@
 
 // NewPlanner returns a planner without groups.
 func NewPlanner(self Self, now time.Time) *Planner {
-	return &Planner{self: self, strongest: self.Cores, groups: make(map[upstream.GroupID]*group), alive: make(map[Process]bool), started: now}
+	return &Planner{self: self, strongest: self.Cores, groups: make(map[upstream.GroupID]*group), alive: make(map[Process]bool), near: make(map[upstream.GroupID]bool), started: now}
 }
 
 // SetGroups replaces the groups.
@@ -137,9 +139,7 @@
 
 // SetNear tells whether the instance is in the failure domain of the group's primary.
 func (p *Planner) SetNear(id upstream.GroupID, near bool) {
-	if g := p.groups[id]; g != nil {
-		g.near = near
-	}
+	p.near[id] = near
 }
 
 // SetClaim records the claim that the store holds. Older revisions than the known one are ignored.
@@ -318,13 +318,13 @@
 	if g.before && !g.dead || g.dead && g.claim.Owner == p.self.Instance {
 		return 0
 	}
-	width := spread
+	width, far := spread, farDelay
 	if p.self.FirstStart && now.Sub(p.started) < 2*startSpread {
-		width = startSpread
+		width, far = startSpread, startSpread
 	}
 	d := time.Duration(xxhash.Sum64String(string(p.self.Instance)+"/"+string(id)) % uint64(width))
-	if !g.near {
-		d += farDelay
+	if !p.near[id] {
+		d += far
 	}
 	d += p.weakness(now)
 	for _, other := range p.groups {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -243,6 +243,20 @@
 	is.True(f.claims["g1"].Owner <= "i3")
 }
 
+// TestTheFirstOwnersAreNearThePrimaries plays the first start of a fleet in which two instances are near each primary.
+func TestTheFirstOwnersAreNearThePrimaries(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, true, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4)
+	for i, p := range f.planners {
+		p.SetNear(f.groups[i%3], true)
+	}
+	f.play(0, 10*time.Second)
+	for i, g := range f.groups {
+		owner := f.claims[g].Owner
+		is.True(owner == f.planners[i].self.Instance || owner == f.planners[i+3].self.Instance)
+	}
+}
+
 // TestEqualInstancesTakeOverWithoutDelay: what weak instances wait for must not cost a fleet of equal ones.
 func TestEqualInstancesTakeOverWithoutDelay(t *testing.T) {
 	is := is.New(t)
