Spread the first owners over instances before placing them near primaries

Change: during the first start each owned group counts for twice the spread. TestOwnersSpreadAlsoWhenAllPrimariesAreInOnePlace fails without the change.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -26,6 +26,8 @@
 	heldDelay = 250 * time.Millisecond
 	// startSpread is the range while the whole fleet starts for the first time.
 	startSpread = 700 * time.Millisecond
+	// startTime is how long the first start of a fleet lasts.
+	startTime = 5 * time.Second
 	// weakDelay is added for each time that the strongest known owner has more processor time than the instance.
 	weakDelay = 150 * time.Millisecond
 	// firstStartDelay is that of an instance with one core while the whole fleet starts, when nothing is known of the others
@@ -318,9 +320,9 @@
 	if g.before && !g.dead || g.dead && g.claim.Owner == p.self.Instance {
 		return 0
 	}
-	width, far := spread, farDelay
-	if p.self.FirstStart && now.Sub(p.started) < 2*startSpread {
-		width, far = startSpread, startSpread
+	width, far, held := spread, farDelay, heldDelay
+	if p.self.FirstStart && now.Sub(p.started) < startTime {
+		width, far, held = startSpread, startSpread, 2*startSpread
 	}
 	d := time.Duration(xxhash.Sum64String(string(p.self.Instance)+"/"+string(id)) % uint64(width))
 	if !p.near[id] {
@@ -329,7 +331,7 @@
 	d += p.weakness(now)
 	for _, other := range p.groups {
 		if p.mine(other.claim) && !other.lapsed || other.busy {
-			d += heldDelay
+			d += held
 		}
 	}
 	return d
@@ -341,7 +343,7 @@
 	switch {
 	case p.self.Cores <= 0:
 		return 0
-	case p.self.FirstStart && now.Sub(p.started) < 2*startSpread+firstStartDelay:
+	case p.self.FirstStart && now.Sub(p.started) < startTime:
 		return time.Duration(float64(firstStartDelay) / p.self.Cores)
 	default:
 		return time.Duration(float64(weakDelay) * (p.strongest/p.self.Cores - 1))
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -257,6 +257,18 @@
 	}
 }
 
+// TestOwnersSpreadAlsoWhenAllPrimariesAreInOnePlace: the loss of one instance must not take several groups.
+func TestOwnersSpreadAlsoWhenAllPrimariesAreInOnePlace(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, true, 0.4, 0.4, 0.4, 0.4, 0.4, 0.4)
+	for _, g := range f.groups {
+		f.planners[0].SetNear(g, true)
+		f.planners[1].SetNear(g, true)
+	}
+	f.play(0, 10*time.Second)
+	is.Equal(len(f.held()), 3)
+}
+
 // TestEqualInstancesTakeOverWithoutDelay: what weak instances wait for must not cost a fleet of equal ones.
 func TestEqualInstancesTakeOverWithoutDelay(t *testing.T) {
 	is := is.New(t)
