Hand groups over when the owner's machine becomes slow

Change: each instance measures the time of a small fixed piece of work ten times a second and compares the median of five with the usual one. When it is three times as long, the instance gives its claims up, waits longer before it claims others, and turns its readiness off until the time is below twice the usual one. It serves a group until another instance has it, and takes it back if there is none.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,6 +149,7 @@
 	owning   chan struct{}
 	lostAt   atomic.Int64
 	draining atomic.Bool
+	slow     atomic.Bool
 	wake     chan struct{}
 	reading  flight
 
@@ -267,6 +268,8 @@
 		return false, "shutting down"
 	case c.Revision == 0:
 		return false, "no configuration yet"
+	case n.slow.Load():
+		return false, "the machine has become slow"
 	}
 	if at := n.lostAt.Load(); at != 0 && n.o.Clock().UnixNano()-at > int64(storeLossLimit) {
 		return false, "the store is away"
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -51,6 +51,7 @@
 		group.Go(func() error { n.learnPlacement(background); return nil })
 	}
 	group.Go(func() error { return n.followMembers(background) })
+	group.Go(func() error { return n.watchSpeed(background) })
 	group.Go(func() error { return n.keepClaims(background) })
 	group.Go(func() error { return n.keepLease(background) })
 	group.Go(func() error { return n.keepKeys(background) })
@@ -144,9 +145,7 @@
 func (n *Node) handOver(ctx context.Context, c ownership.Claim) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTime)
 	defer cancel()
-	if err := n.o.Store.Remove(ctx, n.o.Decoder.ClaimKey(c.Group), c.Revision); err != nil {
-		n.o.Log.Warn("could not give a claim up", "group", c.Group, "claim", c.Revision, "error", err)
-	}
+	n.giveUp(ctx, c)
 	for ctx.Err() == nil {
 		now, _, changed := n.Current(c.Group)
 		if now.Owner != "" && now.Owner != n.o.Settings.Instance {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -85,6 +85,8 @@
 	near   bool
 	// before is true when this process was the last owner.
 	before bool
+	// givenUp is true when this process has given the group up while it owned it.
+	givenUp bool
 	// reclaimed is true when this process took the group over from an earlier one of its instance.
 	reclaimed bool
 	retry     time.Time
@@ -112,15 +114,17 @@
 	// alive holds the processes with a sign of life in the store.
 	alive map[Process]bool
 	// near holds the groups whose primary is in the instance's failure domain.
-	near    map[upstream.GroupID]bool
-	started time.Time
+	near map[upstream.GroupID]bool
+	// slowdown is how many times slower than usual the instance runs.
+	slowdown float64
+	started  time.Time
 	// barred is true while the instance must not take groups: it leaves or cannot serve.
 	barred bool
 }
 
 // NewPlanner returns a planner without groups.
 func NewPlanner(self Self, now time.Time) *Planner {
-	return &Planner{self: self, strongest: self.Cores, groups: make(map[upstream.GroupID]*group), alive: make(map[Process]bool), near: make(map[upstream.GroupID]bool), started: now}
+	return &Planner{self: self, strongest: self.Cores, slowdown: 1, groups: make(map[upstream.GroupID]*group), alive: make(map[Process]bool), near: make(map[upstream.GroupID]bool), started: now}
 }
 
 // SetGroups replaces the groups.
@@ -157,7 +161,7 @@
 	p.strongest = max(p.strongest, c.Cores)
 	g.reclaimed = p.mine(c) && (g.reclaimed || g.claim.Owner == p.self.Instance && !p.mine(g.claim))
 	g.claim, g.last, g.dead, g.lapsed, g.free = c, c, false, false, time.Time{}
-	g.before = p.mine(c)
+	g.before, g.givenUp = p.mine(c), false
 	if c.Owner == p.self.Instance && !p.mine(c) {
 		// The owner was an earlier process of this instance.
 		g.dead, g.free = true, now
@@ -317,7 +321,7 @@
 
 // delay is how long the instance lets better placed ones go first.
 func (p *Planner) delay(id upstream.GroupID, g *group, now time.Time) time.Duration {
-	if g.before && !g.dead || g.dead && g.claim.Owner == p.self.Instance {
+	if g.before && !g.dead && !g.givenUp || g.dead && g.claim.Owner == p.self.Instance {
 		return 0
 	}
 	width, far, held := spread, farDelay, heldDelay
@@ -342,11 +346,21 @@
 func (p *Planner) weakness(now time.Time) time.Duration {
 	switch {
 	case p.self.Cores <= 0:
-		return 0
+		return time.Duration(float64(weakDelay) * (p.slowdown - 1))
 	case p.self.FirstStart && now.Sub(p.started) < startTime:
 		return time.Duration(float64(firstStartDelay) / p.self.Cores)
 	default:
-		return time.Duration(float64(weakDelay) * (p.strongest/p.self.Cores - 1))
+		return time.Duration(float64(weakDelay) * (p.strongest/p.self.Cores*p.slowdown - 1))
+	}
+}
+
+// SetSlowdown tells how many times slower than usual the instance runs; 1 is usual.
+func (p *Planner) SetSlowdown(factor float64) { p.slowdown = max(1, factor) }
+
+// GiveUp makes the instance wait like any other before it claims the group again.
+func (p *Planner) GiveUp(id upstream.GroupID) {
+	if g := p.groups[id]; g != nil {
+		g.givenUp = true
 	}
 }
 
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -269,6 +269,29 @@
 	is.Equal(len(f.held()), 3)
 }
 
+// TestASlowOwnerIsSucceededByAnother: what a slow instance gives up goes to one that is not slow; when there is none it takes
+// the group back.
+func TestASlowOwnerIsSucceededByAnother(t *testing.T) {
+	for _, others := range []int{5, 0} {
+		is := is.New(t)
+		f := newFleet(1, false, slices.Repeat([]float64{0.4}, 1+others)...)
+		slow := f.planners[0]
+		f.planners = f.planners[:1]
+		f.play(0, time.Second)
+		is.Equal(f.claims["g1"].Owner, slow.self.Instance)
+		f.planners = newFleet(1, false, slices.Repeat([]float64{0.4}, 1+others)...).planners
+		f.planners[0] = slow
+		slow.SetSlowdown(8)
+		slow.GiveUp("g1")
+		delete(f.claims, "g1")
+		for _, p := range f.planners {
+			p.Removed("g1", epoch.Add(time.Second))
+		}
+		f.play(time.Second, 4*time.Second)
+		is.Equal(f.claims["g1"].Owner == slow.self.Instance, others == 0)
+	}
+}
+
 // TestEqualInstancesTakeOverWithoutDelay: what weak instances wait for must not cost a fleet of equal ones.
 func TestEqualInstancesTakeOverWithoutDelay(t *testing.T) {
 	is := is.New(t)
