--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -9,6 +9,8 @@
 	lagProbe = 100 * time.Millisecond
 	// minPatience is the shortest time for which an item may wait although it will be late.
 	minPatience = 30 * time.Millisecond
+	// noMemberRetry is told to a refused caller when no member is in sight.
+	noMemberRetry = 400 * time.Millisecond
 	// comeBack is the least time told to a refused caller.
 	comeBack = 20 * time.Millisecond
 )
@@ -46,6 +48,16 @@
 	return false
 }
 
+// anyUsable reports whether a member can run the item now or once its log has caught up.
+func (s *Scheduler) anyUsable(w *waiting) bool {
+	for _, m := range s.members {
+		if m.Usable && (m.Primary || w.Need == NeedAny) {
+			return true
+		}
+	}
+	return false
+}
+
 // eligible reports whether the member may run the item.
 func (s *Scheduler) eligible(m *member, w *waiting, now time.Time) bool {
 	if !m.Usable || m.ID == w.Avoid && len(s.members) > 1 && w.Need == NeedAny {
@@ -168,14 +180,18 @@
 
 // refuseWithoutMember lets the item wait for a member that is expected in time.
 func (s *Scheduler) refuseWithoutMember(it *Item, now time.Time) *Refusal {
-	wait := 2 * openRetry
+	if s.primaryExpected.After(now) && s.primaryExpected.Add(it.Cost).Before(it.Due) {
+		return nil
+	}
+	return &Refusal{Reason: ReasonNoMember, After: s.nextMember(now), Waiting: len(s.queue)}
+}
+
+// nextMember returns when a member may be able to serve again, while none is.
+func (s *Scheduler) nextMember(now time.Time) time.Duration {
 	if s.primaryExpected.After(now) {
-		wait = s.primaryExpected.Sub(now)
-		if now.Add(wait + it.Cost).Before(it.Due) {
-			return nil
-		}
+		return max(s.primaryExpected.Sub(now), comeBack)
 	}
-	return &Refusal{Reason: ReasonNoMember, After: max(wait, comeBack), Waiting: len(s.queue)}
+	return noMemberRetry
 }
 
 // capacity returns the slots that can run the item, the statements running in them, and whether one is free.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -246,20 +246,31 @@
 	return c != nil && c.state == connOpening
 }
 
-// expire drops the items whose deadline has passed.
+// expire drops the items whose deadline has passed, and those that nothing can serve before it.
 func (s *Scheduler) expire(now time.Time, p *Plan) {
 	for i := 0; i < len(s.queue); {
 		w := s.queue[i]
-		if now.Before(w.Deadline) {
+		r := s.hopeless(w, now)
+		if r == nil {
 			i++
 			continue
 		}
 		s.remove(i)
-		r := Refusal{Reason: ReasonDeadline, After: w.Cost, Ahead: now.Sub(w.since), Waiting: len(s.queue)}
-		p.Expired = append(p.Expired, Expired{Ticket: w.ticket, Refusal: r})
+		p.Expired = append(p.Expired, Expired{Ticket: w.ticket, Refusal: *r})
 	}
 }
 
+// hopeless returns why a waiting item cannot be served any more, or nil.
+func (s *Scheduler) hopeless(w *waiting, now time.Time) *Refusal {
+	if !now.Before(w.Deadline) {
+		return &Refusal{Reason: ReasonDeadline, After: w.Cost, Ahead: now.Sub(w.since), Waiting: len(s.queue)}
+	}
+	if s.anyUsable(w) || s.primaryExpected.After(now) && s.primaryExpected.Add(w.Cost).Before(w.Deadline) {
+		return nil
+	}
+	return &Refusal{Reason: ReasonNoMember, After: s.nextMember(now), Ahead: now.Sub(w.since), Waiting: len(s.queue)}
+}
+
 // assign gives connections to items that can still be in time, or to the others.
 func (s *Scheduler) assign(now time.Time, p *Plan, inTime bool) {
 	for i := 0; i < len(s.queue); {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -211,6 +211,29 @@
 	submit(t, s, write("a", epoch), epoch) // in time for the caller
 }
 
+// TestWaitingStatementsAreRefusedWhenNothingCanServeThem: a statement that waits when its members disappear is answered at
+// once, unless a primary is expected before its deadline.
+func TestWaitingStatementsAreRefusedWhenNothingCanServeThem(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	ticket := submit(t, s, write("a", epoch), epoch)
+	reader := submit(t, s, read("a", pos(5), epoch), epoch)
+	gone := members()
+	gone[0].Usable, gone[0].Primary = false, false
+	s.SetMembers(gone, at(10))
+	s.SetPrimaryExpected(at(600))
+	is.Equal(len(s.Plan(at(10)).Expired), 0) // the deadline is at 800 ms
+	s.SetPrimaryExpected(time.Time{})
+	p := s.Plan(at(100))
+	is.Equal(len(p.Expired), 1)
+	is.Equal(p.Expired[0].Ticket, ticket)
+	is.Equal(p.Expired[0].Refusal.Reason, ReasonNoMember)
+	is.True(p.Expired[0].Refusal.After > 0)
+	gone[1].Usable, gone[2].Usable = false, false // now the replicas, too
+	s.SetMembers(gone, at(110))
+	is.Equal(s.Plan(at(110)).Expired[0].Ticket, reader)
+}
+
 func TestDeadlinesEndTheWait(t *testing.T) {
 	is := is.New(t)
 	s := newScheduler(21)
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -28,6 +28,8 @@
 	CatchUpTime time.Duration
 	// LeadTime is how long a promoted member may take to lead.
 	LeadTime time.Duration
+	// HopeTime is how long after the beginning of a phase its end is still expected.
+	HopeTime time.Duration
 	// ExpectedLead is the usual time from an order until the member leads.
 	ExpectedLead time.Duration
 }
@@ -43,6 +45,7 @@
 		CatchUpTime:  800 * time.Millisecond,
 		LeadTime:     3 * time.Second,
 		ExpectedLead: 600 * time.Millisecond,
+		HopeTime:     1200 * time.Millisecond,
 	}
 }
 
@@ -200,7 +203,8 @@
 // Confirmed reports whether the platform has seen this owner's token, so that no earlier owner's order can take effect.
 func (m *Machine) Confirmed() bool { return m.confirmed }
 
-// Expected returns when a primary is expected to get work again, as an estimate.
+// Expected returns when a primary is expected to get work again, as an estimate; the zero time when nothing is known: the
+// present phase has lasted much longer than it should.
 func (m *Machine) Expected(now time.Time) time.Time {
 	at := now
 	switch m.phase {
@@ -213,6 +217,9 @@
 	default:
 		at = now.Add(m.timing.ExpectedLead)
 	}
+	if now.Sub(m.since) > m.timing.HopeTime {
+		return time.Time{}
+	}
 	return later(at, now.Add(20*time.Millisecond))
 }
 
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -192,6 +192,24 @@
 	is.True(g.leads("a"))
 }
 
+// TestAChangeThatDoesNotEndIsNotPromised: callers are told a time only while it is known.
+func TestAChangeThatDoesNotEndIsNotPromised(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	for _, p := range g.members {
+		p.fail = FailureSilent
+	}
+	g.m.Failed("a", FailureSilent, g.now)
+	g.run(500 * time.Millisecond)
+	if phase, _, _ := g.m.Phase(); phase != PhaseLeading {
+		is.True(g.m.Expected(g.now).After(g.now))
+	}
+	g.run(5 * time.Second)
+	is.True(!g.leads("a"))
+	is.True(g.m.Expected(g.now).IsZero()) // no member answers
+}
+
 func TestAMemberThatIsOutIsReplacedAndNeverChosen(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t)
