Ask the store less often for changes

Change: changes of the configuration are gathered for 500 ms (200 before), claims for 60 ms, and 1.5 s during the first start of the fleet; waiting watches last 29 s; a store that fails is asked again after at most 0.8 to 1.6 s (0.4 to 0.8 before).

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -16,10 +16,10 @@
 
 const (
 	// watchWait is how long a watch may wait for an event.
-	watchWait = 25 * time.Second
+	watchWait = 29 * time.Second
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 50 * time.Millisecond
-	maxRetry = 400 * time.Millisecond
+	maxRetry = 800 * time.Millisecond
 )
 
 // StartTime is how long a mirror counts as starting.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -295,7 +295,11 @@
 	// membersLinger is how often it is asked whether the members are still of interest.
 	membersLinger = 10 * time.Second
 	// configGather is how long changes of the configuration are gathered.
-	configGather = 200 * time.Millisecond
-	// startGather is how long changes are gathered while a fleet starts.
-	startGather = 400 * time.Millisecond
+	configGather = 500 * time.Millisecond
+	// claimGather is the same for claims and signs of life, several of which often change together.
+	claimGather = 60 * time.Millisecond
+	// startGather and firstStartGather are the same for claims while a process is new, and while the whole fleet starts for
+	// the first time, before callers come.
+	startGather      = 200 * time.Millisecond
+	firstStartGather = 1500 * time.Millisecond
 )
