--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -298,8 +298,6 @@
 	configGather = 500 * time.Millisecond
 	// claimGather is the same for claims and signs of life, several of which often change together.
 	claimGather = 60 * time.Millisecond
-	// startGather and firstStartGather are the same for claims while a process is new, and while the whole fleet starts for
-	// the first time, before callers come.
-	startGather      = 200 * time.Millisecond
-	firstStartGather = 1500 * time.Millisecond
+	// startGather is the same while a process is new. Longer would let instances try to claim what others have.
+	startGather = 400 * time.Millisecond
 )
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -42,7 +42,7 @@
 	prefixes := n.o.Decoder.Prefixes()
 	mirrors := []*mirror.Mirror{
 		{Source: n.o.Store, Prefix: prefixes.Operators, Sink: n, Log: n.o.Log, Gather: configGather, Connected: n.connected},
-		{Source: n.o.Store, Prefix: prefixes.Ownership, Sink: n, Log: n.o.Log, Gather: claimGather, StartGather: n.startGather()},
+		{Source: n.o.Store, Prefix: prefixes.Ownership, Sink: n, Log: n.o.Log, Gather: claimGather, StartGather: startGather},
 	}
 	for _, m := range mirrors {
 		group.Go(func() error { return ended(background, m.Run(background)) })
@@ -82,14 +82,6 @@
 	return err
 }
 
-// startGather returns how long claims are gathered while this process is new.
-func (n *Node) startGather() time.Duration {
-	if n.o.Settings.FirstStart {
-		return firstStartGather
-	}
-	return startGather
-}
-
 // finishPeerCalls lets the calls of peers end whose statements run already.
 func (n *Node) finishPeerCalls(s *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTime)
