--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -291,7 +291,8 @@
 }
 
 const (
-	readTimeout = 700 * time.Millisecond
+	// readTimeout bounds a reading of the configuration, which may be large; an older proof would be of little use.
+	readTimeout = 3 * time.Second
 	// membersLinger is how often it is asked whether the members are still of interest.
 	membersLinger = 10 * time.Second
 	// configGather is how long changes of the configuration are gathered.
