List the configuration during a series of changes

Cause: a watch delivers each version of the configuration with its whole value (up to 256 KB). Change: when a batch holds several versions of one key, the instance reads the content every 1.5 s until it stays the same, and watches again then; of several versions only the last is applied.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -63,6 +64,9 @@
 	Sink   Sink
 	// Gather is how long to wait after a change for others to come with it, which saves calls.
 	Gather time.Duration
+	// SeriesGather, unless 0, is the pause between two lists while one key changes again and again. A watch would deliver each
+	// of the versions, which for large values is more than a link or the store can carry.
+	SeriesGather time.Duration
 	// StartGather is used in its place during the first StartTime.
 	StartGather time.Duration
 	Log         hclog.Logger
@@ -75,6 +79,8 @@
 	started   time.Time
 	synced    bool
 	lost      bool
+	// series is true while one key changes again and again.
+	series bool
 }
 
 // Run follows the store until ctx ends.
@@ -105,32 +111,64 @@
 
 func (m *Mirror) step(ctx context.Context) error {
 	if !m.synced {
-		entries, revision, err := m.Source.List(ctx, m.Prefix)
-		if err != nil {
-			return errors.Wrap(err, "list")
-		}
-		m.revisions = make(map[string]uint64, len(entries))
-		for _, e := range entries {
-			m.revisions[e.Key] = e.Revision
-		}
-		m.Sink.Reset(m.Prefix, entries)
-		m.revision, m.synced = revision, true
-		return nil
+		return m.list(ctx)
 	}
 	events, revision, err := m.Source.Watch(ctx, m.Prefix, m.revision, watchWait)
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
-	if events = m.newer(events); len(events) > 0 {
-		m.Sink.Apply(events)
-	}
 	m.revision = max(m.revision, revision)
-	if len(events) > 0 {
-		pause(ctx, m.gather())
+	fresh := m.newer(events)
+	latest := newest(fresh)
+	if len(latest) == 0 {
+		return nil
 	}
+	m.Sink.Apply(latest)
+	if len(latest) < len(fresh) && m.SeriesGather > 0 {
+		m.series, m.synced = true, false
+		pause(ctx, m.SeriesGather)
+		return nil
+	}
+	pause(ctx, m.gather())
 	return nil
 }
 
+// list takes the complete content. During a series of changes it is taken again until nothing has changed in between.
+func (m *Mirror) list(ctx context.Context) error {
+	entries, revision, err := m.Source.List(ctx, m.Prefix)
+	if err != nil {
+		return errors.Wrap(err, "list")
+	}
+	before := m.revisions
+	m.revisions = make(map[string]uint64, len(entries))
+	for _, e := range entries {
+		m.revisions[e.Key] = e.Revision
+	}
+	m.Sink.Reset(m.Prefix, entries)
+	m.revision = revision
+	m.series = m.series && !maps.Equal(before, m.revisions)
+	m.synced = !m.series
+	if m.series {
+		pause(ctx, m.SeriesGather)
+	}
+	return nil
+}
+
+// newest returns the last of the events of each key, in order.
+func newest(events []Event) []Event {
+	last := make(map[string]int, len(events))
+	for i, e := range events {
+		last[e.Key] = i
+	}
+	var kept []Event
+	for i, e := range events {
+		if last[e.Key] == i {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
 func (m *Mirror) gather() time.Duration {
 	if time.Since(m.started) < StartTime {
 		return max(m.Gather, m.StartGather)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -124,3 +124,25 @@
 	_, _, states := play(listing{revision: 1}, errors.New("away"), errors.New("away"), watched{revision: 1})
 	is.Equal(states, []bool{false, true})
 }
+
+// TestASeriesOfChangesIsNotFollowedVersionByVersion: after a batch with several versions of one key the content is listed,
+// until it stays the same; only the last version of each key is applied.
+func TestASeriesOfChangesIsNotFollowedVersionByVersion(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	s := &script{stop: stop, steps: []any{
+		listing{entries: []Entry{{Key: "a", Revision: 7}}, revision: 7},
+		watched{events: []Event{event("a", 8), event("b", 9), event("a", 10)}, revision: 10},
+		listing{entries: []Entry{{Key: "a", Revision: 14}, {Key: "b", Revision: 9}}, revision: 14},
+		listing{entries: []Entry{{Key: "a", Revision: 19}, {Key: "b", Revision: 9}}, revision: 19},
+		listing{entries: []Entry{{Key: "a", Revision: 19}, {Key: "b", Revision: 9}}, revision: 21},
+		watched{events: []Event{event("a", 22)}, revision: 22},
+		watched{revision: 22},
+	}}
+	r := &record{}
+	m := Mirror{Source: s, Sink: r, Log: hclog.NewNullLogger(), SeriesGather: time.Millisecond}
+	_ = m.Run(ctx)
+	is.Equal(r.keys, []string{"b", "a", "a"})
+	is.Equal(r.resets, 4)
+	is.Equal(s.after[:3], []uint64{7, 21, 22})
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -297,6 +297,9 @@
 	membersLinger = 10 * time.Second
 	// configGather is how long changes of the configuration are gathered.
 	configGather = 500 * time.Millisecond
+	// configSeriesGather is the pause between two readings while the configuration changes again and again: the next one must
+	// be in force within three seconds.
+	configSeriesGather = 1500 * time.Millisecond
 	// claimGather is the same for claims and signs of life, several of which often change together.
 	claimGather = 60 * time.Millisecond
 	// startGather is the same while a process is new. Longer would let instances try to claim what others have.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -41,7 +41,7 @@
 	group, background := errgroup.WithContext(background)
 	prefixes := n.o.Decoder.Prefixes()
 	mirrors := []*mirror.Mirror{
-		{Source: n.o.Store, Prefix: prefixes.Operators, Sink: n, Log: n.o.Log, Gather: configGather, Connected: n.connected},
+		{Source: n.o.Store, Prefix: prefixes.Operators, Sink: n, Log: n.o.Log, Gather: configGather, SeriesGather: configSeriesGather, Connected: n.connected},
 		{Source: n.o.Store, Prefix: prefixes.Ownership, Sink: n, Log: n.o.Log, Gather: claimGather, StartGather: startGather},
 	}
 	for _, m := range mirrors {
