Learn the owner of a group from a refused claim

Change: the store's answer to a failed condition carries the entry as it is; it is taken like one of the watch.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/platform"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -98,6 +99,10 @@
 	if errors.Is(err, platform.ErrLeaseExpired) {
 		n.dropLease(lease)
 	}
+	if c := (*ConflictError)(nil); errors.As(err, &c) {
+		// The owner is known now, long before the watch tells.
+		n.learn(c.Current)
+	}
 	if err != nil {
 		// When the answer was lost, the watch tells whether the claim took effect.
 		return 0, errors.Wrap(err, "swap")
@@ -111,6 +116,15 @@
 	return revision, nil
 }
 
+// learn takes entries that the store has just shown.
+func (n *Node) learn(entries []mirror.Entry) {
+	events := make([]mirror.Event, len(entries))
+	for i, e := range entries {
+		events[i] = mirror.Event{Entry: e}
+	}
+	n.Apply(events)
+}
+
 // prepareOwnership returns a lease and, at the same time, proves the keys if that has to be done soon: an owner begins with a
 // proof that holds until its next one.
 func (n *Node) prepareOwnership(ctx context.Context) (lease platform.LeaseID, err error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,7 @@
 	mirror.Source
 	// Get returns the entry or platform.ErrNotFound. The answer is linearizable.
 	Get(ctx context.Context, key string) (mirror.Entry, error)
-	// Swap makes the writes, all or none, when each expected key has its revision.
+	// Swap makes the writes, all or none, when each expected key has its revision. A *ConflictError says that one has not.
 	Swap(ctx context.Context, expected []Expected, writes []Write) (uint64, error)
 	// Remove deletes the key when its revision equals expected.
 	Remove(ctx context.Context, key string, expected uint64) error
@@ -51,6 +51,18 @@
 	Lease platform.LeaseID
 }
 
+// ConflictError reports that a condition of Store.Swap does not hold; nothing was written. It is platform.ErrConflict.
+type ConflictError struct {
+	// Current holds the entries of the conditions as they are; those that are absent are left out.
+	Current []mirror.Entry
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return platform.ErrConflict.Error() }
+
+// Is reports that the error is platform.ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == platform.ErrConflict }
+
 // Change is what an entry of the store says. Exactly one field is set.
 type Change struct {
 	Catalog *catalog.Catalog
