--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -82,7 +82,6 @@
 	// dead is true when the owner's process surely has ended, lapsed when its sign of life is missing.
 	dead   bool
 	lapsed bool
-	near   bool
 	// before is true when this process was the last owner.
 	before bool
 	// givenUp is true when this process has given the group up while it owned it.
