Never make a claim without its owner's sign of life

Cause: found by reading. The sign of life is written once for a lease. When the lease has lapsed unnoticed, a renewed claim (for a higher fencing token, or of a further group) was written without any; if that owner then vanished in silence, its group would have stayed without an owner for good. Change: a claim that does not write the sign of life demands the revision at which it was written; when that is gone the lease counts as lapsed and the next try brings a new one.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -92,8 +92,12 @@
 		expected = append(expected, Expected{Key: n.o.Decoder.ProcessKey(a.Lapsed)})
 	}
 	writes := []Write{{Key: expected[0].Key, Value: n.o.Decoder.EncodeClaim(c)}}
-	if !n.hasSigned(lease) {
-		writes = append(writes, Write{Key: n.o.Decoder.ProcessKey(c.By()), Lease: lease})
+	// A claim without its owner's sign of life would never lapse.
+	sign, signed := n.o.Decoder.ProcessKey(c.By()), n.signedAt(lease)
+	if signed == 0 {
+		writes = append(writes, Write{Key: sign, Lease: lease})
+	} else {
+		expected = append(expected, Expected{Key: sign, Revision: signed})
 	}
 	revision, err := n.o.Store.Swap(ctx, expected, writes)
 	if errors.Is(err, platform.ErrLeaseExpired) {
@@ -102,6 +106,10 @@
 	if c := (*ConflictError)(nil); errors.As(err, &c) {
 		// The owner is known now, long before the watch tells.
 		n.learn(c.Current)
+		if signed != 0 && !c.holds(sign) {
+			n.dropLease(lease)
+			n.lapse()
+		}
 	}
 	if err != nil {
 		// When the answer was lost, the watch tells whether the claim took effect.
@@ -110,7 +118,9 @@
 	c.Revision = revision
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.signed = lease
+	if signed == 0 {
+		n.signed = signature{lease: lease, revision: revision}
+	}
 	n.planner.SetAlive(c.By(), true, n.o.Clock())
 	n.applyClaim(ClaimChange{Claim: c})
 	return revision, nil
@@ -149,11 +159,20 @@
 	return lease, err
 }
 
-// hasSigned reports whether this process's sign of life is bound to the lease.
-func (n *Node) hasSigned(lease platform.LeaseID) bool {
+// signature is this process's sign of life as it was written.
+type signature struct {
+	lease    platform.LeaseID
+	revision uint64
+}
+
+// signedAt returns the revision of the sign of life that is bound to the lease, 0 when there is none.
+func (n *Node) signedAt(lease platform.LeaseID) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.signed == lease
+	if n.signed.lease != lease {
+		return 0
+	}
+	return n.signed.revision
 }
 
 // renewClaim replaces this process's claim by one with a higher revision.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,11 @@
 // Error implements error.
 func (e *ConflictError) Error() string { return platform.ErrConflict.Error() }
 
+// holds reports whether the key is among the entries.
+func (e *ConflictError) holds(key string) bool {
+	return slices.ContainsFunc(e.Current, func(c mirror.Entry) bool { return c.Key == key })
+}
+
 // Is reports that the error is platform.ErrConflict.
 func (e *ConflictError) Is(target error) bool { return target == platform.ErrConflict }
 
@@ -173,8 +179,7 @@
 	members map[upstream.MemberID]member.Member
 	lease   platform.LeaseID
 	ttl     time.Duration
-	// signed is the lease to which this process's sign of life is bound.
-	signed platform.LeaseID
+	signed  signature
 	// coordinatorLost is true for groups whose owner did not answer the last request for tokens.
 	coordinatorLost map[upstream.GroupID]bool
 }
