--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -27,6 +27,9 @@
 type Claims interface {
 	// Current returns the known claim, whether this process holds it, and a channel that is closed when that changes.
 	Current(g upstream.GroupID) (claim ownership.Claim, mine bool, changed <-chan struct{})
+	// ClaimDoubted reports that the claim's owner says that it does not own the group. It may look for a newer claim, and
+	// returns soon.
+	ClaimDoubted(ctx context.Context, claim ownership.Claim)
 	// OwnerEnded reports proof that the claim's process has ended.
 	OwnerEnded(claim ownership.Claim)
 }
@@ -90,6 +93,9 @@
 		if q.InTransaction {
 			return r.refuse(q, statement.CodeAborted, "the owner of the transaction has ended", claim, err, 0)
 		}
+		if err == nil && !mine {
+			r.Claims.ClaimDoubted(ctx, claim)
+		}
 		left := patience - r.Clock().Sub(started)
 		if left <= 0 || !waitChange(ctx, changed, left) {
 			return r.refuse(q, statement.CodeBusy, "the group has no owner that can be reached", claim, err, ownerRetryAfter)
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -35,6 +35,8 @@
 	return ownership.Claim{Group: g, Owner: "self"}, true, nil
 }
 
+func (ownClaims) ClaimDoubted(context.Context, ownership.Claim) {}
+
 func (ownClaims) OwnerEnded(ownership.Claim) {}
 
 func newRouter(o *localOwner, clock func() time.Time) *Router {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -5,11 +5,14 @@
 	"maps"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/celerystep/celerystep/internal/catalog"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/platform"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -290,6 +293,32 @@
 	})
 }
 
+// ClaimDoubted implements caller.Claims. A watch whose connection went silent tells nothing for half a minute, so that the
+// claim is read; callers share one reading.
+func (n *Node) ClaimDoubted(ctx context.Context, c ownership.Claim) {
+	if known, _, _ := n.Current(c.Group); known.Revision != c.Revision {
+		return
+	}
+	n.doubting.do(ctx, func() error {
+		e, err := n.o.Store.Get(context.Background(), n.o.Decoder.ClaimKey(c.Group))
+		switch {
+		case errors.Is(err, platform.ErrNotFound):
+			return errNoNews
+		case err != nil:
+			n.o.Log.Warn("could not read a claim", "group", c.Group, "have", c.Revision, "error", err)
+			return err
+		case e.Revision <= c.Revision:
+			return errNoNews
+		}
+		n.o.Log.Info("a claim had changed without notice", "group", c.Group, "have", c.Revision, "found", e.Revision)
+		n.learn([]mirror.Entry{e})
+		return nil
+	})
+}
+
+// errNoNews makes a flight pause after a reading that brought nothing new.
+var errNoNews = errors.New("nothing has changed")
+
 const (
 	// readTimeout bounds a reading of the configuration, which may be large; an older proof would be of little use.
 	readTimeout = 3 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,6 +170,7 @@
 	slow     atomic.Bool
 	wake     chan struct{}
 	reading  flight
+	doubting flight
 
 	// claims is replaced whenever a claim changes.
 	claims atomic.Pointer[claimTable]
