Send a query again when the member had closed the kept connection

A member that was killed and restarted had closed the kept status connection; the port noticed only by the failed write. Change: a query that could not be sent whole goes out once more on a new connection; the queries (claim, fence, promote, follow, status) are idempotent.

--- a/internal/upstream/pgport/errors.go
+++ b/internal/upstream/pgport/errors.go
@@ -87,3 +87,12 @@
 		return upstream.ErrUnreachable
 	}
 }
+
+// sendError reports a query that could not be sent whole, so that the member has not run it.
+type sendError struct{ err error }
+
+// Error implements error.
+func (e *sendError) Error() string { return "send: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *sendError) Unwrap() error { return e.err }
--- a/internal/upstream/pgport/link.go
+++ b/internal/upstream/pgport/link.go
@@ -79,6 +79,13 @@
 		return "", err
 	}
 	text, err := c.exchange(ctx, sql)
+	if unsent := (*sendError)(nil); errors.As(err, &unsent) {
+		// The member had closed the kept connection, as a process that was restarted has. All queries are idempotent.
+		if c, err = l.connection(ctx, step); err != nil {
+			return "", err
+		}
+		text, err = c.exchange(ctx, sql)
+	}
 	if err != nil {
 		return "", l.fail(answerKind(err, readOnly), step, err)
 	}
@@ -311,7 +318,7 @@
 	_ = s.conn.net.SetWriteDeadline(d)
 	if err := s.conn.Send(b); err != nil {
 		s.fail(err)
-		return "", errors.Wrap(err, "send")
+		return "", &sendError{err}
 	}
 	select {
 	case a := <-s.answers:
