--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -59,21 +59,21 @@
 	defer func() { is.NoErr(f.Close(ctx)) }()
 	_, err = f.Query(ctx, "g1", "CREATE TABLE orders (id text primary key, n int)")
 	is.NoErr(err)
-	writer, open1 := open(ctx, t, f, 0), open(ctx, t, f, 1)
+	writer, other := open(ctx, t, f, 0), open(ctx, t, f, 1)
 	defer writer.Close(ctx)
-	defer open1.Close(ctx)
+	defer other.Close(ctx)
 	var n int
-	is.NoErr(open1.QueryRow(ctx, "SELECT count(*) FROM orders").Scan(&n))
+	is.NoErr(other.QueryRow(ctx, "SELECT count(*) FROM orders").Scan(&n))
 	for _, m := range []upstream.MemberID{"m1", "m2", "m3"} {
 		is.NoErr(f.SetLag(ctx, "g1", m, 2*time.Second))
 	}
 	for i := range 20 {
 		_, err = writer.Exec(ctx, "INSERT INTO orders VALUES ($1, $2)", fmt.Sprint("o", i), i)
 		is.NoErr(err)
-		_, err = open1.Exec(ctx, "SET celerystep.token = '"+writer.PgConn().ParameterStatus("celerystep.token")+"'")
+		_, err = other.Exec(ctx, "SET celerystep.token = '"+writer.PgConn().ParameterStatus("celerystep.token")+"'")
 		is.NoErr(err)
 		moved := open(ctx, t, f, 1+i%2)
-		for _, reader := range []*pgx.Conn{writer, open1, moved} {
+		for _, reader := range []*pgx.Conn{writer, other, moved} {
 			is.NoErr(reader.QueryRow(ctx, "SELECT n FROM orders WHERE id = $1", fmt.Sprint("o", i)).Scan(&n))
 			is.Equal(n, i)
 		}
