--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -192,7 +192,7 @@
 	sent := n.o.Clock()
 	n.mu.Lock()
 	lease := n.lease
-	if sent.UnixNano() >= n.validTo.Load() && len(n.planner.Owned()) == 0 {
+	if sent.UnixNano() >= n.validTo.Load() && !n.planner.OwnsAny() {
 		// Nothing depends on the lease, and it was not renewed.
 		lease, n.lease = 0, 0
 	}
@@ -239,9 +239,9 @@
 		}
 		gap = keepGap
 		n.mu.Lock()
-		lease, owned := n.lease, len(n.planner.Owned())
+		lease, owned := n.lease, n.planner.OwnsAny()
 		n.mu.Unlock()
-		if lease == 0 || owned == 0 {
+		if lease == 0 || !owned {
 			continue
 		}
 		sent := n.o.Clock()
@@ -280,9 +280,9 @@
 		}
 		gap = keyGap
 		n.mu.Lock()
-		owned := len(n.planner.Owned())
+		owned := n.planner.OwnsAny()
 		n.mu.Unlock()
-		if owned == 0 || n.o.Settings.KeyMaxAge <= 0 {
+		if !owned || n.o.Settings.KeyMaxAge <= 0 {
 			continue
 		}
 		if err := n.proveKeys(ctx); err != nil {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -131,7 +131,7 @@
 func (n *Node) ownsAny() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.planner.Owned()) > 0
+	return n.planner.OwnsAny()
 }
 
 // apply takes one event. The node is locked.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -247,16 +247,15 @@
 		return nil
 	}
 	var actions []Action
-	for _, id := range p.order() {
+	base := p.pace(now)
+	for _, id := range p.order(func(g *group) bool { return g.open() && !now.Before(g.retry) }) {
 		g := p.groups[id]
-		if g.busy || g.free.IsZero() || now.Before(g.retry) {
-			continue
-		}
-		wait := p.delay(id, g, now)
+		wait := base.delay(p, id, g)
 		if now.Sub(g.free) < wait {
 			continue
 		}
 		g.busy = true
+		base.load++
 		a := Action{Group: id, Expected: g.claim.Revision, Cause: g.cause(), Waited: wait}
 		if g.lapsed && !g.dead && !p.mine(g.claim) {
 			a.Lapsed = g.claim.By()
@@ -269,11 +268,15 @@
 // Next returns when Plan may have something to do; false when only an event can change that.
 func (p *Planner) Next(now time.Time) (time.Time, bool) {
 	var next time.Time
+	if p.barred {
+		return next, false
+	}
+	base := p.pace(now)
 	for id, g := range p.groups {
-		if g.busy || g.free.IsZero() || p.barred {
+		if !g.open() {
 			continue
 		}
-		at := g.free.Add(p.delay(id, g, now))
+		at := g.free.Add(base.delay(p, id, g))
 		if g.retry.After(at) {
 			at = g.retry
 		}
@@ -295,14 +298,25 @@
 // Owned returns the groups that this process owns.
 func (p *Planner) Owned() []Claim {
 	var owned []Claim
-	for _, id := range p.order() {
-		if g := p.groups[id]; p.mine(g.claim) && !g.lapsed {
-			owned = append(owned, g.claim)
-		}
+	for _, id := range p.order(p.owns) {
+		owned = append(owned, p.groups[id].claim)
 	}
 	return owned
 }
 
+// OwnsAny reports whether this process owns a group.
+func (p *Planner) OwnsAny() bool {
+	for _, g := range p.groups {
+		if p.owns(g) {
+			return true
+		}
+	}
+	return false
+}
+
+// owns reports whether this process owns the group.
+func (p *Planner) owns(g *group) bool { return p.mine(g.claim) && !g.lapsed }
+
 func (p *Planner) mine(c Claim) bool {
 	return c.Owner == p.self.Instance && c.Process == p.self.Process
 }
@@ -318,26 +332,43 @@
 	}
 }
 
+// open reports whether the group has no owner and no claim on it is under way.
+func (g *group) open() bool { return !g.busy && !g.free.IsZero() }
+
+// pace is what delays all claims of the instance at one moment.
+type pace struct {
+	// width is the range of the delays by which instances are set apart; far is added outside the failure domain of the
+	// primary, held for each group of the load.
+	width, far, held time.Duration
+	weakness         time.Duration
+	// load counts the groups that the instance owns or is claiming.
+	load int
+}
+
+// pace returns what delays claims now. It looks at each group once.
+func (p *Planner) pace(now time.Time) pace {
+	c := pace{width: spread, far: farDelay, held: heldDelay, weakness: p.weakness(now)}
+	if p.self.FirstStart && now.Sub(p.started) < startTime {
+		c.width, c.far, c.held = startSpread, startSpread, 2*startSpread
+	}
+	for _, g := range p.groups {
+		if p.owns(g) || g.busy {
+			c.load++
+		}
+	}
+	return c
+}
+
 // delay is how long the instance lets better placed ones go first.
-func (p *Planner) delay(id upstream.GroupID, g *group, now time.Time) time.Duration {
+func (c pace) delay(p *Planner, id upstream.GroupID, g *group) time.Duration {
 	if g.before && !g.dead && !g.givenUp || g.dead && g.claim.Owner == p.self.Instance {
 		return 0
 	}
-	width, far, held := spread, farDelay, heldDelay
-	if p.self.FirstStart && now.Sub(p.started) < startTime {
-		width, far, held = startSpread, startSpread, 2*startSpread
-	}
-	d := time.Duration(xxhash.Sum64String(string(p.self.Instance)+"/"+string(id)) % uint64(width))
+	d := time.Duration(xxhash.Sum64String(string(p.self.Instance)+"/"+string(id)) % uint64(c.width))
 	if !p.near[id] {
-		d += far
-	}
-	d += p.weakness(now)
-	for _, other := range p.groups {
-		if p.mine(other.claim) && !other.lapsed || other.busy {
-			d += held
-		}
+		d += c.far
 	}
-	return d
+	return d + c.weakness + time.Duration(c.load)*c.held
 }
 
 // weakness is how long the instance lets those with more processor time go first: an owner runs the statements of a whole
@@ -363,10 +394,13 @@
 	}
 }
 
-func (p *Planner) order() []upstream.GroupID {
-	ids := make([]upstream.GroupID, 0, len(p.groups))
-	for id := range p.groups {
-		ids = append(ids, id)
+// order returns the groups of a kind, sorted.
+func (p *Planner) order(which func(*group) bool) []upstream.GroupID {
+	var ids []upstream.GroupID
+	for id, g := range p.groups {
+		if which(g) {
+			ids = append(ids, id)
+		}
 	}
 	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	return ids
