Claim in turns at a first start; back off when the store refuses

The table of claims was copied for each change, and the members of each group were looked for among all.

Change: turns, of which half of the instances have the last one, a quarter the one before, and so on, so that few claim in the first turn that is taken, whatever the size of the fleet; claims are learned every 200 ms then, less than a turn. A claim that the store has not decided on is retried after 100 to 400 ms, doubled each time, set apart by instance. One copy of the claims for each batch of changes; members are sorted into groups once; members of groups that are not owned are not logged.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -74,10 +74,15 @@
 	n.o.Log.Info("claimed a group", "group", a.Group, "cause", a.Cause, "expected", a.Expected, "waited", a.Waited, "claim", revision, "error", err)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.planner.ClaimDone(a.Group, n.o.Clock())
+	n.planner.ClaimDone(a.Group, err == nil || isConflict(err), n.o.Clock())
 	n.signal()
 }
 
+func isConflict(err error) bool {
+	var c *ConflictError
+	return errors.As(err, &c)
+}
+
 // swapClaim writes this process's claim in place of the expected one and puts it in force.
 func (n *Node) swapClaim(ctx context.Context, a ownership.Action) (uint64, error) {
 	lease, err := n.prepareOwnership(ctx)
@@ -123,6 +128,7 @@
 	}
 	n.planner.SetAlive(c.By(), true, n.o.Clock())
 	n.applyClaim(ClaimChange{Claim: c})
+	n.publish()
 	return revision, nil
 }
 
@@ -268,7 +274,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.planner.SetAlive(ownership.Process{Instance: n.o.Settings.Instance, ID: n.o.Settings.Process}, false, n.o.Clock())
-	n.announce()
+	n.unpublished = true
+	n.publish()
 }
 
 // keepKeys proves again and again that keys are in force, while this instance owns a group.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -25,6 +25,7 @@
 		n.apply(e, touched)
 	}
 	n.tellMembers(touched)
+	n.publish()
 	n.signal()
 }
 
@@ -57,11 +58,12 @@
 	case prefixes.Ownership:
 		n.dropClaims(claimed)
 		n.planner.SetAllAlive(alive, n.o.Clock())
-		n.announce()
+		n.unpublished = true
 	case prefixes.Operators:
 		n.out.Store(&out)
 	}
 	n.tellMembers(touched)
+	n.publish()
 	n.signal()
 }
 
@@ -165,7 +167,7 @@
 	n.planner.SetGroups(c.GroupIDs(), n.o.Clock())
 	n.o.Log.Info("configuration in force", "version", c.Version, "revision", c.Revision, "before", old.Version,
 		"routes", len(c.Routes), "groups", len(c.Groups))
-	n.announce()
+	n.unpublished = true
 }
 
 func (n *Node) applyMember(c MemberChange, touched map[upstream.GroupID]bool) {
@@ -182,12 +184,18 @@
 	}
 	n.members[c.ID] = *c.Member
 	touched[c.Member.Group] = true
-	if !known || old.Role != c.Member.Role || old.Leaving != c.Member.Leaving || old.Born != c.Member.Born {
-		n.o.Log.Info("member", "member", c.ID, "group", c.Member.Group, "domain", c.Member.Domain, "role", c.Member.Role,
-			"leaving", c.Member.Leaving, "born", c.Member.Born, "slots", c.Member.Slots)
+	changed := !known || old.Role != c.Member.Role || old.Leaving != c.Member.Leaving || old.Born != c.Member.Born
+	if changed && n.mine(n.planner.Claim(c.Member.Group)) {
+		n.logMember(*c.Member)
 	}
 }
 
+// logMember logs a member of an owned group: nothing is decided on those of other groups.
+func (n *Node) logMember(m member.Member) {
+	n.o.Log.Info("member", "member", m.ID, "group", m.Group, "domain", m.Domain, "role", m.Role,
+		"leaving", m.Leaving, "born", m.Born, "slots", m.Slots)
+}
+
 func (n *Node) applyDomain(c DomainChange) {
 	out := maps.Clone(*n.out.Load())
 	out[c.Domain] = c.Out
@@ -202,7 +210,7 @@
 	if c.Removed {
 		n.o.Log.Info("claim removed", "group", id, "owner", n.planner.Claim(id).Owner)
 		n.planner.Removed(id, now)
-		n.announce()
+		n.unpublished = true
 		return
 	}
 	if c.Claim.Revision <= n.planner.Claim(id).Revision {
@@ -211,6 +219,9 @@
 	n.planner.SetClaim(c.Claim, now)
 	n.o.Log.Info("claim", "group", id, "owner", c.Claim.Owner, "process", c.Claim.Process, "claim", c.Claim.Revision)
 	if n.mine(c.Claim) {
+		for _, m := range n.Owner.Members(id) {
+			n.logMember(m)
+		}
 		n.Owner.Acquire(context.Background(), c.Claim, n.planner.Reclaimed(id))
 		select {
 		case n.owning <- struct{}{}:
@@ -219,7 +230,7 @@
 	} else {
 		n.Owner.Release(id, "another instance owns the group")
 	}
-	n.announce()
+	n.unpublished = true
 }
 
 // applyProcess follows the signs of life of the owners. The node is locked.
@@ -228,7 +239,7 @@
 		n.o.Log.Info("sign of life lapsed", "instance", c.Process.Instance, "process", c.Process.ID)
 	}
 	n.planner.SetAlive(c.Process, c.Alive, n.o.Clock())
-	n.announce()
+	n.unpublished = true
 }
 
 func (n *Node) mine(c ownership.Claim) bool {
@@ -237,18 +248,23 @@
 
 // tellMembers gives the members of the groups to the owner. The node is locked.
 func (n *Node) tellMembers(touched map[upstream.GroupID]bool) {
-	for id := range touched {
-		var list []member.Member
-		near := false
-		for _, m := range n.members {
-			if m.Group != id {
-				continue
-			}
-			list = append(list, m)
-			near = near || m.Role == upstream.RolePrimary && m.Domain == n.o.Settings.Domain
+	if len(touched) == 0 {
+		return
+	}
+	lists := make(map[upstream.GroupID][]member.Member, len(touched))
+	near := make(map[upstream.GroupID]bool)
+	for _, m := range n.members {
+		if !touched[m.Group] {
+			continue
+		}
+		lists[m.Group] = append(lists[m.Group], m)
+		if m.Role == upstream.RolePrimary && m.Domain == n.o.Settings.Domain {
+			near[m.Group] = true
 		}
-		n.planner.SetNear(id, near)
-		n.Owner.SetMembers(id, list)
+	}
+	for id := range touched {
+		n.planner.SetNear(id, near[id])
+		n.Owner.SetMembers(id, lists[id])
 	}
 }
 
@@ -331,6 +347,7 @@
 	configSeriesGather = 1500 * time.Millisecond
 	// claimGather is the same for claims and signs of life, several of which often change together.
 	claimGather = 60 * time.Millisecond
-	// startGather is the same while a process is new. Longer would let instances try to claim what others have.
-	startGather = 400 * time.Millisecond
+	// startGather is the same while a process is new: less than the time between two turns of ownership.Planner, so that
+	// instances know what others have claimed.
+	startGather = 200 * time.Millisecond
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,10 +177,12 @@
 
 	mu      sync.Mutex
 	planner *ownership.Planner
-	members map[upstream.MemberID]member.Member
-	lease   platform.LeaseID
-	ttl     time.Duration
-	signed  signature
+	// unpublished is true while the planner knows of changes that the table of claims does not have.
+	unpublished bool
+	members     map[upstream.MemberID]member.Member
+	lease       platform.LeaseID
+	ttl         time.Duration
+	signed      signature
 	// coordinatorLost is true for groups whose owner did not answer the last request for tokens.
 	coordinatorLost map[upstream.GroupID]bool
 }
@@ -328,8 +330,13 @@
 
 func (t *claimTable) of(g upstream.GroupID) ownership.Claim { return t.claims[g] }
 
-// announce publishes the claims and tells those who wait for a change. The node is locked.
-func (n *Node) announce() {
+// publish replaces the table of claims if a change is waiting for that, and tells those who wait for one. A copy for each of
+// many changes that come together would cost time with the square of the groups. The node is locked.
+func (n *Node) publish() {
+	if !n.unpublished {
+		return
+	}
+	n.unpublished = false
 	next := &claimTable{claims: n.planner.Claims(), last: n.planner.LastClaims(), changed: make(chan struct{})}
 	close(n.claims.Swap(next).changed)
 	n.signal()
--- /dev/null
+++ b/internal/ownership/bench_test.go
@@ -0,0 +1,29 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// BenchmarkPlan is one decision of an instance that owns some groups of a fleet without owners: the start.
+func BenchmarkPlan(b *testing.B) {
+	for _, groups := range []int{100, 400, 1600} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			p := NewPlanner(Self{Instance: "instance-1", Process: "p", Cores: 0.2, FirstStart: true}, now)
+			ids := make([]upstream.GroupID, groups)
+			for i := range ids {
+				ids[i] = upstream.GroupID(fmt.Sprintf("group-%d", i))
+			}
+			p.SetGroups(ids, now)
+			p.SetClaim(Claim{Group: ids[0], Owner: "instance-1", Process: "p", Revision: 1}, now)
+			for b.Loop() {
+				p.Plan(now)
+				p.Next(now)
+			}
+		})
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -8,6 +8,7 @@
 package ownership
 
 import (
+	"math/bits"
 	"sort"
 	"time"
 
@@ -24,8 +25,14 @@
 	farDelay = 100 * time.Millisecond
 	// heldDelay is added for each group that the instance owns, so that groups spread over the fleet.
 	heldDelay = 250 * time.Millisecond
-	// startSpread is the range while the whole fleet starts for the first time.
-	startSpread = 700 * time.Millisecond
+	// startSlots is the number of turns in which instances claim while the whole fleet starts for the first time, startSlot
+	// the time between two: long enough to learn from the store who has claimed in the turn before. Half of the instances
+	// have the last turn, a quarter the one before it, and so on, so that few claim in the first turn that is taken at all,
+	// whatever the size of the fleet.
+	startSlots = 6
+	startSlot  = 230 * time.Millisecond
+	// startJitter sets the claims of one turn apart.
+	startJitter = 60 * time.Millisecond
 	// startTime is how long the first start of a fleet lasts.
 	startTime = 5 * time.Second
 	// weakDelay is added for each time that the strongest known owner has more processor time than the instance.
@@ -33,8 +40,10 @@
 	// firstStartDelay is that of an instance with one core while the whole fleet starts, when nothing is known of the others
 	// and callers do not come yet.
 	firstStartDelay = 400 * time.Millisecond
-	// RetryDelay is the pause after a claim that failed.
-	RetryDelay = 100 * time.Millisecond
+	// RetryDelay is the least pause after a claim. Calls that fail one after the other double it up to maxRetryDelay, for
+	// the store may refuse them because there are too many; longer would leave a group without an owner after an outage.
+	RetryDelay    = 100 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
 )
 
 // Claim is the ownership of one group as the store has it.
@@ -117,6 +126,8 @@
 	// slowdown is how many times slower than usual the instance runs.
 	slowdown float64
 	started  time.Time
+	// failures counts the claims in a row that the store has not answered.
+	failures int
 	// barred is true while the instance must not take groups: it leaves or cannot serve.
 	barred bool
 }
@@ -287,12 +298,30 @@
 	return next, !next.IsZero()
 }
 
-// ClaimDone reports that a claim of Plan was tried. The store's content is told with SetClaim.
-func (p *Planner) ClaimDone(id upstream.GroupID, now time.Time) {
+// ClaimDone reports that a claim of Plan was tried, and whether the store decided on it. Its content is told with SetClaim.
+func (p *Planner) ClaimDone(id upstream.GroupID, decided bool, now time.Time) {
+	p.failures++
+	if decided {
+		p.failures = 0
+	}
 	if g := p.groups[id]; g != nil {
 		g.busy = false
-		g.retry = now.Add(RetryDelay)
+		g.retry = now.Add(p.retryDelay(id))
+	}
+}
+
+// retryDelay doubles with each failure; instances that failed together are set apart.
+func (p *Planner) retryDelay(id upstream.GroupID) time.Duration {
+	if p.failures == 0 {
+		return RetryDelay
 	}
+	d := min(RetryDelay<<min(p.failures-1, 8), maxRetryDelay)
+	return d + time.Duration(p.hash(id)%uint64(d))
+}
+
+// hash sets the instances apart, for each group in another order.
+func (p *Planner) hash(id upstream.GroupID) uint64 {
+	return xxhash.Sum64String(string(p.self.Instance) + "/" + string(id))
 }
 
 // Owned returns the groups that this process owns.
@@ -337,19 +366,20 @@
 
 // pace is what delays all claims of the instance at one moment.
 type pace struct {
-	// width is the range of the delays by which instances are set apart; far is added outside the failure domain of the
-	// primary, held for each group of the load.
-	width, far, held time.Duration
-	weakness         time.Duration
+	// starting is true while the whole fleet starts for the first time.
+	starting bool
+	// far is added outside the failure domain of the primary, held for each group of the load.
+	far, held time.Duration
+	weakness  time.Duration
 	// load counts the groups that the instance owns or is claiming.
 	load int
 }
 
 // pace returns what delays claims now. It looks at each group once.
 func (p *Planner) pace(now time.Time) pace {
-	c := pace{width: spread, far: farDelay, held: heldDelay, weakness: p.weakness(now)}
-	if p.self.FirstStart && now.Sub(p.started) < startTime {
-		c.width, c.far, c.held = startSpread, startSpread, 2*startSpread
+	c := pace{far: farDelay, held: heldDelay, weakness: p.weakness(now)}
+	if p.starting(now) {
+		c.starting, c.far, c.held = true, (startSlots+1)*startSlot, (startSlots+1)*startSlot
 	}
 	for _, g := range p.groups {
 		if p.owns(g) || g.busy {
@@ -359,25 +389,39 @@
 	return c
 }
 
+// turn sets the claims of several instances on one group apart.
+func (c pace) turn(hash uint64) time.Duration {
+	if !c.starting {
+		return time.Duration(hash % uint64(spread))
+	}
+	slot := startSlots - min(bits.LeadingZeros64(hash), startSlots)
+	return time.Duration(slot)*startSlot + time.Duration(hash%uint64(startJitter))
+}
+
 // delay is how long the instance lets better placed ones go first.
 func (c pace) delay(p *Planner, id upstream.GroupID, g *group) time.Duration {
 	if g.before && !g.dead && !g.givenUp || g.dead && g.claim.Owner == p.self.Instance {
 		return 0
 	}
-	d := time.Duration(xxhash.Sum64String(string(p.self.Instance)+"/"+string(id)) % uint64(c.width))
+	d := c.turn(p.hash(id))
 	if !p.near[id] {
 		d += c.far
 	}
 	return d + c.weakness + time.Duration(c.load)*c.held
 }
 
+// starting reports whether the whole fleet starts for the first time.
+func (p *Planner) starting(now time.Time) bool {
+	return p.self.FirstStart && now.Sub(p.started) < startTime
+}
+
 // weakness is how long the instance lets those with more processor time go first: an owner runs the statements of a whole
 // group.
 func (p *Planner) weakness(now time.Time) time.Duration {
 	switch {
 	case p.self.Cores <= 0:
 		return time.Duration(float64(weakDelay) * (p.slowdown - 1))
-	case p.self.FirstStart && now.Sub(p.started) < startTime:
+	case p.starting(now):
 		return time.Duration(float64(firstStartDelay) / p.self.Cores)
 	default:
 		return time.Duration(float64(weakDelay) * (p.strongest/p.self.Cores*p.slowdown - 1))
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -34,7 +34,7 @@
 	is.Equal(len(actions), 1)
 	is.Equal(actions[0].Expected, uint64(0))
 	is.Equal(len(p.Plan(at)), 0) // one try at a time
-	p.ClaimDone("g", at)
+	p.ClaimDone("g", true, at)
 	is.Equal(len(p.Plan(at.Add(RetryDelay-1))), 0)
 	is.Equal(len(p.Plan(at.Add(RetryDelay))), 1)
 }
@@ -103,7 +103,7 @@
 	is.Equal(actions[0].Expected, uint64(5))
 	is.Equal(actions[0].Lapsed, of)
 	is.Equal(actions[0].Cause, "lease_lapsed")
-	p.ClaimDone("g", epoch.Add(time.Second))
+	p.ClaimDone("g", true, epoch.Add(time.Second))
 	p.SetAlive(of, true, epoch.Add(time.Second)) // it has a new lease before anybody has claimed
 	is.Equal(len(p.Plan(epoch.Add(time.Hour))), 0)
 	is.Equal(p.Claims()["g"].Revision, uint64(5))
@@ -182,7 +182,7 @@
 		now := epoch.Add(at)
 		for _, p := range f.planners {
 			for _, a := range p.Plan(now) {
-				p.ClaimDone(a.Group, now)
+				p.ClaimDone(a.Group, true, now)
 				if f.claims[a.Group].Revision != a.Expected {
 					continue
 				}
@@ -307,3 +307,30 @@
 	b, _ := plain.Next(epoch)
 	is.Equal(a, b)
 }
+
+// TestClaimsThatFailAreRetriedLater: the store may refuse calls because there are too many of them.
+func TestClaimsThatFailAreRetriedLater(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner(Self{Instance: "a", Process: "p"}, epoch)
+	p.SetGroups([]upstream.GroupID{"g"}, epoch)
+	now, gaps := epoch, []time.Duration{}
+	for range 6 {
+		for len(p.Plan(now)) == 0 {
+			now = now.Add(time.Millisecond)
+		}
+		p.ClaimDone("g", false, now)
+		next, ok := p.Next(now)
+		is.True(ok)
+		gaps = append(gaps, next.Sub(now))
+	}
+	for i, least := range []time.Duration{RetryDelay, 2 * RetryDelay, 4 * RetryDelay, 4 * RetryDelay} {
+		is.True(gaps[i] >= least)
+		is.True(gaps[i] < 2*least)
+	}
+	for len(p.Plan(now)) == 0 {
+		now = now.Add(time.Millisecond)
+	}
+	p.ClaimDone("g", true, now)
+	next, _ := p.Next(now)
+	is.Equal(next.Sub(now), RetryDelay) // the store answers again
+}
--- /dev/null
+++ b/internal/ownership/start_test.go
@@ -0,0 +1,140 @@
+package ownership
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// play is the start of a whole fleet against a store, in steps of a millisecond.
+type play struct {
+	now      time.Time
+	planners []*Planner
+	// claims holds what the store has, by group.
+	claims map[upstream.GroupID]Claim
+	// told is the newest revision that each planner's watch has delivered, at when it delivers again.
+	told     []uint64
+	at       []time.Time
+	revision uint64
+	tries    int
+	// window is when the store last began to count writes, written how many it has counted.
+	window  time.Time
+	written int
+}
+
+const (
+	// playGather is the time between two deliveries of a watch, playCall that of one call to the store.
+	playGather = 200 * time.Millisecond
+	playCall   = 8 * time.Millisecond
+	// playWindow and playWrites limit the store's writes: 1,200 a second.
+	playWindow = 100 * time.Millisecond
+	playWrites = 120
+)
+
+// newPlay starts the instances in three failure domains within 200 ms; each group has its primary in one of them.
+func newPlay(instances, groups int, cores float64) *play {
+	began := time.Unix(1000, 0)
+	p := &play{now: began, claims: make(map[upstream.GroupID]Claim), told: make([]uint64, instances), at: make([]time.Time, instances)}
+	ids := make([]upstream.GroupID, groups)
+	for i := range ids {
+		ids[i] = upstream.GroupID(fmt.Sprintf("group-%d", i))
+	}
+	for i := range instances {
+		start := began.Add(time.Duration(i*37%200) * time.Millisecond)
+		self := Self{Instance: instance.ID(fmt.Sprintf("instance-%d", i)), Process: "p", Cores: cores, FirstStart: true}
+		planner := NewPlanner(self, start)
+		planner.SetGroups(ids, start)
+		for k, id := range ids {
+			planner.SetNear(id, k%3 == i%3)
+		}
+		p.planners, p.at[i] = append(p.planners, planner), start
+	}
+	return p
+}
+
+// claim tries an action in the store.
+func (p *play) claim(by *Planner, a Action) {
+	p.tries++
+	if p.now.Sub(p.window) >= playWindow {
+		p.window, p.written = p.now, 0
+	}
+	if p.written++; p.written > playWrites {
+		by.ClaimDone(a.Group, false, p.now)
+		return
+	}
+	known, taken := p.claims[a.Group]
+	if !taken {
+		p.revision++
+		known = Claim{Group: a.Group, Owner: by.self.Instance, Process: by.self.Process, Cores: by.self.Cores, Revision: p.revision}
+		p.claims[a.Group] = known
+	}
+	by.SetAlive(known.By(), true, p.now)
+	by.SetClaim(known, p.now)
+	by.ClaimDone(a.Group, true, p.now)
+}
+
+// deliver tells a planner what the watch has for it.
+func (p *play) deliver(i int) {
+	if p.now.Before(p.at[i]) || p.told[i] == p.revision {
+		return
+	}
+	for _, c := range p.claims {
+		if c.Revision > p.told[i] {
+			p.planners[i].SetAlive(c.By(), true, p.now)
+			p.planners[i].SetClaim(c, p.now)
+		}
+	}
+	p.told[i], p.at[i] = p.revision, p.now.Add(playGather)
+}
+
+// run plays until each group has an owner and returns how long that took.
+func (p *play) run(groups int, limit time.Duration) time.Duration {
+	began := p.now
+	for len(p.claims) < groups && p.now.Sub(began) < limit {
+		p.now = p.now.Add(playCall)
+		for i, planner := range p.planners {
+			p.deliver(i)
+			for _, a := range planner.Plan(p.now) {
+				p.claim(planner, a)
+			}
+		}
+	}
+	return p.now.Sub(began)
+}
+
+// most returns the largest number of groups that one instance owns.
+func (p *play) most() int {
+	held := make(map[instance.ID]int)
+	for _, c := range p.claims {
+		held[c.Owner]++
+	}
+	counts := []int{0}
+	for _, n := range held {
+		counts = append(counts, n)
+	}
+	sort.Ints(counts)
+	return counts[len(counts)-1]
+}
+
+// TestAFleetThatStartsClaimsEachGroupAFewTimes: callers come ten seconds after the fleet, and the store takes some hundred
+// writes a second.
+func TestAFleetThatStartsClaimsEachGroupAFewTimes(t *testing.T) {
+	for _, c := range []struct{ instances, groups int }{{6, 1}, {6, 3}, {30, 10}, {71, 8}, {100, 30}, {300, 100}} {
+		t.Run(fmt.Sprintf("%d instances, %d groups", c.instances, c.groups), func(t *testing.T) {
+			is := is.New(t)
+			p := newPlay(c.instances, c.groups, 0.2)
+			took := p.run(c.groups, 10*time.Second)
+			t.Logf("%d claims tried, all owned after %v, at most %d by one instance", p.tries, took, p.most())
+			is.Equal(len(p.claims), c.groups)
+			is.True(took <= 7*time.Second)
+			is.True(p.tries <= 4*c.groups+10)
+			is.True(p.most() <= 1+c.groups/c.instances)
+		})
+	}
+}
