Take groups over in turns that grow with the fleet

All waited 0 to 120 ms, whatever their number.

Change: turns as at the first start. Their number comes from the owners that are known: those were the first of all instances to claim, so that their rank (leading zeros of a hash) grows with the logarithm of the number of instances.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -19,18 +19,21 @@
 )
 
 const (
-	// spread is the range of the delays by which claims of several instances are set apart.
-	spread = 120 * time.Millisecond
+	// takeSlot is the time between two turns of the instances that take a group over: long enough to learn who has claimed it
+	// in the turn before.
+	takeSlot = 75 * time.Millisecond
+	// takeJitter sets the claims of one turn apart.
+	takeJitter = 60 * time.Millisecond
 	// farDelay is added when the instance is not in the failure domain of the group's primary.
 	farDelay = 100 * time.Millisecond
 	// heldDelay is added for each group that the instance owns, so that groups spread over the fleet.
 	heldDelay = 250 * time.Millisecond
-	// startSlots is the number of turns in which instances claim while the whole fleet starts for the first time, startSlot
-	// the time between two: long enough to learn from the store who has claimed in the turn before. Half of the instances
-	// have the last turn, a quarter the one before it, and so on, so that few claim in the first turn that is taken at all,
-	// whatever the size of the fleet.
-	startSlots = 6
-	startSlot  = 230 * time.Millisecond
+	// maxTurns is the number of turns after the first in which instances claim a group while the whole fleet starts and nobody
+	// knows its size. Half of the instances have the last turn, a quarter the one before it, and so on, so that few claim in
+	// the first turn that is taken at all, whatever the size of the fleet.
+	maxTurns = 6
+	// startSlot is the time between two turns then.
+	startSlot = 230 * time.Millisecond
 	// startJitter sets the claims of one turn apart.
 	startJitter = 60 * time.Millisecond
 	// startTime is how long the first start of a fleet lasts.
@@ -101,6 +104,8 @@
 	busy      bool
 	// last is the newest claim, also after its end.
 	last Claim
+	// rank is that of the last owner for this group.
+	rank int
 }
 
 // Self describes the process that a Planner decides for.
@@ -171,6 +176,7 @@
 	p.strongest = max(p.strongest, c.Cores)
 	g.reclaimed = p.mine(c) && (g.reclaimed || g.claim.Owner == p.self.Instance && !p.mine(g.claim))
 	g.claim, g.last, g.dead, g.lapsed, g.free = c, c, false, false, time.Time{}
+	g.rank = rank(hash(c.Owner, c.Group))
 	g.before, g.givenUp = p.mine(c), false
 	if c.Owner == p.self.Instance && !p.mine(c) {
 		// The owner was an earlier process of this instance.
@@ -316,14 +322,17 @@
 		return RetryDelay
 	}
 	d := min(RetryDelay<<min(p.failures-1, 8), maxRetryDelay)
-	return d + time.Duration(p.hash(id)%uint64(d))
+	return d + time.Duration(hash(p.self.Instance, id)%uint64(d))
 }
 
 // hash sets the instances apart, for each group in another order.
-func (p *Planner) hash(id upstream.GroupID) uint64 {
-	return xxhash.Sum64String(string(p.self.Instance) + "/" + string(id))
+func hash(of instance.ID, id upstream.GroupID) uint64 {
+	return xxhash.Sum64String(string(of) + "/" + string(id))
 }
 
+// rank is how early an instance may claim a group: half of the instances have rank 0, a quarter rank 1, and so on.
+func rank(hash uint64) int { return min(bits.LeadingZeros64(hash), maxTurns) }
+
 // Owned returns the groups that this process owns.
 func (p *Planner) Owned() []Claim {
 	var owned []Claim
@@ -366,8 +375,10 @@
 
 // pace is what delays all claims of the instance at one moment.
 type pace struct {
-	// starting is true while the whole fleet starts for the first time.
-	starting bool
+	// turns is the number of turns after the first, slot the time between two of them; jitter sets the claims of one turn
+	// apart.
+	turns        int
+	slot, jitter time.Duration
 	// far is added outside the failure domain of the primary, held for each group of the load.
 	far, held time.Duration
 	weakness  time.Duration
@@ -377,25 +388,31 @@
 
 // pace returns what delays claims now. It looks at each group once.
 func (p *Planner) pace(now time.Time) pace {
-	c := pace{far: farDelay, held: heldDelay, weakness: p.weakness(now)}
-	if p.starting(now) {
-		c.starting, c.far, c.held = true, (startSlots+1)*startSlot, (startSlots+1)*startSlot
-	}
+	c := pace{slot: takeSlot, jitter: takeJitter, far: farDelay, held: heldDelay, weakness: p.weakness(now)}
+	ranks, owners := 0, 0
 	for _, g := range p.groups {
 		if p.owns(g) || g.busy {
 			c.load++
 		}
+		if g.last.Owner != "" {
+			ranks += g.rank
+			owners++
+		}
+	}
+	if p.starting(now) {
+		c.turns, c.slot, c.jitter, c.far, c.held = maxTurns, startSlot, startJitter, (maxTurns+1)*startSlot, (maxTurns+1)*startSlot
+	} else if owners > 0 {
+		// The owners were the first of all instances to claim, so that their rank grows with the logarithm of the fleet's size.
+		// One turn less lets about two instances claim at first, and a small fleet be quick.
+		c.turns = max(0, (ranks+owners/2)/owners-1)
 	}
 	return c
 }
 
 // turn sets the claims of several instances on one group apart.
 func (c pace) turn(hash uint64) time.Duration {
-	if !c.starting {
-		return time.Duration(hash % uint64(spread))
-	}
-	slot := startSlots - min(bits.LeadingZeros64(hash), startSlots)
-	return time.Duration(slot)*startSlot + time.Duration(hash%uint64(startJitter))
+	turn := c.turns - min(rank(hash), c.turns)
+	return time.Duration(turn)*c.slot + time.Duration(hash%uint64(c.jitter))
 }
 
 // delay is how long the instance lets better placed ones go first.
@@ -403,7 +420,7 @@
 	if g.before && !g.dead && !g.givenUp || g.dead && g.claim.Owner == p.self.Instance {
 		return 0
 	}
-	d := c.turn(p.hash(id))
+	d := c.turn(hash(p.self.Instance, id))
 	if !p.near[id] {
 		d += c.far
 	}
--- a/internal/ownership/start_test.go
+++ b/internal/ownership/start_test.go
@@ -18,6 +18,10 @@
 	planners []*Planner
 	// claims holds what the store has, by group.
 	claims map[upstream.GroupID]Claim
+	// gone counts the instances at the front that have ended.
+	gone int
+	// gather is the time between two deliveries of a watch.
+	gather time.Duration
 	// told is the newest revision that each planner's watch has delivered, at when it delivers again.
 	told     []uint64
 	at       []time.Time
@@ -29,9 +33,10 @@
 }
 
 const (
-	// playGather is the time between two deliveries of a watch, playCall that of one call to the store.
-	playGather = 200 * time.Millisecond
-	playCall   = 8 * time.Millisecond
+	// playStartGather and playGather are the times between two deliveries of a watch, playCall is that of one call to the store.
+	playStartGather = 200 * time.Millisecond
+	playGather      = 60 * time.Millisecond
+	playCall        = 8 * time.Millisecond
 	// playWindow and playWrites limit the store's writes: 1,200 a second.
 	playWindow = 100 * time.Millisecond
 	playWrites = 120
@@ -40,7 +45,7 @@
 // newPlay starts the instances in three failure domains within 200 ms; each group has its primary in one of them.
 func newPlay(instances, groups int, cores float64) *play {
 	began := time.Unix(1000, 0)
-	p := &play{now: began, claims: make(map[upstream.GroupID]Claim), told: make([]uint64, instances), at: make([]time.Time, instances)}
+	p := &play{now: began, gather: playStartGather, claims: make(map[upstream.GroupID]Claim), told: make([]uint64, instances), at: make([]time.Time, instances)}
 	ids := make([]upstream.GroupID, groups)
 	for i := range ids {
 		ids[i] = upstream.GroupID(fmt.Sprintf("group-%d", i))
@@ -90,7 +95,7 @@
 			p.planners[i].SetClaim(c, p.now)
 		}
 	}
-	p.told[i], p.at[i] = p.revision, p.now.Add(playGather)
+	p.told[i], p.at[i] = p.revision, p.now.Add(p.gather)
 }
 
 // run plays until each group has an owner and returns how long that took.
@@ -99,6 +104,9 @@
 	for len(p.claims) < groups && p.now.Sub(began) < limit {
 		p.now = p.now.Add(playCall)
 		for i, planner := range p.planners {
+			if i < p.gone {
+				continue
+			}
 			p.deliver(i)
 			for _, a := range planner.Plan(p.now) {
 				p.claim(planner, a)
@@ -138,3 +146,47 @@
 		})
 	}
 }
+
+// lose ends a third of the instances, and tells the others that their signs of life have lapsed. It returns how many groups
+// have lost their owner.
+func (p *play) lose() int {
+	p.gather, p.gone = playGather, len(p.planners)/3
+	p.now = p.now.Add(time.Minute)
+	for i := range p.planners {
+		p.deliver(i)
+	}
+	alive := make(map[Process]bool)
+	for _, planner := range p.planners[p.gone:] {
+		alive[Process{Instance: planner.self.Instance, ID: planner.self.Process}] = true
+	}
+	lost := 0
+	for id, c := range p.claims {
+		if !alive[c.By()] {
+			delete(p.claims, id)
+			lost++
+		}
+	}
+	for i, planner := range p.planners {
+		planner.SetAllAlive(alive, p.now.Add(time.Duration(i*37%10)*time.Millisecond))
+	}
+	p.tries = 0
+	return lost
+}
+
+// TestGroupsOfALostDomainAreClaimedAFewTimes: a third of a large fleet is lost at once. The groups need owners soon, and the
+// store must not be flooded.
+func TestGroupsOfALostDomainAreClaimedAFewTimes(t *testing.T) {
+	for _, c := range []struct{ instances, groups int }{{6, 3}, {30, 10}, {71, 8}, {100, 30}, {300, 100}} {
+		t.Run(fmt.Sprintf("%d instances, %d groups", c.instances, c.groups), func(t *testing.T) {
+			is := is.New(t)
+			p := newPlay(c.instances, c.groups, 0.2)
+			p.run(c.groups, 10*time.Second)
+			lost := p.lose()
+			took := p.run(c.groups, 10*time.Second)
+			t.Logf("%d claims tried for %d groups, all owned after %v", p.tries, lost, took)
+			is.Equal(len(p.claims), c.groups)
+			is.True(took <= 1500*time.Millisecond)
+			is.True(p.tries <= 5*lost+10)
+		})
+	}
+}
