Prove keys by the changes since the last proof

Cause: an owner proves every 1.9 s that keys are in force by reading the whole configuration, although it rarely changes.

Change: the proof asks for the changes since the revision of the last one, which is linearizable too and usually empty. While the configuration changes again and again, or when the history is gone, the value itself is read as before.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -187,6 +188,7 @@
 		return
 	}
 	n.catalog.Store(c)
+	n.changedAt.Store(n.o.Clock().UnixNano())
 	n.planner.SetGroups(c.GroupIDs(), n.o.Clock())
 	n.o.Log.Info("configuration in force", "version", c.Version, "revision", c.Revision, "before", old.Version,
 		"routes", len(c.Routes), "groups", len(c.Groups))
@@ -300,24 +302,37 @@
 	n.lostAt.CompareAndSwap(0, n.o.Clock().UnixNano())
 }
 
-// proveKeys reads the configuration and, with it, proves that its keys are in force.
+// proveKeys proves that the keys of the configuration are in force, and takes a newer configuration if there is one.
 func (n *Node) proveKeys(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := n.o.Clock()
-	e, err := n.o.Store.Get(ctx, n.o.Decoder.CatalogKey())
+	events, revision, err := n.configSince(ctx)
 	if err != nil {
 		return err
 	}
-	if e.Revision > n.Catalog().Revision {
-		n.Apply([]mirror.Event{{Entry: e}})
-	}
-	if e.Revision >= n.Catalog().Revision || n.Catalog().Revision > 0 {
+	n.Apply(events)
+	if n.Catalog().Revision > 0 {
+		n.provenTo.Store(revision)
 		storeMax(&n.keysAt, sent.UnixNano())
 	}
 	return nil
 }
 
+// configSince returns the changes of the configuration since the last proof, and the store's revision. A large value is read
+// only if it has changed, and once only while it changes again and again.
+func (n *Node) configSince(ctx context.Context) ([]mirror.Event, uint64, error) {
+	key, after := n.o.Decoder.CatalogKey(), n.provenTo.Load()
+	if after > 0 && n.o.Clock().UnixNano()-n.changedAt.Load() > int64(configSeries) {
+		events, revision, err := n.o.Store.Watch(ctx, key, after, 0)
+		if !errors.Is(err, mirror.ErrCompacted) {
+			return slices.DeleteFunc(events, func(e mirror.Event) bool { return e.Key != key }), revision, err
+		}
+	}
+	e, revision, err := n.o.Store.Get(ctx, key)
+	return []mirror.Event{{Entry: e}}, revision, err
+}
+
 // CatchUp reads the configuration when it is older than the revision, and waits a short time for it.
 func (n *Node) CatchUp(ctx context.Context, revision uint64) {
 	if n.Catalog().Revision >= revision {
@@ -339,7 +354,7 @@
 		return
 	}
 	n.doubting.do(ctx, func() error {
-		e, err := n.o.Store.Get(context.Background(), n.o.Decoder.ClaimKey(c.Group))
+		e, _, err := n.o.Store.Get(context.Background(), n.o.Decoder.ClaimKey(c.Group))
 		switch {
 		case errors.Is(err, platform.ErrNotFound):
 			return errNoNews
@@ -370,6 +385,8 @@
 	// configSeriesGather is the pause between two readings while the configuration changes again and again: the next one must
 	// be in force within three seconds.
 	configSeriesGather = 1500 * time.Millisecond
+	// configSeries is how long after a change the next one is likely.
+	configSeries = 4 * time.Second
 	// claimGather is the same for claims and signs of life, several of which often change together.
 	claimGather = 60 * time.Millisecond
 	// startGather is the same while a process is new: less than the time between two turns of ownership.Planner, so that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,8 +27,9 @@
 // Store is the key-value service. After an error that is none of package platform's a write may have taken effect.
 type Store interface {
 	mirror.Source
-	// Get returns the entry or platform.ErrNotFound. The answer is linearizable.
-	Get(ctx context.Context, key string) (mirror.Entry, error)
+	// Get returns the entry, or platform.ErrNotFound, and the store's revision. The answer is linearizable, as those of Watch
+	// and List are.
+	Get(ctx context.Context, key string) (mirror.Entry, uint64, error)
 	// Swap makes the writes, all or none, when each expected key has its revision. A *ConflictError says that one has not.
 	Swap(ctx context.Context, expected []Expected, writes []Write) (uint64, error)
 	// Remove deletes the key when its revision equals expected.
@@ -160,17 +161,21 @@
 	Owner *owner.Manager
 	Peers *fleetlink.Peers
 
-	catalog  atomic.Pointer[catalog.Catalog]
-	out      atomic.Pointer[map[instance.FailureDomain]bool]
+	catalog atomic.Pointer[catalog.Catalog]
+	out     atomic.Pointer[map[instance.FailureDomain]bool]
+	// keysAt is when the last proof that keys are in force was asked for, provenTo the store's revision that it holds for.
 	keysAt   atomic.Int64
-	validTo  atomic.Int64
-	owning   chan struct{}
-	lostAt   atomic.Int64
-	draining atomic.Bool
-	slow     atomic.Bool
-	wake     chan struct{}
-	reading  flight
-	doubting flight
+	provenTo atomic.Uint64
+	// changedAt is when the configuration last changed.
+	changedAt atomic.Int64
+	validTo   atomic.Int64
+	owning    chan struct{}
+	lostAt    atomic.Int64
+	draining  atomic.Bool
+	slow      atomic.Bool
+	wake      chan struct{}
+	reading   flight
+	doubting  flight
 
 	// claims is replaced whenever a claim changes.
 	claims atomic.Pointer[claimTable]
