Count each reading of the configuration as a proof of its keys

The configuration grows with the fleet, and each claim first read it whole to prove the keys, within the claim's two seconds; several claims at once shared the link, and none ended.

Change: what the mirror reads is a proof already (each list and watch is linearizable, as of the moment of the call), so that a claim asks only for the changes since. When the history is too short for that, a condition without a write tells whether the configuration is still the known one. An owner whose mirror has just read skips its own proof.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/boottime"
 )
 
 // ErrCompacted reports that the store no longer has the history after the given revision.
@@ -49,12 +51,20 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
 }
 
+// Reading says what a call to the store has shown: the content below the prefix as of the revision, and of a moment that
+// was not before the call was made.
+type Reading struct {
+	Prefix   string
+	Revision uint64
+	Asked    time.Time
+}
+
 // Sink takes the changes. Its methods are called by one goroutine.
 type Sink interface {
-	// Apply takes changes in order.
-	Apply(events []Event)
+	// Apply takes the changes since the last reading in order; there may be none.
+	Apply(events []Event, at Reading)
 	// Reset takes the complete content below the prefix.
-	Reset(prefix string, entries []Entry)
+	Reset(entries []Entry, at Reading)
 }
 
 // Mirror follows one prefix.
@@ -62,6 +72,8 @@
 	Source Source
 	Prefix string
 	Sink   Sink
+	// Clock tells when calls are made.
+	Clock boottime.Clock
 	// Gather is how long to wait after a change for others to come with it, which saves calls.
 	Gather time.Duration
 	// SeriesGather, unless 0, is the pause between two lists while one key changes again and again. A watch would deliver each
@@ -113,6 +125,7 @@
 	if !m.synced {
 		return m.list(ctx)
 	}
+	asked := m.Clock()
 	events, revision, err := m.Source.Watch(ctx, m.Prefix, m.revision, watchWait)
 	if err != nil {
 		return errors.Wrap(err, "watch")
@@ -120,10 +133,10 @@
 	m.revision = max(m.revision, revision)
 	fresh := m.newer(events)
 	latest := newest(fresh)
+	m.Sink.Apply(latest, Reading{Prefix: m.Prefix, Revision: m.revision, Asked: asked})
 	if len(latest) == 0 {
 		return nil
 	}
-	m.Sink.Apply(latest)
 	if len(latest) < len(fresh) && m.SeriesGather > 0 {
 		m.series, m.synced = true, false
 		pause(ctx, m.SeriesGather)
@@ -135,6 +148,7 @@
 
 // list takes the complete content. During a series of changes it is taken again until nothing has changed in between.
 func (m *Mirror) list(ctx context.Context) error {
+	asked := m.Clock()
 	entries, revision, err := m.Source.List(ctx, m.Prefix)
 	if err != nil {
 		return errors.Wrap(err, "list")
@@ -144,7 +158,7 @@
 	for _, e := range entries {
 		m.revisions[e.Key] = e.Revision
 	}
-	m.Sink.Reset(m.Prefix, entries)
+	m.Sink.Reset(entries, Reading{Prefix: m.Prefix, Revision: revision, Asked: asked})
 	m.revision = revision
 	m.series = m.series && !maps.Equal(before, m.revisions)
 	m.synced = !m.series
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -62,24 +62,29 @@
 
 // record notes what the sink is told.
 type record struct {
-	resets int
-	keys   []string
+	resets   int
+	keys     []string
+	readings []Reading
 }
 
-func (r *record) Apply(events []Event) {
+func (r *record) Apply(events []Event, at Reading) {
+	r.readings = append(r.readings, at)
 	for _, e := range events {
 		r.keys = append(r.keys, e.Key)
 	}
 }
 
-func (r *record) Reset(string, []Entry) { r.resets++ }
+func (r *record) Reset(_ []Entry, at Reading) {
+	r.readings = append(r.readings, at)
+	r.resets++
+}
 
 func play(steps ...any) (*script, *record, []bool) {
 	ctx, stop := context.WithCancel(context.Background())
 	s := &script{steps: steps, stop: stop}
 	r := &record{}
 	var states []bool
-	m := Mirror{Source: s, Sink: r, Log: hclog.NewNullLogger(), Connected: func(ok bool) { states = append(states, ok) }}
+	m := Mirror{Source: s, Sink: r, Clock: time.Now, Log: hclog.NewNullLogger(), Connected: func(ok bool) { states = append(states, ok) }}
 	_ = m.Run(ctx)
 	return s, r, states
 }
@@ -98,6 +103,11 @@
 	)
 	is.Equal(s.after[:4], []uint64{7, 8, 8, 9})
 	is.Equal(r.keys, []string{"a", "b"})
+	var revisions []uint64
+	for _, at := range r.readings {
+		revisions = append(revisions, at.Revision)
+	}
+	is.Equal(revisions, []uint64{7, 8, 8, 9}) // a watch without events is a reading too
 	is.Equal(r.resets, 1)
 }
 
@@ -140,7 +150,7 @@
 		watched{revision: 22},
 	}}
 	r := &record{}
-	m := Mirror{Source: s, Sink: r, Log: hclog.NewNullLogger(), SeriesGather: time.Millisecond}
+	m := Mirror{Source: s, Sink: r, Clock: time.Now, Log: hclog.NewNullLogger(), SeriesGather: time.Millisecond}
 	_ = m.Run(ctx)
 	is.Equal(r.keys, []string{"b", "a", "a"})
 	is.Equal(r.resets, 4)
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -138,7 +138,7 @@
 	for i, e := range entries {
 		events[i] = mirror.Event{Entry: e}
 	}
-	n.Apply(events)
+	n.take(events)
 }
 
 // prepareOwnership returns a lease and, at the same time, proves the keys if that has to be done soon: an owner begins with a
@@ -292,6 +292,10 @@
 		if !owned || n.o.Settings.KeyMaxAge <= 0 {
 			continue
 		}
+		if left := keyGap - time.Duration(n.o.Clock().UnixNano()-n.keysAt.Load()); left > 0 {
+			gap = left // another reading was a proof
+			continue
+		}
 		if err := n.proveKeys(ctx); err != nil {
 			age := time.Duration(n.o.Clock().UnixNano() - n.keysAt.Load())
 			n.o.Log.Warn("could not prove that keys are in force", "age", age, "limit", n.o.Settings.KeyMaxAge, "error", err)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -18,7 +18,16 @@
 )
 
 // Apply implements mirror.Sink.
-func (n *Node) Apply(events []mirror.Event) {
+func (n *Node) Apply(events []mirror.Event, at mirror.Reading) {
+	n.take(events)
+	n.proven(at)
+}
+
+// take takes changes.
+func (n *Node) take(events []mirror.Event) {
+	if len(events) == 0 {
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	touched := make(map[upstream.GroupID]bool)
@@ -31,7 +40,13 @@
 }
 
 // Reset implements mirror.Sink. What is known and not listed has ended.
-func (n *Node) Reset(prefix string, entries []mirror.Entry) {
+func (n *Node) Reset(entries []mirror.Entry, at mirror.Reading) {
+	n.replace(at.Prefix, entries)
+	n.proven(at)
+}
+
+// replace takes the complete content below a prefix.
+func (n *Node) replace(prefix string, entries []mirror.Entry) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	touched := make(map[upstream.GroupID]bool)
@@ -141,7 +156,7 @@
 		case <-n.owning:
 		}
 		follow, stop := context.WithCancel(ctx)
-		m := &mirror.Mirror{Source: n.o.Store, Prefix: n.o.Decoder.Prefixes().Members, Sink: n, Log: n.o.Log}
+		m := &mirror.Mirror{Source: n.o.Store, Prefix: n.o.Decoder.Prefixes().Members, Sink: n, Clock: n.o.Clock, Log: n.o.Log}
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -188,7 +203,6 @@
 		return
 	}
 	n.catalog.Store(c)
-	n.changedAt.Store(n.o.Clock().UnixNano())
 	n.planner.SetGroups(c.GroupIDs(), n.o.Clock())
 	n.o.Log.Info("configuration in force", "version", c.Version, "revision", c.Revision, "before", old.Version,
 		"routes", len(c.Routes), "groups", len(c.Groups))
@@ -302,32 +316,48 @@
 	n.lostAt.CompareAndSwap(0, n.o.Clock().UnixNano())
 }
 
+// proven notes that the configuration was in force when the store was asked.
+func (n *Node) proven(at mirror.Reading) {
+	if at.Prefix != n.o.Decoder.Prefixes().Operators || n.Catalog().Revision == 0 {
+		return
+	}
+	storeMax(&n.keysAt, at.Asked.UnixNano())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.provenTo = max(n.provenTo, at.Revision)
+}
+
 // proveKeys proves that the keys of the configuration are in force, and takes a newer configuration if there is one.
 func (n *Node) proveKeys(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	sent := n.o.Clock()
+	asked := n.o.Clock()
 	events, revision, err := n.configSince(ctx)
 	if err != nil {
 		return err
 	}
-	n.Apply(events)
-	if n.Catalog().Revision > 0 {
-		n.provenTo.Store(revision)
-		storeMax(&n.keysAt, sent.UnixNano())
-	}
+	n.Apply(events, mirror.Reading{Prefix: n.o.Decoder.Prefixes().Operators, Revision: revision, Asked: asked})
 	return nil
 }
 
-// configSince returns the changes of the configuration since the last proof, and the store's revision. A large value is read
-// only if it has changed, and once only while it changes again and again.
+// configSince returns the changes of the configuration since its last reading, and the store's revision. The value, which may
+// be large, is read only if it has changed.
 func (n *Node) configSince(ctx context.Context) ([]mirror.Event, uint64, error) {
-	key, after := n.o.Decoder.CatalogKey(), n.provenTo.Load()
-	if after > 0 && n.o.Clock().UnixNano()-n.changedAt.Load() > int64(configSeries) {
+	n.mu.Lock()
+	after := n.provenTo
+	n.mu.Unlock()
+	key := n.o.Decoder.CatalogKey()
+	if after > 0 {
 		events, revision, err := n.o.Store.Watch(ctx, key, after, 0)
 		if !errors.Is(err, mirror.ErrCompacted) {
 			return slices.DeleteFunc(events, func(e mirror.Event) bool { return e.Key != key }), revision, err
 		}
+		// The history is too short. A condition alone, without a write, tells as well.
+		revision, err = n.o.Store.Swap(ctx, []Expected{{Key: key, Revision: n.Catalog().Revision}}, nil)
+		if err == nil {
+			return nil, revision, nil
+		}
+		n.o.Log.Info("the configuration is not as known", "revision", n.Catalog().Revision, "error", err)
 	}
 	e, revision, err := n.o.Store.Get(ctx, key)
 	return []mirror.Event{{Entry: e}}, revision, err
@@ -385,8 +415,6 @@
 	// configSeriesGather is the pause between two readings while the configuration changes again and again: the next one must
 	// be in force within three seconds.
 	configSeriesGather = 1500 * time.Millisecond
-	// configSeries is how long after a change the next one is likely.
-	configSeries = 4 * time.Second
 	// claimGather is the same for claims and signs of life, several of which often change together.
 	claimGather = 60 * time.Millisecond
 	// startGather is the same while a process is new: less than the time between two turns of ownership.Planner, so that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,19 +163,16 @@
 
 	catalog atomic.Pointer[catalog.Catalog]
 	out     atomic.Pointer[map[instance.FailureDomain]bool]
-	// keysAt is when the last proof that keys are in force was asked for, provenTo the store's revision that it holds for.
+	// keysAt is when the store was last asked for the configuration in force.
 	keysAt   atomic.Int64
-	provenTo atomic.Uint64
-	// changedAt is when the configuration last changed.
-	changedAt atomic.Int64
-	validTo   atomic.Int64
-	owning    chan struct{}
-	lostAt    atomic.Int64
-	draining  atomic.Bool
-	slow      atomic.Bool
-	wake      chan struct{}
-	reading   flight
-	doubting  flight
+	validTo  atomic.Int64
+	owning   chan struct{}
+	lostAt   atomic.Int64
+	draining atomic.Bool
+	slow     atomic.Bool
+	wake     chan struct{}
+	reading  flight
+	doubting flight
 
 	// claims is replaced whenever a claim changes.
 	claims atomic.Pointer[claimTable]
@@ -184,10 +181,12 @@
 	planner *ownership.Planner
 	// unpublished is true while the planner knows of changes that the table of claims does not have.
 	unpublished bool
-	members     map[upstream.MemberID]member.Member
-	lease       platform.LeaseID
-	ttl         time.Duration
-	signed      signature
+	// provenTo is the store's revision up to which the configuration is known.
+	provenTo uint64
+	members  map[upstream.MemberID]member.Member
+	lease    platform.LeaseID
+	ttl      time.Duration
+	signed   signature
 	// coordinatorLost is true for groups whose owner did not answer the last request for tokens.
 	coordinatorLost map[upstream.GroupID]bool
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -41,8 +41,14 @@
 	group, background := errgroup.WithContext(background)
 	prefixes := n.o.Decoder.Prefixes()
 	mirrors := []*mirror.Mirror{
-		{Source: n.o.Store, Prefix: prefixes.Operators, Sink: n, Log: n.o.Log, Gather: configGather, SeriesGather: configSeriesGather, Connected: n.connected},
-		{Source: n.o.Store, Prefix: prefixes.Ownership, Sink: n, Log: n.o.Log, Gather: claimGather, StartGather: startGather},
+		{
+			Source: n.o.Store, Prefix: prefixes.Operators, Sink: n, Clock: n.o.Clock, Log: n.o.Log, Gather: configGather,
+			SeriesGather: configSeriesGather, Connected: n.connected,
+		},
+		{
+			Source: n.o.Store, Prefix: prefixes.Ownership, Sink: n, Clock: n.o.Clock, Log: n.o.Log, Gather: claimGather,
+			StartGather: startGather,
+		},
 	}
 	for _, m := range mirrors {
 		group.Go(func() error { return ended(background, m.Run(background)) })
