--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -21,8 +21,6 @@
 	keepGap = 450 * time.Millisecond
 	// leaseMargin covers the time between the check of a lease and the effect of what was decided.
 	leaseMargin = 250 * time.Millisecond
-	// keyGap is the time between two proofs that keys are in force.
-	keyGap = 1900 * time.Millisecond
 	// storeRetry is the pause after a failed call.
 	storeRetry = 250 * time.Millisecond
 	// keepTimeout bounds the renewal of a lease.
@@ -278,32 +276,6 @@
 	n.publish()
 }
 
-// keepKeys proves again and again that keys are in force, while this instance owns a group.
-func (n *Node) keepKeys(ctx context.Context) error {
-	gap := keyGap
-	for {
-		if !sleep(ctx, gap) {
-			return nil
-		}
-		gap = keyGap
-		n.mu.Lock()
-		owned := n.planner.OwnsAny()
-		n.mu.Unlock()
-		if !owned || n.o.Settings.KeyMaxAge <= 0 {
-			continue
-		}
-		if left := keyGap - time.Duration(n.o.Clock().UnixNano()-n.keysAt.Load()); left > 0 {
-			gap = left // another reading was a proof
-			continue
-		}
-		if err := n.proveKeys(ctx); err != nil {
-			age := time.Duration(n.o.Clock().UnixNano() - n.keysAt.Load())
-			n.o.Log.Warn("could not prove that keys are in force", "age", age, "limit", n.o.Settings.KeyMaxAge, "error", err)
-			gap = storeRetry
-		}
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -103,50 +102,6 @@
 	}
 }
 
-// learnPlacement reads which groups have their primary in this instance's failure domain, so that the fleet's first owners
-// are near to what they use most. It reads until each group has a primary, since members may be registered after the fleet
-// has started. The members themselves are followed by owners only.
-func (n *Node) learnPlacement(ctx context.Context) {
-	for gap := placementGap; sleep(ctx, gap) && n.o.Clock().Sub(n.started()) < startLimit; {
-		if n.Catalog().Revision == 0 {
-			continue
-		}
-		gap *= 2
-		entries, _, err := n.o.Store.List(ctx, n.o.Decoder.Prefixes().Members)
-		if err != nil {
-			n.o.Log.Warn("could not learn where the primaries are", "error", err)
-			continue
-		}
-		if n.placePrimaries(entries) {
-			return
-		}
-	}
-}
-
-// placePrimaries takes the listed primaries and reports whether each group has one.
-func (n *Node) placePrimaries(entries []mirror.Entry) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	placed := make(map[upstream.GroupID]bool)
-	for _, e := range entries {
-		c, ok := n.o.Decoder.Decode(mirror.Event{Entry: e})
-		if !ok || c.Member == nil || c.Member.Member == nil {
-			continue
-		}
-		if m := c.Member.Member; m.Role == upstream.RolePrimary {
-			placed[m.Group] = true
-			n.planner.SetNear(m.Group, m.Domain == n.o.Settings.Domain)
-		}
-	}
-	n.signal()
-	for id := range n.Catalog().Groups {
-		if !placed[id] {
-			return false
-		}
-	}
-	return true
-}
-
 // followMembers follows the members while this instance owns a group, and for a while after.
 func (n *Node) followMembers(ctx context.Context) error {
 	for {
@@ -316,67 +271,6 @@
 	n.lostAt.CompareAndSwap(0, n.o.Clock().UnixNano())
 }
 
-// proven notes that the configuration was in force when the store was asked.
-func (n *Node) proven(at mirror.Reading) {
-	if at.Prefix != n.o.Decoder.Prefixes().Operators || n.Catalog().Revision == 0 {
-		return
-	}
-	storeMax(&n.keysAt, at.Asked.UnixNano())
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.provenTo = max(n.provenTo, at.Revision)
-}
-
-// proveKeys proves that the keys of the configuration are in force, and takes a newer configuration if there is one.
-func (n *Node) proveKeys(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	asked := n.o.Clock()
-	events, revision, err := n.configSince(ctx)
-	if err != nil {
-		return err
-	}
-	n.Apply(events, mirror.Reading{Prefix: n.o.Decoder.Prefixes().Operators, Revision: revision, Asked: asked})
-	return nil
-}
-
-// configSince returns the changes of the configuration since its last reading, and the store's revision. The value, which may
-// be large, is read only if it has changed.
-func (n *Node) configSince(ctx context.Context) ([]mirror.Event, uint64, error) {
-	n.mu.Lock()
-	after := n.provenTo
-	n.mu.Unlock()
-	key := n.o.Decoder.CatalogKey()
-	if after > 0 {
-		events, revision, err := n.o.Store.Watch(ctx, key, after, 0)
-		if !errors.Is(err, mirror.ErrCompacted) {
-			return slices.DeleteFunc(events, func(e mirror.Event) bool { return e.Key != key }), revision, err
-		}
-		// The history is too short. A condition alone, without a write, tells as well.
-		revision, err = n.o.Store.Swap(ctx, []Expected{{Key: key, Revision: n.Catalog().Revision}}, nil)
-		if err == nil {
-			return nil, revision, nil
-		}
-		n.o.Log.Info("the configuration is not as known", "revision", n.Catalog().Revision, "error", err)
-	}
-	e, revision, err := n.o.Store.Get(ctx, key)
-	return []mirror.Event{{Entry: e}}, revision, err
-}
-
-// CatchUp reads the configuration when it is older than the revision, and waits a short time for it.
-func (n *Node) CatchUp(ctx context.Context, revision uint64) {
-	if n.Catalog().Revision >= revision {
-		return
-	}
-	n.reading.do(ctx, func() error {
-		err := n.proveKeys(context.Background())
-		if err != nil {
-			n.o.Log.Warn("could not read a newer configuration", "wanted", revision, "have", n.Catalog().Revision, "error", err)
-		}
-		return err
-	})
-}
-
 // ClaimDoubted implements caller.Claims. A watch whose connection went silent tells nothing for half a minute, so that the
 // claim is read; callers share one reading.
 func (n *Node) ClaimDoubted(ctx context.Context, c ownership.Claim) {
@@ -404,10 +298,6 @@
 var errNoNews = errors.New("nothing has changed")
 
 const (
-	// placementGap is the time before the first reading of where the primaries are; it doubles for each further one.
-	placementGap = 300 * time.Millisecond
-	// readTimeout bounds a reading of the configuration, which may be large; an older proof would be of little use.
-	readTimeout = 3 * time.Second
 	// membersLinger is how often it is asked whether the members are still of interest.
 	membersLinger = 10 * time.Second
 	// configGather is how long changes of the configuration are gathered.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,12 +230,6 @@
 	return n.claims.Load().of(claim.Group).Revision == claim.Revision
 }
 
-// KeysFresh implements owner.Authority.
-func (n *Node) KeysFresh() bool {
-	limit := n.o.Settings.KeyMaxAge
-	return limit <= 0 || n.o.Clock().UnixNano()-n.keysAt.Load() <= int64(limit)
-}
-
 // DomainOut implements owner.Authority.
 func (n *Node) DomainOut(d instance.FailureDomain) bool { return (*n.out.Load())[d] }
 
