Begin the first start of an instance with its configuration

Cause: the turns of a first start, and the reading of where the primaries are, counted from the start of the process. An instance whose configuration takes more than five seconds (1 MB on a link of 2 Mbit/s) would then claim at once, with all others, and know of no primary that is near; it also counted as ready before any group had an owner.

Change: all three count from the moment when the groups become known.

Measured: TestALateConfigurationIsAFirstStartToo failed before (claim after 0 s), passes; tests of ownership, node and the first-owner and large-configuration tests of platform pass.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -200,7 +200,7 @@
 		owning: make(chan struct{}, 1),
 		planner: ownership.NewPlanner(ownership.Self{
 			Instance: o.Settings.Instance, Process: o.Settings.Process, Cores: o.Settings.Cores, FirstStart: o.Settings.FirstStart,
-		}, o.Clock()),
+		}),
 		members: make(map[upstream.MemberID]member.Member),
 
 		coordinatorLost: make(map[upstream.GroupID]bool),
@@ -295,7 +295,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for g := range c.Groups {
-		if (n.planner.Claim(g).Owner == "" || n.planner.Lapsed(g)) && n.lostAt.Load() == 0 && n.o.Clock().Sub(n.started()) < startLimit {
+		if (n.planner.Claim(g).Owner == "" || n.planner.Lapsed(g)) && n.lostAt.Load() == 0 && n.o.Clock().Sub(n.planner.Informed()) < startLimit {
 			return false, "a group has no owner yet"
 		}
 	}
@@ -305,12 +305,10 @@
 const (
 	// storeLossLimit is how long the store may be away before new connections should go elsewhere.
 	storeLossLimit = 2500 * time.Millisecond
-	// startLimit is how long a new process waits for every group to have an owner.
+	// startLimit is how long a new process that has its configuration waits for every group to have an owner.
 	startLimit = 4 * time.Second
 )
 
-func (n *Node) started() time.Time { return n.planner.Started() }
-
 func (n *Node) signal() {
 	select {
 	case n.wake <- struct{}{}:
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -8,18 +8,21 @@
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
-// placementGap is the time before the first reading of where the primaries are; it doubles for each further one.
+// placementGap is the time from the configuration to the first reading of where the primaries are; it doubles for each
+// further one.
 const placementGap = 300 * time.Millisecond
 
 // learnPlacement reads which groups have their primary in this instance's failure domain, so that the fleet's first owners
 // are near to what they use most. It reads until each group has a primary, since members may be registered after the fleet
 // has started. The members themselves are followed by owners only.
 func (n *Node) learnPlacement(ctx context.Context) {
-	for gap := placementGap; sleep(ctx, gap) && n.o.Clock().Sub(n.started()) < startLimit; {
-		if n.Catalog().Revision == 0 {
-			continue
+	for n.Catalog().Revision == 0 {
+		if !sleep(ctx, placementGap) {
+			return
 		}
-		gap *= 2
+	}
+	informed := n.o.Clock()
+	for gap := placementGap; n.o.Clock().Sub(informed) < startLimit && sleep(ctx, gap); gap *= 2 {
 		entries, _, err := n.o.Store.List(ctx, n.o.Decoder.Prefixes().Members)
 		if err != nil {
 			n.o.Log.Warn("could not learn where the primaries are", "error", err)
--- a/internal/ownership/bench_test.go
+++ b/internal/ownership/bench_test.go
@@ -13,7 +13,7 @@
 	for _, groups := range []int{100, 400, 1600} {
 		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
 			now := time.Unix(1000, 0)
-			p := NewPlanner(Self{Instance: "instance-1", Process: "p", Cores: 0.2, FirstStart: true}, now)
+			p := NewPlanner(Self{Instance: "instance-1", Process: "p", Cores: 0.2, FirstStart: true})
 			ids := make([]upstream.GroupID, groups)
 			for i := range ids {
 				ids[i] = upstream.GroupID(fmt.Sprintf("group-%d", i))
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -103,7 +103,8 @@
 	near map[upstream.GroupID]bool
 	// slowdown is how many times slower than usual the instance runs.
 	slowdown float64
-	started  time.Time
+	// informed is when the groups first became known.
+	informed time.Time
 	// failures counts the claims in a row that the store has not answered.
 	failures int
 	// barred is true while the instance must not take groups: it leaves or cannot serve.
@@ -111,12 +112,15 @@
 }
 
 // NewPlanner returns a planner without groups.
-func NewPlanner(self Self, now time.Time) *Planner {
-	return &Planner{self: self, strongest: self.Cores, slowdown: 1, groups: make(map[upstream.GroupID]*group), alive: make(map[Process]bool), near: make(map[upstream.GroupID]bool), started: now}
+func NewPlanner(self Self) *Planner {
+	return &Planner{self: self, strongest: self.Cores, slowdown: 1, groups: make(map[upstream.GroupID]*group), alive: make(map[Process]bool), near: make(map[upstream.GroupID]bool)}
 }
 
 // SetGroups replaces the groups.
 func (p *Planner) SetGroups(ids []upstream.GroupID, now time.Time) {
+	if p.informed.IsZero() {
+		p.informed = now
+	}
 	keep := make(map[upstream.GroupID]*group, len(ids))
 	for _, id := range ids {
 		g := p.groups[id]
@@ -360,8 +364,8 @@
 	return ids
 }
 
-// Started returns when the process started.
-func (p *Planner) Started() time.Time { return p.started }
+// Informed returns when the groups first became known; the zero time before.
+func (p *Planner) Informed() time.Time { return p.informed }
 
 // Claims returns a copy of the known claims; groups without an owner, and lapsed claims, are left out.
 func (p *Planner) Claims() map[upstream.GroupID]Claim {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -19,7 +19,7 @@
 }
 
 func running(id instance.ID) *Planner {
-	p := NewPlanner(Self{Instance: id, Process: "p1"}, epoch.Add(-time.Hour))
+	p := NewPlanner(Self{Instance: id, Process: "p1"})
 	p.SetGroups([]upstream.GroupID{"g"}, epoch)
 	return p
 }
@@ -70,7 +70,7 @@
 	p.Removed("g", epoch)
 	is.Equal(len(p.Plan(epoch)), 1)
 
-	restarted := NewPlanner(Self{Instance: "a", Process: "p2"}, epoch)
+	restarted := NewPlanner(Self{Instance: "a", Process: "p2"})
 	restarted.SetGroups([]upstream.GroupID{"g"}, epoch)
 	restarted.SetClaim(claim("g", "a", "p1", 5), epoch)
 	is.Equal(len(restarted.Owned()), 0)
@@ -117,7 +117,7 @@
 // groups back at once.
 func TestARestartAfterTheLeaseFindsItsGroups(t *testing.T) {
 	is := is.New(t)
-	p := NewPlanner(Self{Instance: "a", Process: "p2"}, epoch)
+	p := NewPlanner(Self{Instance: "a", Process: "p2"})
 	p.SetGroups([]upstream.GroupID{"g"}, epoch)
 	p.SetClaim(claim("g", "a", "p1", 5), epoch)
 	p.SetAllAlive(map[Process]bool{}, epoch)
@@ -169,7 +169,7 @@
 		f.groups = append(f.groups, upstream.GroupID(fmt.Sprintf("g%d", i+1)))
 	}
 	for i, c := range cores {
-		p := NewPlanner(Self{Instance: instance.ID(fmt.Sprintf("i%d", i)), Process: "p", Cores: c, FirstStart: first}, epoch)
+		p := NewPlanner(Self{Instance: instance.ID(fmt.Sprintf("i%d", i)), Process: "p", Cores: c, FirstStart: first})
 		p.SetGroups(f.groups, epoch)
 		f.planners = append(f.planners, p)
 	}
@@ -295,7 +295,7 @@
 // TestEqualInstancesTakeOverWithoutDelay: what weak instances wait for must not cost a fleet of equal ones.
 func TestEqualInstancesTakeOverWithoutDelay(t *testing.T) {
 	is := is.New(t)
-	weak, plain := NewPlanner(Self{Instance: "a", Cores: 0.2}, epoch.Add(-time.Hour)), running("a")
+	weak, plain := NewPlanner(Self{Instance: "a", Cores: 0.2}), running("a")
 	weak.SetGroups([]upstream.GroupID{"g"}, epoch)
 	c := claim("g", "b", "x", 5)
 	c.Cores = 0.2
@@ -311,7 +311,7 @@
 // TestClaimsThatFailAreRetriedLater: the store may refuse calls because there are too many of them.
 func TestClaimsThatFailAreRetriedLater(t *testing.T) {
 	is := is.New(t)
-	p := NewPlanner(Self{Instance: "a", Process: "p"}, epoch)
+	p := NewPlanner(Self{Instance: "a", Process: "p"})
 	p.SetGroups([]upstream.GroupID{"g"}, epoch)
 	now, gaps := epoch, []time.Duration{}
 	for range 6 {
--- a/internal/ownership/pace.go
+++ b/internal/ownership/pace.go
@@ -28,7 +28,7 @@
 	startSlot = 230 * time.Millisecond
 	// startJitter sets the claims of one turn apart.
 	startJitter = 60 * time.Millisecond
-	// startTime is how long the first start of a fleet lasts.
+	// startTime is how long the first start of a fleet lasts once the groups are known.
 	startTime = 5 * time.Second
 	// weakDelay is added for each time that the strongest known owner has more processor time than the instance.
 	weakDelay = 150 * time.Millisecond
@@ -93,7 +93,7 @@
 
 // starting reports whether the whole fleet starts for the first time.
 func (p *Planner) starting(now time.Time) bool {
-	return p.self.FirstStart && now.Sub(p.started) < startTime
+	return p.self.FirstStart && now.Sub(p.informed) < startTime
 }
 
 // weakness is how long the instance lets those with more processor time go first: an owner runs the statements of a whole
--- a/internal/ownership/start_test.go
+++ b/internal/ownership/start_test.go
@@ -53,7 +53,7 @@
 	for i := range instances {
 		start := began.Add(time.Duration(i*37%200) * time.Millisecond)
 		self := Self{Instance: instance.ID(fmt.Sprintf("instance-%d", i)), Process: "p", Cores: cores, FirstStart: true}
-		planner := NewPlanner(self, start)
+		planner := NewPlanner(self)
 		planner.SetGroups(ids, start)
 		for k, id := range ids {
 			planner.SetNear(id, k%3 == i%3)
@@ -190,3 +190,14 @@
 		})
 	}
 }
+
+// TestALateConfigurationIsAFirstStartToo: a large configuration takes seconds on a slow link.
+func TestALateConfigurationIsAFirstStartToo(t *testing.T) {
+	is := is.New(t)
+	late := time.Unix(1000, 0)
+	p := NewPlanner(Self{Instance: "a", Process: "p", Cores: 0.2, FirstStart: true})
+	p.SetGroups([]upstream.GroupID{"g"}, late)
+	next, ok := p.Next(late)
+	is.True(ok)
+	is.True(next.Sub(late) >= 2*time.Second) // stronger instances go first
+}
