--- /dev/null
+++ b/internal/node/keys_test.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/mirror"
+	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/platform"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const configName = "config"
+
+// fakeDecoder knows the configuration only.
+type fakeDecoder struct{}
+
+func (fakeDecoder) Decode(e mirror.Event) (Change, bool) {
+	if e.Key != configName {
+		return Change{}, false
+	}
+	return Change{Catalog: catalog.New(e.Revision, e.Revision)}, true
+}
+func (fakeDecoder) ClaimKey(g upstream.GroupID) string    { return "claims/" + string(g) }
+func (fakeDecoder) ProcessKey(p ownership.Process) string { return "alive/" + p.ID }
+func (fakeDecoder) EncodeClaim(ownership.Claim) []byte    { return nil }
+func (fakeDecoder) CatalogKey() string                    { return configName }
+func (fakeDecoder) Prefixes() Prefixes {
+	return Prefixes{Operators: "operators", Ownership: "own", Members: "members"}
+}
+
+// fakeStore has one version of the configuration and notes the calls.
+type fakeStore struct {
+	calls []string
+	// config is the revision of the configuration, revision that of the store.
+	config, revision uint64
+	// oldest is the first revision whose changes are still known.
+	oldest uint64
+}
+
+func (s *fakeStore) note(call string) { s.calls = append(s.calls, call) }
+
+func (s *fakeStore) entry() mirror.Entry { return mirror.Entry{Key: configName, Revision: s.config} }
+
+func (s *fakeStore) List(context.Context, string) ([]mirror.Entry, uint64, error) {
+	s.note("list")
+	return []mirror.Entry{s.entry()}, s.revision, nil
+}
+
+func (s *fakeStore) Watch(_ context.Context, _ string, after uint64, wait time.Duration) ([]mirror.Event, uint64, error) {
+	s.note("watch")
+	if wait != 0 {
+		panic("a proof must not wait")
+	}
+	if after+1 < s.oldest {
+		return nil, 0, mirror.ErrCompacted
+	}
+	if after < s.config {
+		return []mirror.Event{{Entry: s.entry()}}, s.revision, nil
+	}
+	return nil, s.revision, nil
+}
+
+func (s *fakeStore) Get(context.Context, string) (mirror.Entry, uint64, error) {
+	s.note("get")
+	return s.entry(), s.revision, nil
+}
+
+func (s *fakeStore) Swap(_ context.Context, expected []Expected, writes []Write) (uint64, error) {
+	s.note("swap")
+	if len(writes) > 0 {
+		panic("a proof must not write")
+	}
+	if expected[0].Revision != s.config {
+		return 0, &ConflictError{Current: []mirror.Entry{s.entry()}}
+	}
+	return s.revision, nil
+}
+
+func (s *fakeStore) Remove(context.Context, string, uint64) error { panic("not expected") }
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (platform.LeaseID, time.Duration, error) {
+	panic("not expected")
+}
+func (s *fakeStore) Keep(context.Context, platform.LeaseID) error { panic("not expected") }
+func (s *fakeStore) End(context.Context, platform.LeaseID) error  { panic("not expected") }
+
+// proofs is a node with a store and a clock that is set.
+type proofs struct {
+	now   time.Time
+	store *fakeStore
+	node  *Node
+}
+
+const maxAge = 4 * time.Second
+
+func newProofs() *proofs {
+	p := &proofs{now: time.Unix(1000, 0), store: &fakeStore{config: 5, revision: 20, oldest: 1}}
+	p.node = New(Options{
+		Settings: Settings{Instance: "a", Process: "p", KeyMaxAge: maxAge},
+		Store:    p.store,
+		Decoder:  fakeDecoder{},
+		Clock:    func() time.Time { return p.now },
+		Log:      hclog.NewNullLogger(),
+		Owner:    owner.Options{Log: hclog.NewNullLogger()},
+	})
+	return p
+}
+
+// read tells the node what a list of the operators' entries shows.
+func (p *proofs) read() {
+	p.node.Reset([]mirror.Entry{p.store.entry()}, mirror.Reading{Prefix: "operators", Revision: p.store.revision, Asked: p.now})
+}
+
+func TestAReadingProvesTheKeysFromTheCallOn(t *testing.T) {
+	is := is.New(t)
+	p := newProofs()
+	is.True(!p.node.KeysFresh())
+	p.node.Reset(nil, mirror.Reading{Prefix: "operators", Revision: 3, Asked: p.now})
+	is.True(!p.node.KeysFresh()) // there was no configuration
+	p.node.Apply(nil, mirror.Reading{Prefix: "members", Revision: 20, Asked: p.now})
+	is.True(!p.node.KeysFresh()) // it says nothing about keys
+	p.read()
+	p.now = p.now.Add(maxAge)
+	is.True(p.node.KeysFresh())
+	p.now = p.now.Add(time.Nanosecond)
+	is.True(!p.node.KeysFresh())
+}
+
+func TestAnOldReadingTakesNothingBack(t *testing.T) {
+	is := is.New(t)
+	p := newProofs()
+	p.read()
+	asked := p.now.Add(-time.Minute)
+	p.node.Apply(nil, mirror.Reading{Prefix: "operators", Revision: 9, Asked: asked}) // a watch that waited for long
+	p.now = p.now.Add(maxAge)
+	is.True(p.node.KeysFresh())
+	is.NoErr(p.node.proveKeys(context.Background()))
+	is.Equal(p.store.calls, []string{"watch"})
+}
+
+func TestAProofReadsTheLeast(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		change  func(*proofs)
+		calls   string
+		version uint64
+	}{
+		{"nothing has changed", func(*proofs) {}, "watch", 5},
+		{"the configuration has changed", func(p *proofs) { p.store.config, p.store.revision = 30, 30 }, "watch", 30},
+		{"the history is gone", func(p *proofs) { p.store.revision, p.store.oldest = 40, 35 }, "watch swap", 5},
+		{"the history is gone, the configuration has changed", func(p *proofs) {
+			p.store.config, p.store.revision, p.store.oldest = 30, 40, 35
+		}, "watch swap get", 30},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newProofs()
+			p.read()
+			c.change(p)
+			p.now = p.now.Add(maxAge + time.Second)
+			is.NoErr(p.node.proveKeys(context.Background()))
+			is.True(p.node.KeysFresh())
+			is.Equal(strings.Join(p.store.calls, " "), c.calls)
+			is.Equal(p.node.Catalog().Version, c.version)
+			p.store.calls = nil
+			is.NoErr(p.node.proveKeys(context.Background()))
+			is.Equal(p.store.calls, []string{"watch"}) // from the revision of the proof before
+		})
+	}
+}
