--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -22,7 +22,7 @@
 	n.proven(at)
 }
 
-// take takes changes.
+// take applies changes in order, and publishes what follows from them once.
 func (n *Node) take(events []mirror.Event) {
 	if len(events) == 0 {
 		return
