Let a few instances read the store for the others

Cause: each of 295 instances watches the store and reads each configuration of up to 1 MB itself.

Change: package fanout. Owners of groups, two in each failure domain, are readers; the others ask them over fleetlink (Follow), with the age of the reader's own last confirmation, and turn to the store, spread over 0.8 s, when two readers failed. Verification of keys goes the same way. A copy with missing changes is never confirmed. A process that starts looks for readers with a cheap list that may be old.

--- a/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
@@ -43,6 +43,8 @@
 	FleetServiceTakeTokensProcedure = "/celerystep.fleet.v1.FleetService/TakeTokens"
 	// FleetServiceIdentifyProcedure is the fully-qualified name of the FleetService's Identify RPC.
 	FleetServiceIdentifyProcedure = "/celerystep.fleet.v1.FleetService/Identify"
+	// FleetServiceFollowProcedure is the fully-qualified name of the FleetService's Follow RPC.
+	FleetServiceFollowProcedure = "/celerystep.fleet.v1.FleetService/Follow"
 )
 
 // FleetServiceClient is a client for the celerystep.fleet.v1.FleetService service.
@@ -55,6 +57,8 @@
 	TakeTokens(context.Context, *connect.Request[v1.TakeTokensRequest]) (*connect.Response[v1.TakeTokensResponse], error)
 	// Identify tells which process answers.
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
+	// Follow returns changes of the shared entries of the store, if the receiver reads the store itself.
+	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the celerystep.fleet.v1.FleetService service. By
@@ -92,6 +96,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Identify")),
 			connect.WithClientOptions(opts...),
 		),
+		follow: connect.NewClient[v1.FollowRequest, v1.FollowResponse](
+			httpClient,
+			baseURL+FleetServiceFollowProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -101,6 +111,7 @@
 	end        *connect.Client[v1.EndRequest, v1.EndResponse]
 	takeTokens *connect.Client[v1.TakeTokensRequest, v1.TakeTokensResponse]
 	identify   *connect.Client[v1.IdentifyRequest, v1.IdentifyResponse]
+	follow     *connect.Client[v1.FollowRequest, v1.FollowResponse]
 }
 
 // Run calls celerystep.fleet.v1.FleetService.Run.
@@ -123,6 +134,11 @@
 	return c.identify.CallUnary(ctx, req)
 }
 
+// Follow calls celerystep.fleet.v1.FleetService.Follow.
+func (c *fleetServiceClient) Follow(ctx context.Context, req *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error) {
+	return c.follow.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the celerystep.fleet.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Run runs one statement on a member of a group that the receiver owns.
@@ -133,6 +149,8 @@
 	TakeTokens(context.Context, *connect.Request[v1.TakeTokensRequest]) (*connect.Response[v1.TakeTokensResponse], error)
 	// Identify tells which process answers.
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
+	// Follow returns changes of the shared entries of the store, if the receiver reads the store itself.
+	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -166,6 +184,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Identify")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceFollowHandler := connect.NewUnaryHandler(
+		FleetServiceFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(fleetServiceMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/celerystep.fleet.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceRunProcedure:
@@ -176,6 +200,8 @@
 			fleetServiceTakeTokensHandler.ServeHTTP(w, r)
 		case FleetServiceIdentifyProcedure:
 			fleetServiceIdentifyHandler.ServeHTTP(w, r)
+		case FleetServiceFollowProcedure:
+			fleetServiceFollowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -200,3 +226,7 @@
 func (UnimplementedFleetServiceHandler) Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.Identify is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.Follow is not implemented"))
+}
--- /dev/null
+++ b/internal/fanout/selector.go
@@ -0,0 +1,83 @@
+package fanout
+
+import (
+	"time"
+)
+
+const (
+	// readerRetryDelay is how long a reader that failed is left out.
+	readerRetryDelay = 2 * time.Second
+	// maxFailures is the number of readers that may fail in a row before an instance turns to the store. More would
+	// delay a change for too long, as each failure may take the time of a call.
+	maxFailures = 2
+	// directSpread bounds the random delay before an instance turns to the store: all of them may have lost their
+	// readers at the same moment.
+	directSpread = 800 * time.Millisecond
+	// directPeriod is how long an instance reads the store itself before it tries the readers again.
+	directPeriod = 3 * time.Second
+)
+
+// Target is where an instance reads next.
+type Target struct {
+	// Reader is the reader to ask; the zero Reader stands for the store.
+	Reader Reader
+	// Delay is how long to wait before the call.
+	Delay time.Duration
+	// Fallback is true when the store is read only because the readers failed.
+	Fallback bool
+}
+
+// Store reports whether the target is the store.
+func (t Target) Store() bool { return t.Reader.Address == "" }
+
+// Selector decides where one instance reads. It is not safe for concurrent use.
+type Selector struct {
+	// Random returns a number in [0, 1).
+	Random func() float64
+
+	failedAt map[Reader]time.Time
+	// failures counts the failed calls since the last successful one.
+	failures    int
+	directUntil time.Time
+}
+
+// Next returns where to read. ordered holds the readers in the instance's order; without any the store is read.
+func (s *Selector) Next(ordered []Reader, now time.Time) Target {
+	if len(ordered) == 0 {
+		return Target{}
+	}
+	if now.Before(s.directUntil) {
+		return Target{Fallback: true}
+	}
+	if s.failures < maxFailures {
+		for _, r := range ordered {
+			if at, failed := s.failedAt[r]; !failed || now.Sub(at) >= readerRetryDelay {
+				return Target{Reader: r}
+			}
+		}
+	}
+	delay := time.Duration(s.Random() * float64(directSpread))
+	s.failures = 0
+	s.directUntil = now.Add(delay + directPeriod)
+	return Target{Delay: delay, Fallback: true}
+}
+
+// Failed records that a call to a reader failed, was refused or returned content that is too old.
+func (s *Selector) Failed(r Reader, now time.Time) {
+	if s.failedAt == nil {
+		s.failedAt = make(map[Reader]time.Time)
+	}
+	for known, at := range s.failedAt {
+		if now.Sub(at) >= readerRetryDelay {
+			delete(s.failedAt, known)
+		}
+	}
+	s.failedAt[r] = now
+	s.failures++
+}
+
+// Succeeded records an answer of a reader.
+func (s *Selector) Succeeded(r Reader) {
+	delete(s.failedAt, r)
+	s.failures = 0
+}
--- /dev/null
+++ b/internal/fanout/source.go
@@ -0,0 +1,224 @@
+package fanout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/mirror"
+)
+
+const (
+	// maxWait is how long a reader may wait for a change. It bounds how late an instance learns that its reader hangs.
+	maxWait = 2 * time.Second
+	// answerTimeout bounds a call to a reader beyond its wait: a large value takes that long on a slow link.
+	answerTimeout = 1200 * time.Millisecond
+	// pollTimeout bounds a call that does not wait.
+	pollTimeout = 700 * time.Millisecond
+	// maxAge is the age of a reader's content from which it is not used: a little more than the time between two
+	// confirmations by the store, so that one that is late does not matter.
+	maxAge = 2600 * time.Millisecond
+)
+
+// Errors of a reader. After each of them the asking instance tries another one.
+var (
+	// ErrNotReader reports that the asked instance does not read the store itself.
+	ErrNotReader = errors.New("the instance is not a reader")
+	// ErrTooOld reports that the reader's content has not been confirmed by the store for too long.
+	ErrTooOld = errors.New("the reader's content is too old")
+)
+
+// Peers makes calls to readers.
+type Peers interface {
+	Follow(ctx context.Context, address string, r Request) (Answer, error)
+}
+
+// Source reads the store, through a reader if there is one. It implements mirror.Source and is safe for concurrent use.
+type Source struct {
+	Store mirror.Source
+	Peers Peers
+	// Readers returns the readers in the order in which to try them; none when this instance reads the store itself.
+	Readers func() []Reader
+	Clock   boottime.Clock
+	Log     hclog.Logger
+
+	mu       sync.Mutex
+	selector Selector
+	// last is the reader that the previous call used, the zero Reader for the store; started is false before the first call.
+	last    Reader
+	started bool
+	// revisions holds the highest revision that was returned for each prefix.
+	revisions map[string]uint64
+}
+
+// NewSource returns a source. Random returns a number in [0, 1).
+func NewSource(store mirror.Source, peers Peers, readers func() []Reader, clock boottime.Clock, log hclog.Logger, random func() float64) *Source {
+	return &Source{
+		Store: store, Peers: peers, Readers: readers, Clock: clock, Log: log, selector: Selector{Random: random}, revisions: make(map[string]uint64),
+	}
+}
+
+// List implements mirror.Source.
+func (s *Source) List(ctx context.Context, prefix string) ([]mirror.Entry, mirror.Version, error) {
+	for {
+		t, err := s.next(ctx)
+		if err != nil {
+			return nil, mirror.Version{}, err
+		}
+		if t.Store() {
+			entries, v, err := s.Store.List(ctx, prefix)
+			return entries, s.returned(prefix, v), err
+		}
+		events, v, err := s.ask(ctx, t.Reader, Request{Prefix: prefix})
+		if errors.Is(err, mirror.ErrCompacted) {
+			return nil, v, errors.Wrap(err, "complete content")
+		}
+		if err != nil {
+			continue
+		}
+		entries := make([]mirror.Entry, len(events))
+		for i, e := range events {
+			entries[i] = e.Entry
+		}
+		return entries, v, nil
+	}
+}
+
+// Watch implements mirror.Source.
+func (s *Source) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]mirror.Event, mirror.Version, error) {
+	return s.watch(ctx, Request{Prefix: prefix, After: after, Wait: wait})
+}
+
+// Poll returns the changes after a revision without waiting for one. A reader whose content is older than atLeast is asked
+// to read the store first.
+func (s *Source) Poll(ctx context.Context, prefix string, after, atLeast uint64) ([]mirror.Event, mirror.Version, error) {
+	return s.watch(ctx, Request{Prefix: prefix, After: after, AtLeast: atLeast})
+}
+
+func (s *Source) watch(ctx context.Context, r Request) ([]mirror.Event, mirror.Version, error) {
+	for {
+		t, err := s.next(ctx)
+		if err != nil {
+			return nil, mirror.Version{}, err
+		}
+		if t.Store() {
+			wait := r.Wait
+			if t.Fallback {
+				wait = min(wait, directPeriod)
+			}
+			events, v, err := s.Store.Watch(ctx, r.Prefix, r.After, wait)
+			return events, s.returned(r.Prefix, v), err
+		}
+		request := r
+		request.Wait = min(r.Wait, maxWait)
+		events, v, err := s.ask(ctx, t.Reader, request)
+		if err == nil || errors.Is(err, mirror.ErrCompacted) {
+			return events, v, err
+		}
+	}
+}
+
+// next returns the target of the next call after its delay.
+func (s *Source) next(ctx context.Context) (Target, error) {
+	readers := s.Readers()
+	s.mu.Lock()
+	t := s.selector.Next(readers, s.Clock())
+	if t.Reader != s.last || !s.started {
+		s.last, s.started = t.Reader, true
+		s.Log.Info("reads shared entries", "reader", t.Reader.Instance, "store", t.Store(), "fallback", t.Fallback, "delay", t.Delay, "readers", len(readers))
+	}
+	s.mu.Unlock()
+	return t, sleep(ctx, t.Delay)
+}
+
+// ask makes one call to a reader. Any error but mirror.ErrCompacted leaves the reader out for a while.
+func (s *Source) ask(ctx context.Context, reader Reader, r Request) ([]mirror.Event, mirror.Version, error) {
+	limit := pollTimeout
+	if r.Wait > 0 || r.After == 0 {
+		limit = r.Wait + answerTimeout
+	}
+	call, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	a, err := s.Peers.Follow(call, reader.Address, r)
+	var events []mirror.Event
+	if err == nil {
+		events, err = s.check(r, a)
+	}
+	if err != nil {
+		s.reportFailure(ctx, reader, r, err)
+		return nil, mirror.Version{}, err
+	}
+	v := s.reportSuccess(reader, r.Prefix, a)
+	if a.Compacted {
+		return nil, v, mirror.ErrCompacted
+	}
+	return events, v, nil
+}
+
+// reportFailure records that a reader failed, unless the caller gave up.
+func (s *Source) reportFailure(ctx context.Context, reader Reader, r Request, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.Log.Info("a reader did not answer as needed", "reader", reader.Instance, "prefix", r.Prefix, "after", r.After, "error", err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.selector.Failed(reader, s.Clock())
+}
+
+// reportSuccess records an answer of a reader and returns its version.
+func (s *Source) reportSuccess(reader Reader, prefix string, a Answer) mirror.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.selector.Succeeded(reader)
+	s.revisions[prefix] = max(s.revisions[prefix], a.Revision)
+	return mirror.Version{Revision: a.Revision, Age: a.Age}
+}
+
+// check decompresses the events and rejects an answer that is too old to be used.
+func (s *Source) check(r Request, a Answer) ([]mirror.Event, error) {
+	if a.Age > maxAge {
+		return nil, errors.Wrapf(ErrTooOld, "age %v", a.Age)
+	}
+	s.mu.Lock()
+	known := s.revisions[r.Prefix]
+	s.mu.Unlock()
+	if r.After == 0 && a.Revision < known {
+		return nil, errors.Errorf("the reader's content has revision %d, %d is known already", a.Revision, known)
+	}
+	events := make([]mirror.Event, len(a.Changes))
+	for i, c := range a.Changes {
+		e, err := c.event()
+		if err != nil {
+			return nil, err
+		}
+		events[i] = e
+	}
+	return events, nil
+}
+
+// returned records the version that the store returned for a prefix.
+func (s *Source) returned(prefix string, v mirror.Version) mirror.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revisions[prefix] = max(s.revisions[prefix], v.Revision)
+	return v
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -43,7 +43,9 @@
 	address string
 	client  fleetv1connect.FleetServiceClient
 	// probe uses a separate connection, so that health probes are not affected by a stalled one.
-	probe  fleetv1connect.FleetServiceClient
+	probe fleetv1connect.FleetServiceClient
+	// bulk uses a separate connection for large answers.
+	bulk   fleetv1connect.FleetServiceClient
 	health health
 }
 
@@ -63,7 +65,7 @@
 	if known := p.peers[address]; known != nil {
 		return known
 	}
-	peer := &Peer{address: address, client: newClient(address), probe: newClient(address)}
+	peer := &Peer{address: address, client: newClient(address), probe: newClient(address), bulk: newClient(address)}
 	peer.health.identify = peer.identify
 	p.peers[address] = peer
 	return peer
--- a/internal/fleetlink/server.go
+++ b/internal/fleetlink/server.go
@@ -11,6 +11,7 @@
 
 	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
 	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
+	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
@@ -34,17 +35,24 @@
 	Grant(g upstream.GroupID, requests []owner.TokenRequest) ([]owner.TokenRequest, bool)
 }
 
+// Reader passes on the shared entries of the store.
+type Reader interface {
+	// Follow answers with changes, or with fanout.ErrNotReader or fanout.ErrTooOld.
+	Follow(ctx context.Context, r fanout.Request) (fanout.Answer, error)
+}
+
 // handler implements fleetv1connect.FleetServiceHandler.
 type handler struct {
 	local   Local
+	reader  Reader
 	self    instance.ID
 	process string
 }
 
 // NewServer returns the unencrypted HTTP/2 server for the calls of peers.
-func NewServer(local Local, self instance.ID, process string) *http.Server {
+func NewServer(local Local, reader Reader, self instance.ID, process string) *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(fleetv1connect.NewFleetServiceHandler(&handler{local: local, self: self, process: process}))
+	mux.Handle(fleetv1connect.NewFleetServiceHandler(&handler{local: local, reader: reader, self: self, process: process}))
 	s := &http.Server{
 		Handler:           mux,
 		Protocols:         new(http.Protocols),
@@ -76,3 +84,12 @@
 func (h *handler) Identify(context.Context, *connect.Request[fleetv1.IdentifyRequest]) (*connect.Response[fleetv1.IdentifyResponse], error) {
 	return connect.NewResponse(&fleetv1.IdentifyResponse{Instance: string(h.self), Process: h.process}), nil
 }
+
+// Follow implements fleetv1connect.FleetServiceHandler.
+func (h *handler) Follow(ctx context.Context, r *connect.Request[fleetv1.FollowRequest]) (*connect.Response[fleetv1.FollowResponse], error) {
+	a, err := h.reader.Follow(ctx, fromFollowRequest(r.Msg))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(toFollowResponse(a)), nil
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -43,18 +43,28 @@
 	Deleted bool
 }
 
-// Source is the store. Its methods return the revision of the store that the result reflects.
+// Version tells which state of the store a result reflects.
+type Version struct {
+	// Revision is the revision of the store.
+	Revision uint64
+	// Age is how long before the call that state may have been current last; 0 when the store itself answered.
+	Age time.Duration
+}
+
+// Source is the store, or an instance that passes on what it has read there.
 type Source interface {
 	// List returns all entries below the prefix. Changes after the returned revision may be missing.
-	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	List(ctx context.Context, prefix string) ([]Entry, Version, error)
 	// Watch waits up to wait for changes after a revision and returns them in order, or ErrCompacted.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, Version, error)
 }
 
 // SyncPoint identifies the state of the store that a call returned: the content below the prefix as of Revision, which was
 // current at some time after RequestedAt.
 type SyncPoint struct {
-	Prefix      string
+	Prefix string
+	// After is the revision after which the call returned the changes; 0 when it returned the complete content.
+	After       uint64
 	Revision    uint64
 	RequestedAt time.Time
 }
@@ -126,14 +136,15 @@
 		return m.list(ctx)
 	}
 	asked := m.Clock()
-	events, revision, err := m.Source.Watch(ctx, m.Prefix, m.revision, watchWait)
+	after := m.revision
+	events, version, err := m.Source.Watch(ctx, m.Prefix, after, watchWait)
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
-	m.revision = max(m.revision, revision)
+	m.revision = max(after, version.Revision)
 	fresh := m.dropKnown(events)
 	latest := latestPerKey(fresh)
-	m.Sink.Apply(latest, SyncPoint{Prefix: m.Prefix, Revision: m.revision, RequestedAt: asked})
+	m.Sink.Apply(latest, SyncPoint{Prefix: m.Prefix, After: after, Revision: m.revision, RequestedAt: asked.Add(-version.Age)})
 	if len(latest) == 0 {
 		return nil
 	}
@@ -149,7 +160,7 @@
 // list reads the complete content. During a burst of changes it is repeated until two lists in a row are equal.
 func (m *Mirror) list(ctx context.Context) error {
 	asked := m.Clock()
-	entries, revision, err := m.Source.List(ctx, m.Prefix)
+	entries, version, err := m.Source.List(ctx, m.Prefix)
 	if err != nil {
 		return errors.Wrap(err, "list")
 	}
@@ -158,8 +169,8 @@
 	for _, e := range entries {
 		m.revisions[e.Key] = e.Revision
 	}
-	m.Sink.Reset(entries, SyncPoint{Prefix: m.Prefix, Revision: revision, RequestedAt: asked})
-	m.revision = revision
+	m.Sink.Reset(entries, SyncPoint{Prefix: m.Prefix, Revision: version.Revision, RequestedAt: asked.Add(-version.Age)})
+	m.revision = version.Revision
 	m.burst = m.burst && !maps.Equal(before, m.revisions)
 	m.synced = !m.burst
 	if m.burst {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -37,24 +37,24 @@
 	return step
 }
 
-func (s *script) List(context.Context, string) ([]Entry, uint64, error) {
+func (s *script) List(context.Context, string) ([]Entry, Version, error) {
 	switch step := s.next().(type) {
 	case listing:
-		return step.entries, step.revision, nil
+		return step.entries, Version{Revision: step.revision}, nil
 	case error:
-		return nil, 0, step
+		return nil, Version{}, step
 	default:
 		panic("the script has a watch where the mirror lists")
 	}
 }
 
-func (s *script) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]Event, uint64, error) {
+func (s *script) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]Event, Version, error) {
 	s.after = append(s.after, after)
 	switch step := s.next().(type) {
 	case watched:
-		return step.events, step.revision, nil
+		return step.events, Version{Revision: step.revision}, nil
 	case error:
-		return nil, 0, step
+		return nil, Version{}, step
 	default:
 		panic("the script has a list where the mirror watches")
 	}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -89,7 +89,7 @@
 		return 0, err
 	}
 	self := n.opts.Settings
-	c := ownership.Claim{Group: a.Group, Owner: self.Instance, Process: self.Process, Address: self.PeerAddress, Cores: self.Cores}
+	c := ownership.Claim{Group: a.Group, Owner: self.Instance, Process: self.Process, Address: self.PeerAddress, Cores: self.Cores, Domain: self.Domain}
 	expected := []Expected{{Key: n.opts.Decoder.ClaimKey(a.Group), Revision: a.Expected}}
 	if a.Expired != (ownership.Process{}) {
 		// The owner may have written a new liveness key that this process has not seen yet.
@@ -155,7 +155,7 @@
 		if n.opts.Settings.KeyMaxAge <= 0 || n.opts.Clock().UnixNano()-n.keysVerifiedAt.Load() <= int64(keyVerifyInterval) {
 			return nil
 		}
-		if err := n.verifyKeys(ctx); err != nil {
+		if err := n.verifyKeys(ctx, 0); err != nil {
 			return errors.Wrap(err, "verify keys")
 		}
 		return nil
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -18,8 +18,13 @@
 
 // Apply implements mirror.Sink.
 func (n *Node) Apply(events []mirror.Event, at mirror.SyncPoint) {
+	c := n.copyOf(at.Prefix)
+	complete := c == nil || c.Apply(events, at)
 	n.applyEvents(events)
 	n.recordVerification(at)
+	if !complete && at.Prefix == n.opts.Decoder.Prefixes().Operators {
+		n.restartVerification()
+	}
 }
 
 // applyEvents applies events in order and publishes the resulting claim table once.
@@ -40,6 +45,9 @@
 
 // Reset implements mirror.Sink. Known entries that are not listed have been deleted.
 func (n *Node) Reset(entries []mirror.Entry, at mirror.SyncPoint) {
+	if c := n.copyOf(at.Prefix); c != nil {
+		c.Reset(entries, at)
+	}
 	n.replacePrefix(at.Prefix, entries)
 	n.recordVerification(at)
 }
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -35,41 +34,65 @@
 	n.verifiedRevision = max(n.verifiedRevision, at.Revision)
 }
 
-// verifyKeys verifies with the store that the configuration, and thus its keys, is current. It applies a newer configuration if
-// there is one.
-func (n *Node) verifyKeys(ctx context.Context) error {
+// restartVerification makes the next verification start from the revision of the copy that this instance passes on. It is
+// called when the copy lacks changes, which a later verification must not skip.
+func (n *Node) restartVerification() {
+	revision, _, _ := n.operators.State()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.verifiedRevision = revision
+}
+
+// verifyKeys verifies that the configuration, and thus its keys, is current: with the store, or through a reader. It applies
+// newer entries of the operators if there are any. A reader is asked for atLeast, unless that is 0.
+func (n *Node) verifyKeys(ctx context.Context, atLeast uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	n.mu.Lock()
+	after := n.verifiedRevision
+	n.mu.Unlock()
+	if after == 0 {
+		return n.readConfig(ctx)
+	}
+	prefix := n.opts.Decoder.Prefixes().Operators
 	requestedAt := n.opts.Clock()
-	events, revision, err := n.fetchConfigChanges(ctx)
+	events, version, err := n.shared.Poll(ctx, prefix, after, atLeast)
+	if errors.Is(err, mirror.ErrCompacted) {
+		return n.confirmConfig(ctx)
+	}
 	if err != nil {
 		return err
 	}
-	n.Apply(events, mirror.SyncPoint{Prefix: n.opts.Decoder.Prefixes().Operators, Revision: revision, RequestedAt: requestedAt})
+	n.Apply(events, mirror.SyncPoint{
+		Prefix: prefix, After: after, Revision: max(after, version.Revision), RequestedAt: requestedAt.Add(-version.Age),
+	})
 	return nil
 }
 
-// fetchConfigChanges returns the changes of the configuration since the last verification, and the store's revision. It reads the
-// value, which may be large, only if it has changed.
-func (n *Node) fetchConfigChanges(ctx context.Context) ([]mirror.Event, uint64, error) {
-	n.mu.Lock()
-	after := n.verifiedRevision
-	n.mu.Unlock()
-	key := n.opts.Decoder.CatalogKey()
-	if after > 0 {
-		events, revision, err := n.opts.Store.Watch(ctx, key, after, 0)
-		if !errors.Is(err, mirror.ErrCompacted) {
-			return slices.DeleteFunc(events, func(e mirror.Event) bool { return e.Key != key }), revision, err
-		}
-		// The history has been compacted. A transaction with a precondition and no writes shows whether the value is unchanged.
-		revision, err = n.opts.Store.CompareAndSwap(ctx, []Expected{{Key: key, Revision: n.Catalog().Revision}}, nil)
-		if err == nil {
-			return nil, revision, nil
-		}
-		n.opts.Log.Info("the configuration has changed since the last read", "revision", n.Catalog().Revision, "error", err)
+// confirmConfig verifies the configuration when the history since the last verification is not available. A transaction
+// with a precondition and no writes shows whether the value, which may be large, is unchanged.
+func (n *Node) confirmConfig(ctx context.Context) error {
+	requestedAt := n.opts.Clock()
+	known := n.Catalog().Revision
+	revision, err := n.opts.Store.CompareAndSwap(ctx, []Expected{{Key: n.opts.Decoder.CatalogKey(), Revision: known}}, nil)
+	if err != nil {
+		n.opts.Log.Info("the configuration has changed since the last read", "revision", known, "error", err)
+		return n.readConfig(ctx)
+	}
+	n.recordVerification(mirror.SyncPoint{Prefix: n.opts.Decoder.Prefixes().Operators, Revision: revision, RequestedAt: requestedAt})
+	return nil
+}
+
+// readConfig reads the configuration from the store.
+func (n *Node) readConfig(ctx context.Context) error {
+	requestedAt := n.opts.Clock()
+	e, revision, err := n.opts.Store.Get(ctx, n.opts.Decoder.CatalogKey())
+	if err != nil {
+		return err
 	}
-	e, revision, err := n.opts.Store.Get(ctx, key)
-	return []mirror.Event{{Entry: e}}, revision, err
+	n.applyEvents([]mirror.Event{{Entry: e}})
+	n.recordVerification(mirror.SyncPoint{Prefix: n.opts.Decoder.Prefixes().Operators, Revision: revision, RequestedAt: requestedAt})
+	return nil
 }
 
 // CatchUp reads the configuration from the store if the known one is older than revision. It waits at most sharedCallWait.
@@ -78,7 +101,7 @@
 		return
 	}
 	n.configRead.do(ctx, func() error {
-		err := n.verifyKeys(context.Background())
+		err := n.verifyKeys(context.Background(), revision)
 		if err != nil {
 			n.opts.Log.Warn("could not read a newer configuration", "wanted", revision, "have", n.Catalog().Revision, "error", err)
 		}
@@ -86,25 +109,28 @@
 	})
 }
 
-// runKeyVerification verifies the keys regularly until ctx ends, while this instance owns a group.
+// runKeyVerification verifies the keys regularly until ctx ends, while this instance owns a group or is a reader.
 func (n *Node) runKeyVerification(ctx context.Context) error {
 	gap := keyVerifyInterval
 	for {
-		if !sleep(ctx, gap) {
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-n.becameReader:
+		case <-time.After(gap):
 		}
 		gap = keyVerifyInterval
 		n.mu.Lock()
 		owned := n.planner.OwnsAny()
 		n.mu.Unlock()
-		if !owned || n.opts.Settings.KeyMaxAge <= 0 {
+		if needed := owned && n.opts.Settings.KeyMaxAge > 0 || n.isReader(); !needed {
 			continue
 		}
 		if remaining := keyVerifyInterval - time.Duration(n.opts.Clock().UnixNano()-n.keysVerifiedAt.Load()); remaining > 0 {
 			gap = remaining // verified in the meantime by another read
 			continue
 		}
-		if err := n.verifyKeys(ctx); err != nil {
+		if err := n.verifyKeys(ctx, 0); err != nil {
 			age := time.Duration(n.opts.Clock().UnixNano() - n.keysVerifiedAt.Load())
 			n.opts.Log.Warn("could not prove that keys are in force", "age", age, "limit", n.opts.Settings.KeyMaxAge, "error", err)
 			gap = storeRetryDelay
--- a/internal/node/keys_test.go
+++ b/internal/node/keys_test.go
@@ -49,25 +49,27 @@
 
 func (s *fakeStore) entry() mirror.Entry { return mirror.Entry{Key: configName, Revision: s.config} }
 
-func (s *fakeStore) List(context.Context, string) ([]mirror.Entry, uint64, error) {
+func (s *fakeStore) List(context.Context, string) ([]mirror.Entry, mirror.Version, error) {
 	s.record("list")
-	return []mirror.Entry{s.entry()}, s.revision, nil
+	return []mirror.Entry{s.entry()}, mirror.Version{Revision: s.revision}, nil
 }
 
-func (s *fakeStore) Watch(_ context.Context, _ string, after uint64, wait time.Duration) ([]mirror.Event, uint64, error) {
+func (s *fakeStore) Watch(_ context.Context, _ string, after uint64, wait time.Duration) ([]mirror.Event, mirror.Version, error) {
 	s.record("watch")
 	if wait != 0 {
 		panic("a key verification must not wait")
 	}
 	if after+1 < s.oldest {
-		return nil, 0, mirror.ErrCompacted
+		return nil, mirror.Version{}, mirror.ErrCompacted
 	}
 	if after < s.config {
-		return []mirror.Event{{Entry: s.entry()}}, s.revision, nil
+		return []mirror.Event{{Entry: s.entry()}}, mirror.Version{Revision: s.revision}, nil
 	}
-	return nil, s.revision, nil
+	return nil, mirror.Version{Revision: s.revision}, nil
 }
 
+func (s *fakeStore) ListStale(context.Context, string) ([]mirror.Entry, error) { panic("not expected") }
+
 func (s *fakeStore) Get(context.Context, string) (mirror.Entry, uint64, error) {
 	s.record("get")
 	return s.entry(), s.revision, nil
@@ -142,7 +144,7 @@
 	p.node.Apply(nil, mirror.SyncPoint{Prefix: "operators", Revision: 9, RequestedAt: asked}) // a watch that was sent a minute ago
 	p.now = p.now.Add(keyMaxAge)
 	is.True(p.node.KeysFresh())
-	is.NoErr(p.node.verifyKeys(context.Background()))
+	is.NoErr(p.node.verifyKeys(context.Background(), 0))
 	is.Equal(p.store.calls, []string{"watch"})
 }
 
@@ -166,12 +168,12 @@
 			p.list()
 			c.change(p)
 			p.now = p.now.Add(keyMaxAge + time.Second)
-			is.NoErr(p.node.verifyKeys(context.Background()))
+			is.NoErr(p.node.verifyKeys(context.Background(), 0))
 			is.True(p.node.KeysFresh())
 			is.Equal(strings.Join(p.store.calls, " "), c.calls)
 			is.Equal(p.node.Catalog().Version, c.version)
 			p.store.calls = nil
-			is.NoErr(p.node.verifyKeys(context.Background()))
+			is.NoErr(p.node.verifyKeys(context.Background(), 0))
 			is.Equal(p.store.calls, []string{"watch"}) // from the revision of the previous verification
 		})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/fleetlink"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/member"
@@ -27,6 +29,8 @@
 // Store is the key-value service. A write may have taken effect unless the error is one of package internal/platform.
 type Store interface {
 	mirror.Source
+	// ListStale returns entries below the prefix that may be seconds old. It is much cheaper than List.
+	ListStale(ctx context.Context, prefix string) ([]mirror.Entry, error)
 	// Get returns the entry and the store's revision, or platform.ErrNotFound. Get, Watch and List are linearizable.
 	Get(ctx context.Context, key string) (mirror.Entry, uint64, error)
 	// CompareAndSwap executes the writes atomically if each expected key has the expected revision. Otherwise it writes nothing
@@ -184,6 +188,15 @@
 	configRead sharedCall
 	claimRead  sharedCall
 
+	// operators and ownership are the copies of the shared entries that this instance passes on when it is a reader.
+	operators, ownership *fanout.Copy
+	// shared reads the shared entries, from the store or from a reader.
+	shared *fanout.Source
+	// readers is the current choice of readers.
+	readers atomic.Pointer[readerChoice]
+	// becameReader wakes runKeyVerification when this instance becomes a reader.
+	becameReader chan struct{}
+
 	// claims is an immutable copy of the planner's claims for lock-free readers.
 	claims atomic.Pointer[claimTable]
 
@@ -208,16 +221,21 @@
 		Peers:           fleetlink.NewPeers(),
 		replan:          make(chan struct{}, 1),
 		ownershipGained: make(chan struct{}, 1),
+		becameReader:    make(chan struct{}, 1),
 		planner: ownership.NewPlanner(ownership.Self{
 			Instance: opts.Settings.Instance, Process: opts.Settings.Process, Cores: opts.Settings.Cores, FirstStart: opts.Settings.FirstStart,
 		}),
-		members: make(map[upstream.MemberID]member.Member),
+		members:   make(map[upstream.MemberID]member.Member),
+		operators: fanout.NewCopy(),
+		ownership: fanout.NewCopy(),
 
 		coordinatorLost: make(map[upstream.GroupID]bool),
 	}
 	n.claims.Store(&claimTable{changed: make(chan struct{})})
 	n.catalog.Store(catalog.New(0, 0))
 	n.domainsOut.Store(&map[instance.FailureDomain]bool{})
+	n.readers.Store(&readerChoice{})
+	n.shared = fanout.NewSource(opts.Store, n.Peers, n.readersToAsk, opts.Clock, opts.Log.Named("fanout"), rand.Float64)
 	opts.Owner.Authority = n
 	opts.Owner.Tokens = n
 	opts.Owner.Catalog = n.Catalog
@@ -349,5 +367,6 @@
 	n.claimsDirty = false
 	next := &claimTable{claims: n.planner.Claims(), last: n.planner.LastClaims(), changed: make(chan struct{})}
 	close(n.claims.Swap(next).changed)
+	n.chooseReaders(next)
 	n.triggerPlanner()
 }
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -13,7 +13,7 @@
 
 // loadPrimaryPlacement determines which groups have their primary in this instance's failure domain, so that the first owners of
 // a new fleet are close to their primaries. It retries until every group has a primary, because members may be registered after
-// the instances have started. It uses lists instead of a watch, because only owners watch members.
+// the instances have started. It uses cheap lists, which may be seconds old, instead of a watch, because only owners watch members.
 func (n *Node) loadPrimaryPlacement(ctx context.Context) {
 	for n.Catalog().Revision == 0 {
 		if !sleep(ctx, placementRetryDelay) {
@@ -22,7 +22,7 @@
 	}
 	started := n.opts.Clock()
 	for delay := placementRetryDelay; n.opts.Clock().Sub(started) < startupTimeout && sleep(ctx, delay); delay *= 2 {
-		entries, _, err := n.opts.Store.List(ctx, n.opts.Decoder.Prefixes().Members)
+		entries, err := n.opts.Store.ListStale(ctx, n.opts.Decoder.Prefixes().Members)
 		if err != nil {
 			n.opts.Log.Warn("could not read the failure domains of the primaries", "error", err)
 			continue
--- /dev/null
+++ b/internal/node/readers.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/celerystep/celerystep/internal/fanout"
+	"github.com/celerystep/celerystep/internal/mirror"
+	"github.com/celerystep/celerystep/internal/ownership"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+const (
+	// discoveryTimeout bounds the search for readers when a process starts.
+	discoveryTimeout = time.Second
+	// discoveryDelayPerCore is how long an instance with one core waits before it reads the store during the first start
+	// of a fleet, inversely proportional to its cores. Instances with more CPU time claim groups first, and the others
+	// then find readers.
+	discoveryDelayPerCore = 300 * time.Millisecond
+	maxDiscoveryDelay     = 1500 * time.Millisecond
+)
+
+// readerChoice is the choice of readers as this instance sees it.
+type readerChoice struct {
+	// ordered holds the readers in the order in which this instance asks them. It is empty when there are none.
+	ordered []fanout.Reader
+	// reads is true when this instance is one of them.
+	reads bool
+}
+
+// readersToAsk returns the readers to ask for shared entries; none when this instance reads the store itself.
+func (n *Node) readersToAsk() []fanout.Reader {
+	c := n.readers.Load()
+	if c.reads {
+		return nil
+	}
+	return c.ordered
+}
+
+// isReader reports whether other instances may ask this one for shared entries.
+func (n *Node) isReader() bool { return n.readers.Load().reads && !n.draining.Load() }
+
+// chooseReaders chooses the readers among the owners. Owners whose liveness key is absent count when there are too few
+// others: after an outage of the whole fleet, the same instances soon own groups again.
+func (n *Node) chooseReaders(t *claimTable) {
+	readers := fanout.Choose(candidates(t.claims))
+	if len(readers) == 0 {
+		readers = fanout.Choose(candidates(t.last))
+	}
+	n.setReaders(readers)
+}
+
+func (n *Node) setReaders(readers []fanout.Reader) {
+	self := n.opts.Settings
+	next := &readerChoice{
+		ordered: fanout.Order(self.Instance, self.Domain, readers),
+		reads:   slices.ContainsFunc(readers, func(r fanout.Reader) bool { return r.Instance == self.Instance }),
+	}
+	if before := n.readers.Swap(next); next.reads && !before.reads {
+		// Others ask a new reader at once, so its content must be confirmed now.
+		select {
+		case n.becameReader <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func candidates(claims map[upstream.GroupID]ownership.Claim) []fanout.Reader {
+	list := make([]fanout.Reader, 0, len(claims))
+	for _, c := range claims {
+		list = append(list, candidate(c))
+	}
+	return list
+}
+
+func candidate(c ownership.Claim) fanout.Reader {
+	return fanout.Reader{Instance: c.Owner, Process: c.Process, Address: c.Address, Domain: c.Domain, Cores: c.Cores}
+}
+
+// discoverReaders looks for readers with a cheap read of the claims, which may be old, so that a process that starts does
+// not add to the load of the store.
+func (n *Node) discoverReaders(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
+	defer cancel()
+	entries, err := n.opts.Store.ListStale(ctx, n.opts.Decoder.Prefixes().Ownership)
+	if err != nil {
+		n.opts.Log.Warn("could not look for readers; reading the store", "error", err)
+		return
+	}
+	var found []fanout.Reader
+	for _, e := range entries {
+		if c, ok := n.opts.Decoder.Decode(mirror.Event{Entry: e}); ok && c.Claim != nil {
+			found = append(found, candidate(c.Claim.Claim))
+		}
+	}
+	readers := fanout.Choose(found)
+	n.opts.Log.Info("looked for readers", "claims", len(found), "readers", len(readers))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.claims.Load().last == nil {
+		n.setReaders(readers)
+	}
+}
+
+// discoveryDelay returns how long an instance waits before it reads the store when its process starts.
+func discoveryDelay(s Settings) time.Duration {
+	if !s.FirstStart || s.Cores <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(discoveryDelayPerCore)/s.Cores), maxDiscoveryDelay)
+}
+
+// newReaderServer returns the server that passes on the shared entries.
+func (n *Node) newReaderServer() *fanout.Server {
+	prefixes := n.opts.Decoder.Prefixes()
+	return &fanout.Server{
+		Copies:    map[string]*fanout.Copy{prefixes.Operators: n.operators, prefixes.Ownership: n.ownership},
+		Confirmed: n.operators,
+		Reads:     n.isReader,
+		CatchUp:   n.CatchUp,
+		Clock:     n.opts.Clock,
+	}
+}
+
+// copyOf returns the copy of a prefix, or nil if it is not passed on.
+func (n *Node) copyOf(prefix string) *fanout.Copy {
+	switch prefixes := n.opts.Decoder.Prefixes(); prefix {
+	case prefixes.Operators:
+		return n.operators
+	case prefixes.Ownership:
+		return n.ownership
+	default:
+		return nil
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -42,17 +42,24 @@
 	prefixes := n.opts.Decoder.Prefixes()
 	mirrors := []*mirror.Mirror{
 		{
-			Source: n.opts.Store, Prefix: prefixes.Operators, Sink: n, Clock: n.opts.Clock, Log: n.opts.Log, BatchDelay: configBatchDelay,
+			Source: n.shared, Prefix: prefixes.Operators, Sink: n, Clock: n.opts.Clock, Log: n.opts.Log, BatchDelay: configBatchDelay,
 			RelistInterval: configRelistInterval, OnConnectionChange: n.onConnectionChange,
 		},
 		{
-			Source: n.opts.Store, Prefix: prefixes.Ownership, Sink: n, Clock: n.opts.Clock, Log: n.opts.Log, BatchDelay: claimBatchDelay,
+			Source: n.shared, Prefix: prefixes.Ownership, Sink: n, Clock: n.opts.Clock, Log: n.opts.Log, BatchDelay: claimBatchDelay,
 			StartupBatchDelay: startupBatchDelay,
 		},
 	}
-	for _, m := range mirrors {
-		group.Go(func() error { return ignoreStopped(background, m.Run(background)) })
-	}
+	group.Go(func() error {
+		if !sleep(background, discoveryDelay(n.opts.Settings)) {
+			return nil
+		}
+		n.discoverReaders(background)
+		for _, m := range mirrors {
+			group.Go(func() error { return ignoreStopped(background, m.Run(background)) })
+		}
+		return nil
+	})
 	if n.opts.Settings.FirstStart {
 		group.Go(func() error { n.loadPrimaryPlacement(background); return nil })
 	}
@@ -62,7 +69,7 @@
 	group.Go(func() error { return n.runLeaseRenewal(background) })
 	group.Go(func() error { return n.runKeyVerification(background) })
 	servers := []*http.Server{
-		fleetlink.NewServer(n.Owner, n.opts.Settings.Instance, n.opts.Settings.Process),
+		fleetlink.NewServer(n.Owner, n.newReaderServer(), n.opts.Settings.Instance, n.opts.Settings.Process),
 		{Handler: ready, ReadHeaderTimeout: time.Second},
 		{Handler: metrics, ReadHeaderTimeout: time.Second},
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -33,6 +33,8 @@
 	Address string
 	// Cores is the CPU time available to the owner, in cores; 0 when unknown.
 	Cores float64
+	// Domain is the owner's failure domain; empty when unknown.
+	Domain instance.FailureDomain
 	// Revision is the store's revision of the claim: the fencing token.
 	Revision uint64
 }
