Accept a Query message without a body when counting statements

Cause: CountStatements cut one byte off a body that may be empty, so a malformed request of a peer ended the process of the home. Change: the terminating zero byte is removed only if it is there. The member's flag lags was written and never read; it is gone.

--- a/internal/dispatch/connections.go
+++ b/internal/dispatch/connections.go
@@ -54,8 +54,6 @@
 	// lastPosition is the newest position reported by the member, at lastPositionAt.
 	lastPosition   position.Position
 	lastPositionAt time.Time
-	// lags is true after the member refused a read because its log had not reached the position.
-	lags bool
 	// openAfter is the earliest time for another open after a failure.
 	openAfter time.Time
 	// warmupTokens is the token bucket that limits statements to a member that is warming up.
@@ -240,13 +238,13 @@
 	if m == nil || p.IsZero() {
 		return
 	}
-	m.lastPosition, m.lastPositionAt, m.lags = p, now, false
+	m.lastPosition, m.lastPositionAt = p, now
 }
 
 // ReportLagging records that the member refused a read because its log has not reached the position.
 func (s *Scheduler) ReportLagging(id upstream.MemberID, now time.Time) {
 	if m := findMember(s.members, id); m != nil {
-		m.lags, m.lastPositionAt = true, now
+		m.lastPositionAt = now
 	}
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -308,3 +308,23 @@
 		is.Equal(got, c.want)
 	}
 }
+
+// TestCountStatementsOfMalformedMessages guards against a peer's malformed message that ends the process.
+func TestCountStatementsOfMalformedMessages(t *testing.T) {
+	is := is.New(t)
+	is.Equal(CountStatements([]byte{'Q', 0, 0, 0, 4}), 1) // no body: costs as much as an empty query
+	is.Equal(CountStatements([]byte{'Q', 0, 0, 0, 3}), 0)
+	is.Equal(CountStatements([]byte{'Q', 0, 0}), 0)
+	is.Equal(CountStatements([]byte{'Q', 0, 0, 0, 5, 0}), 1)
+}
+
+func FuzzCountStatements(f *testing.F) {
+	f.Add([]byte{'Q', 0, 0, 0, 4})
+	f.Add([]byte{'Q', 0, 0, 0, 8, ';', '$', '$', 0})
+	f.Add([]byte{'E', 0, 0, 0, 4, 'Q', 255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, messages []byte) {
+		if n := CountStatements(messages); n < 0 || n > len(messages) {
+			t.Fatalf("%d statements in %d bytes", n, len(messages))
+		}
+	})
+}
--- a/internal/exchange/tokens.go
+++ b/internal/exchange/tokens.go
@@ -18,7 +18,7 @@
 		case typeExecute:
 			n++
 		case typeQuery:
-			n += queryStatements(m[headerBytes : len(m)-1])
+			n += queryStatements(bytes.TrimSuffix(m[headerBytes:], []byte{0}))
 		}
 		rest = tail
 	}
