Let a reader that the store rejects ask other readers

A planned stop waited 0.9 s for the calls of instances that wait for a change. Change: a reader whose store call fails asks other readers for a second, with the age of their confirmation; if they fail too, the store's error is returned. A stop ends the waiting calls with ErrNotReader.

--- a/internal/fanout/copy.go
+++ b/internal/fanout/copy.go
@@ -113,6 +113,13 @@
 	c.changed = make(chan struct{})
 }
 
+// Wake wakes all waiters as if the content had changed, for example because this instance stops to pass it on.
+func (c *Copy) Wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notify()
+}
+
 // State returns the revision of the content, the time at which the store last confirmed it, and a channel that is closed
 // at the next change. The revision is 0 until the first Reset.
 func (c *Copy) State() (revision uint64, confirmedAt time.Time, changed <-chan struct{}) {
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -159,20 +159,36 @@
 	s := Selector{Random: func() float64 { return 0.5 }}
 	ordered := []Reader{owner("a", "x", 1), owner("b", "x", 1), owner("c", "x", 1)}
 	now := epoch
-	is.True(s.Next(nil, now).Store())
-	is.Equal(s.Next(ordered, now).Reader, ordered[0])
+	is.True(s.Next(Route{}, now).Store())
+	is.Equal(s.Next(Route{Readers: ordered}, now).Reader, ordered[0])
 	s.Failed(ordered[0], now)
-	is.Equal(s.Next(ordered, now).Reader, ordered[1])
+	is.Equal(s.Next(Route{Readers: ordered}, now).Reader, ordered[1])
 	s.Succeeded(ordered[1])
-	is.Equal(s.Next(ordered, now).Reader, ordered[1]) // the first one is left out for a while
+	is.Equal(s.Next(Route{Readers: ordered}, now).Reader, ordered[1]) // the first one is left out for a while
 	now = now.Add(readerRetryDelay)
-	is.Equal(s.Next(ordered, now).Reader, ordered[0])
+	is.Equal(s.Next(Route{Readers: ordered}, now).Reader, ordered[0])
 	s.Failed(ordered[0], now)
 	s.Failed(ordered[1], now)
-	got := s.Next(ordered, now)
+	got := s.Next(Route{Readers: ordered}, now)
 	is.True(got.Store() && got.Fallback)
 	is.Equal(got.Delay, directSpread/2) // spread, because others may have lost their readers too
-	got = s.Next(ordered, now.Add(got.Delay))
+	got = s.Next(Route{Readers: ordered}, now.Add(got.Delay))
 	is.True(got.Store() && got.Delay == 0)
-	is.Equal(s.Next(ordered, now.Add(directSpread/2+directPeriod)).Reader, ordered[0])
+	is.Equal(s.Next(Route{Readers: ordered}, now.Add(directSpread/2+directPeriod)).Reader, ordered[0])
+}
+
+// TestAReaderAsksOthersWhileTheStoreRejectsIt guards against a reader that holds a whole group back because the store turns
+// only this one away.
+func TestAReaderAsksOthersWhileTheStoreRejectsIt(t *testing.T) {
+	is := is.New(t)
+	s := Selector{Random: func() float64 { return 0.5 }}
+	route := Route{Readers: []Reader{owner("a", "x", 1), owner("b", "x", 1)}, Reads: true}
+	now := epoch
+	is.True(s.Next(route, now).Store())
+	s.StoreFailed(now)
+	is.Equal(s.Next(route, now).Reader, route.Readers[0])
+	s.Failed(route.Readers[0], now)
+	s.Failed(route.Readers[1], now)
+	is.Equal(s.Next(route, now), Target{Fallback: true}) // nobody else can be asked
+	is.True(s.Next(route, now.Add(storeRetryDelay)).Store())
 }
--- a/internal/fanout/play_test.go
+++ b/internal/fanout/play_test.go
@@ -84,6 +84,12 @@
 	return []mirror.Event{{Entry: mirror.Entry{Key: playConfig, Revision: last, Value: fmt.Append(nil, last)}}}, s.revision, s.changed
 }
 
+func (s *playStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *playStore) count() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -233,7 +239,7 @@
 	}
 }
 
-func newPlay(random *rand.Rand) *play {
+func newPlay() *play {
 	p := &play{store: &playStore{changed: make(chan struct{})}, byAddress: make(map[string]*playInstance)}
 	p.store.change()
 	var owners []Reader
@@ -249,16 +255,17 @@
 		}
 	}
 	readers := Choose(owners)
-	for _, in := range p.instances {
-		ordered := Order(in.reader.Instance, in.reader.Domain, readers)
-		for _, r := range readers {
-			in.reads = in.reads || r == in.reader
-		}
-		toAsk := func() []Reader { return ordered }
-		if in.reads {
-			toAsk = func() []Reader { return nil }
+	for i, in := range p.instances {
+		route := Route{}
+		for _, r := range Order(in.reader.Instance, in.reader.Domain, readers) {
+			if r == in.reader {
+				route.Reads = true
+			} else {
+				route.Readers = append(route.Readers, r)
+			}
 		}
-		in.source = NewSource(in, in, toAsk, time.Now, hclog.NewNullLogger(), random.Float64)
+		in.reads = route.Reads
+		in.source = NewSource(in, in, func() Route { return route }, time.Now, hclog.NewNullLogger(), rand.New(rand.NewPCG(1, uint64(i))).Float64)
 		in.server = &Server{
 			Copies: map[string]*Copy{playOperators: in.operators, playOwnership: in.ownership}, Confirmed: in.operators,
 			Reads: func() bool { return in.reads }, CatchUp: func(context.Context, uint64) {}, Clock: time.Now,
@@ -318,61 +325,72 @@
 	}
 }
 
+// measureCalm checks the number of store calls and the time to force while nothing fails.
+func (p *play) measureCalm(t *testing.T, random *rand.Rand) {
+	t.Helper()
+	before, period := p.store.callCount(), 20*time.Second
+	time.Sleep(period)
+	perSecond := float64(p.store.callCount()-before) / period.Seconds()
+	t.Logf("calm: %.1f store calls a second", perSecond)
+	if perSecond > callLimit {
+		t.Errorf("%.1f store calls a second, want at most %d", perSecond, callLimit)
+	}
+	for range 5 {
+		t.Logf("a change is in force everywhere after %v", p.awaitForce(t, p.store.change(), forceLimit))
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+	}
+}
+
+// injectFaults sets a new combination of faults of the readers.
+func (p *play) injectFaults(random *rand.Rand) {
+	for _, in := range p.instances {
+		if !in.reads {
+			continue
+		}
+		in.mu.Lock()
+		in.cut, in.frozen, in.killed = random.IntN(4) == 0, random.IntN(6) == 0, random.IntN(6) == 0
+		in.delay = 0
+		if random.IntN(4) == 0 {
+			in.delay = time.Duration(random.IntN(900)) * time.Millisecond
+		}
+		in.mu.Unlock()
+	}
+}
+
+// reconnectAll lets all instances reach the store again.
+func (p *play) reconnectAll() {
+	for _, in := range p.instances {
+		in.mu.Lock()
+		in.cut = false
+		in.mu.Unlock()
+	}
+}
+
 // TestAFleetReadsThroughItsReaders plays 300 instances, ten of them readers, in virtual time: first calm, then with readers
 // that are killed, frozen, cut off from the store and slow while the configuration changes every few hundred milliseconds.
 // No instance may hold content for current that was not, or go back to older content.
 func TestAFleetReadsThroughItsReaders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(1, 2))
-		p := newPlay(random)
+		p := newPlay()
 		ctx, stop := context.WithCancel(t.Context())
 		var work sync.WaitGroup
 		p.run(ctx, &work)
 		work.Go(func() { p.checkConfirmed(ctx, t) })
 		p.awaitForce(t, 1, 5*time.Second)
 		time.Sleep(5 * time.Second)
-
-		calls, calm := p.store.calls, 20*time.Second
-		time.Sleep(calm)
-		perSecond := float64(p.store.calls-calls) / calm.Seconds()
-		t.Logf("calm: %.1f store calls a second", perSecond)
-		if perSecond > callLimit {
-			t.Errorf("%.1f store calls a second, want at most %d", perSecond, callLimit)
-		}
-		for range 5 {
-			t.Logf("a change is in force everywhere after %v", p.awaitForce(t, p.store.change(), forceLimit))
-			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
-		}
-
-		var readers []*playInstance
-		for _, in := range p.instances {
-			if in.reads {
-				readers = append(readers, in)
-			}
-		}
+		p.measureCalm(t, random)
 		for round := range 12 {
-			for _, in := range readers {
-				in.mu.Lock()
-				in.cut, in.frozen, in.killed = random.IntN(4) == 0, random.IntN(6) == 0, random.IntN(6) == 0
-				in.delay = 0
-				if random.IntN(4) == 0 {
-					in.delay = time.Duration(random.IntN(900)) * time.Millisecond
-				}
-				in.mu.Unlock()
-			}
-			before := p.store.calls
+			p.injectFaults(random)
+			before := p.store.callCount()
 			var last uint64
 			for range 8 {
 				time.Sleep(time.Duration(random.IntN(900)) * time.Millisecond)
 				last = p.store.change()
 			}
-			for _, in := range readers {
-				in.mu.Lock()
-				in.cut = false
-				in.mu.Unlock()
-			}
+			p.reconnectAll()
 			took := p.awaitForce(t, last, 8*time.Second)
-			t.Logf("round %d: in force after %v, %d store calls", round, took, p.store.calls-before)
+			t.Logf("round %d: in force after %v, %d store calls", round, took, p.store.callCount()-before)
 		}
 		stop()
 		work.Wait()
--- a/internal/fanout/selector.go
+++ b/internal/fanout/selector.go
@@ -15,6 +15,8 @@
 	directSpread = 800 * time.Millisecond
 	// directPeriod is how long an instance reads the store itself before it tries the readers again.
 	directPeriod = 3 * time.Second
+	// storeRetryDelay is how long a reader that failed to read the store asks other readers before it tries again.
+	storeRetryDelay = time.Second
 )
 
 // Target is where an instance reads next.
@@ -37,13 +39,26 @@
 
 	failedAt map[Reader]time.Time
 	// failures counts the failed calls since the last successful one.
-	failures    int
-	directUntil time.Time
+	failures      int
+	directUntil   time.Time
+	storeFailedAt time.Time
 }
 
-// Next returns where to read. ordered holds the readers in the instance's order; without any the store is read.
-func (s *Selector) Next(ordered []Reader, now time.Time) Target {
-	if len(ordered) == 0 {
+// Route is the choice of readers as one instance sees it.
+type Route struct {
+	// Readers holds the other readers in the order in which the instance asks them. Without any it reads the store.
+	Readers []Reader
+	// Reads is true when the instance is a reader itself. It then asks others only after the store has failed.
+	Reads bool
+}
+
+// Next returns where to read.
+func (s *Selector) Next(route Route, now time.Time) Target {
+	ordered := route.Readers
+	switch {
+	case len(ordered) == 0:
+		return Target{}
+	case route.Reads && now.Sub(s.storeFailedAt) >= storeRetryDelay:
 		return Target{}
 	}
 	if now.Before(s.directUntil) {
@@ -56,8 +71,11 @@
 			}
 		}
 	}
-	delay := time.Duration(s.Random() * float64(directSpread))
 	s.failures = 0
+	if route.Reads {
+		return Target{Fallback: true}
+	}
+	delay := time.Duration(s.Random() * float64(directSpread))
 	s.directUntil = now.Add(delay + directPeriod)
 	return Target{Delay: delay, Fallback: true}
 }
@@ -76,6 +94,9 @@
 	s.failures++
 }
 
+// StoreFailed records that the store did not answer.
+func (s *Selector) StoreFailed(now time.Time) { s.storeFailedAt = now }
+
 // Succeeded records an answer of a reader.
 func (s *Selector) Succeeded(r Reader) {
 	delete(s.failedAt, r)
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -39,12 +39,11 @@
 
 // Source reads the store, through a reader if there is one. It implements mirror.Source and is safe for concurrent use.
 type Source struct {
-	Store mirror.Source
-	Peers Peers
-	// Readers returns the readers in the order in which to try them; none when this instance reads the store itself.
-	Readers func() []Reader
-	Clock   boottime.Clock
-	Log     hclog.Logger
+	store mirror.Source
+	peers Peers
+	route func() Route
+	clock boottime.Clock
+	log   hclog.Logger
 
 	mu       sync.Mutex
 	selector Selector
@@ -56,36 +55,27 @@
 }
 
 // NewSource returns a source. Random returns a number in [0, 1).
-func NewSource(store mirror.Source, peers Peers, readers func() []Reader, clock boottime.Clock, log hclog.Logger, random func() float64) *Source {
+func NewSource(store mirror.Source, peers Peers, route func() Route, clock boottime.Clock, log hclog.Logger, random func() float64) *Source {
 	return &Source{
-		Store: store, Peers: peers, Readers: readers, Clock: clock, Log: log, selector: Selector{Random: random}, revisions: make(map[string]uint64),
+		store: store, peers: peers, route: route, clock: clock, log: log, selector: Selector{Random: random}, revisions: make(map[string]uint64),
 	}
 }
 
 // List implements mirror.Source.
 func (s *Source) List(ctx context.Context, prefix string) ([]mirror.Entry, mirror.Version, error) {
-	for {
-		t, err := s.next(ctx)
-		if err != nil {
-			return nil, mirror.Version{}, err
-		}
-		if t.Store() {
-			entries, v, err := s.Store.List(ctx, prefix)
-			return entries, s.returned(prefix, v), err
-		}
-		events, v, err := s.ask(ctx, t.Reader, Request{Prefix: prefix})
-		if errors.Is(err, mirror.ErrCompacted) {
-			return nil, v, errors.Wrap(err, "complete content")
-		}
-		if err != nil {
-			continue
-		}
-		entries := make([]mirror.Entry, len(events))
+	var entries []mirror.Entry
+	version, err := s.read(ctx, Request{Prefix: prefix}, func(Target) (mirror.Version, error) {
+		var v mirror.Version
+		var err error
+		entries, v, err = s.store.List(ctx, prefix)
+		return v, err
+	}, func(events []mirror.Event) {
+		entries = make([]mirror.Entry, len(events))
 		for i, e := range events {
 			entries[i] = e.Entry
 		}
-		return entries, v, nil
-	}
+	})
+	return entries, version, err
 }
 
 // Watch implements mirror.Source.
@@ -100,36 +90,73 @@
 }
 
 func (s *Source) watch(ctx context.Context, r Request) ([]mirror.Event, mirror.Version, error) {
+	var events []mirror.Event
+	version, err := s.read(ctx, r, func(t Target) (mirror.Version, error) {
+		wait := r.Wait
+		if t.Fallback {
+			wait = min(wait, directPeriod)
+		}
+		var v mirror.Version
+		var err error
+		events, v, err = s.store.Watch(ctx, r.Prefix, r.After, wait)
+		return v, err
+	}, func(answered []mirror.Event) { events = answered })
+	return events, version, err
+}
+
+// read makes calls to readers or the store until one succeeds. It returns the store's error when the store and the readers
+// fail. use receives the events of a reader.
+func (s *Source) read(ctx context.Context, r Request, readStore func(Target) (mirror.Version, error), use func([]mirror.Event)) (mirror.Version, error) {
+	var storeErr error
 	for {
 		t, err := s.next(ctx)
 		if err != nil {
-			return nil, mirror.Version{}, err
+			return mirror.Version{}, err
 		}
-		if t.Store() {
-			wait := r.Wait
-			if t.Fallback {
-				wait = min(wait, directPeriod)
+		if !t.Store() {
+			events, v, err := s.ask(ctx, t.Reader, r)
+			if err == nil || errors.Is(err, mirror.ErrCompacted) {
+				use(events)
+				return v, err
 			}
-			events, v, err := s.Store.Watch(ctx, r.Prefix, r.After, wait)
-			return events, s.returned(r.Prefix, v), err
+			continue
+		}
+		if storeErr != nil {
+			return mirror.Version{}, storeErr
+		}
+		v, err := readStore(t)
+		if err == nil || errors.Is(err, mirror.ErrCompacted) || ctx.Err() != nil {
+			s.recordRevision(r.Prefix, v.Revision)
+			return v, err
 		}
-		request := r
-		request.Wait = min(r.Wait, maxWait)
-		events, v, err := s.ask(ctx, t.Reader, request)
-		if err == nil || errors.Is(err, mirror.ErrCompacted) {
-			return events, v, err
+		storeErr = err
+		if !s.recordStoreFailure(r.Prefix, err) {
+			return mirror.Version{}, err
 		}
 	}
 }
 
+// recordStoreFailure records that the store did not answer, and reports whether readers may be asked instead.
+func (s *Source) recordStoreFailure(prefix string, err error) bool {
+	route := s.route()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.selector.StoreFailed(s.clock())
+	if len(route.Readers) == 0 {
+		return false
+	}
+	s.log.Info("the store did not answer; asking a reader", "prefix", prefix, "error", err)
+	return true
+}
+
 // next returns the target of the next call after its delay.
 func (s *Source) next(ctx context.Context) (Target, error) {
-	readers := s.Readers()
+	route := s.route()
 	s.mu.Lock()
-	t := s.selector.Next(readers, s.Clock())
+	t := s.selector.Next(route, s.clock())
 	if t.Reader != s.last || !s.started {
 		s.last, s.started = t.Reader, true
-		s.Log.Info("reads shared entries", "reader", t.Reader.Instance, "store", t.Store(), "fallback", t.Fallback, "delay", t.Delay, "readers", len(readers))
+		s.log.Info("reads shared entries", "reader", t.Reader.Instance, "store", t.Store(), "fallback", t.Fallback, "delay", t.Delay, "readers", len(route.Readers), "reads", route.Reads)
 	}
 	s.mu.Unlock()
 	return t, sleep(ctx, t.Delay)
@@ -137,13 +164,14 @@
 
 // ask makes one call to a reader. Any error but mirror.ErrCompacted leaves the reader out for a while.
 func (s *Source) ask(ctx context.Context, reader Reader, r Request) ([]mirror.Event, mirror.Version, error) {
+	r.Wait = min(r.Wait, maxWait)
 	limit := pollTimeout
 	if r.Wait > 0 || r.After == 0 {
 		limit = r.Wait + answerTimeout
 	}
 	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	a, err := s.Peers.Follow(call, reader.Address, r)
+	a, err := s.peers.Follow(call, reader.Address, r)
 	var events []mirror.Event
 	if err == nil {
 		events, err = s.check(r, a)
@@ -164,10 +192,10 @@
 	if ctx.Err() != nil {
 		return
 	}
-	s.Log.Info("a reader did not answer as needed", "reader", reader.Instance, "prefix", r.Prefix, "after", r.After, "error", err)
+	s.log.Info("a reader did not answer as needed", "reader", reader.Instance, "prefix", r.Prefix, "after", r.After, "error", err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.selector.Failed(reader, s.Clock())
+	s.selector.Failed(reader, s.clock())
 }
 
 // reportSuccess records an answer of a reader and returns its version.
@@ -201,12 +229,11 @@
 	return events, nil
 }
 
-// returned records the version that the store returned for a prefix.
-func (s *Source) returned(prefix string, v mirror.Version) mirror.Version {
+// recordRevision records a revision that the store returned for a prefix.
+func (s *Source) recordRevision(prefix string, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revisions[prefix] = max(s.revisions[prefix], v.Revision)
-	return v
+	s.revisions[prefix] = max(s.revisions[prefix], revision)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,7 +193,7 @@
 	// shared reads the shared entries, from the store or from a reader.
 	shared *fanout.Source
 	// readers is the current choice of readers.
-	readers atomic.Pointer[readerChoice]
+	readers atomic.Pointer[fanout.Route]
 	// becameReader wakes runKeyVerification when this instance becomes a reader.
 	becameReader chan struct{}
 
@@ -234,8 +234,8 @@
 	n.claims.Store(&claimTable{changed: make(chan struct{})})
 	n.catalog.Store(catalog.New(0, 0))
 	n.domainsOut.Store(&map[instance.FailureDomain]bool{})
-	n.readers.Store(&readerChoice{})
-	n.shared = fanout.NewSource(opts.Store, n.Peers, n.readersToAsk, opts.Clock, opts.Log.Named("fanout"), rand.Float64)
+	n.readers.Store(&fanout.Route{})
+	n.shared = fanout.NewSource(opts.Store, n.Peers, func() fanout.Route { return *n.readers.Load() }, opts.Clock, opts.Log.Named("fanout"), rand.Float64)
 	opts.Owner.Authority = n
 	opts.Owner.Tokens = n
 	opts.Owner.Catalog = n.Catalog
--- a/internal/node/readers.go
+++ b/internal/node/readers.go
@@ -21,25 +21,8 @@
 	maxDiscoveryDelay     = 1500 * time.Millisecond
 )
 
-// readerChoice is the choice of readers as this instance sees it.
-type readerChoice struct {
-	// ordered holds the readers in the order in which this instance asks them. It is empty when there are none.
-	ordered []fanout.Reader
-	// reads is true when this instance is one of them.
-	reads bool
-}
-
-// readersToAsk returns the readers to ask for shared entries; none when this instance reads the store itself.
-func (n *Node) readersToAsk() []fanout.Reader {
-	c := n.readers.Load()
-	if c.reads {
-		return nil
-	}
-	return c.ordered
-}
-
 // isReader reports whether other instances may ask this one for shared entries.
-func (n *Node) isReader() bool { return n.readers.Load().reads && !n.draining.Load() }
+func (n *Node) isReader() bool { return n.readers.Load().Reads && !n.draining.Load() }
 
 // chooseReaders chooses the readers among the owners. Owners whose liveness key is absent count when there are too few
 // others: after an outage of the whole fleet, the same instances soon own groups again.
@@ -53,11 +36,10 @@
 
 func (n *Node) setReaders(readers []fanout.Reader) {
 	self := n.opts.Settings
-	next := &readerChoice{
-		ordered: fanout.Order(self.Instance, self.Domain, readers),
-		reads:   slices.ContainsFunc(readers, func(r fanout.Reader) bool { return r.Instance == self.Instance }),
-	}
-	if before := n.readers.Swap(next); next.reads && !before.reads {
+	isSelf := func(r fanout.Reader) bool { return r.Instance == self.Instance }
+	next := &fanout.Route{Reads: slices.ContainsFunc(readers, isSelf)}
+	next.Readers = slices.DeleteFunc(fanout.Order(self.Instance, self.Domain, readers), isSelf)
+	if before := n.readers.Swap(next); next.Reads && !before.Reads {
 		// Others ask a new reader at once, so its content must be confirmed now.
 		select {
 		case n.becameReader <- struct{}{}:
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -115,6 +115,9 @@
 // shutDown hands over the owned groups, drains sessions and transactions, and revokes the lease.
 func (n *Node) shutDown(callers *caller.Server) {
 	n.draining.Store(true)
+	// Ends the calls of instances that wait here for changes; they turn to another reader.
+	n.operators.Wake()
+	n.ownership.Wake()
 	started := n.opts.Clock()
 	n.opts.Log.Info("shutting down", "sessions", callers.Sessions(), "open_transactions", n.Owner.OpenTransactions())
 	n.mu.Lock()
