Keep deletions across a list of a reader

Change: a list of a copy that has content records the keys that it lacks as deletions at its revision. Measured: TestAListDoesNotMakeOthersListToo ("20 compacted" before).

--- a/internal/fanout/copy.go
+++ b/internal/fanout/copy.go
@@ -51,13 +51,36 @@
 		}
 		next[e.Key] = &stored{Entry: e}
 	}
+	c.recordMissing(next, at.Revision)
 	c.entries = next
-	// The list does not show when the missing keys were deleted.
-	c.deletions, c.deletionsAfter = nil, at.Revision
 	c.confirm(at)
 	c.notify()
 }
 
+// recordMissing records the deletions that a list at a revision implies. The caller holds c.mu.
+func (c *Copy) recordMissing(listed map[string]*stored, revision uint64) {
+	if c.revision == 0 {
+		c.deletionsAfter = revision
+		return
+	}
+	for key := range c.entries {
+		if listed[key] == nil {
+			// The deletion itself is older. Whoever knows the content at this revision knows of it.
+			c.addDeletion(mirror.Event{Entry: mirror.Entry{Key: key, Revision: revision}, Deleted: true})
+		}
+	}
+}
+
+// addDeletion remembers a deletion and forgets the oldest one if there are too many. The caller holds c.mu.
+func (c *Copy) addDeletion(e mirror.Event) {
+	at, _ := slices.BinarySearchFunc(c.deletions, e.Revision, func(d mirror.Event, r uint64) int { return cmp.Compare(d.Revision, r) })
+	c.deletions = slices.Insert(c.deletions, at, e)
+	if len(c.deletions) > maxDeletions {
+		c.deletionsAfter = c.deletions[0].Revision
+		c.deletions = slices.Delete(c.deletions, 0, 1)
+	}
+}
+
 // Apply adds the changes between at.After and at.Revision. It ignores them and returns false when changes before at.After
 // are missing: the copy is then current again after the next Reset.
 func (c *Copy) Apply(events []mirror.Event, at mirror.SyncPoint) bool {
@@ -90,12 +113,7 @@
 		return false
 	}
 	delete(c.entries, e.Key)
-	at, _ := slices.BinarySearchFunc(c.deletions, e.Revision, func(d mirror.Event, r uint64) int { return cmp.Compare(d.Revision, r) })
-	c.deletions = slices.Insert(c.deletions, at, e)
-	if len(c.deletions) > maxDeletions {
-		c.deletionsAfter = c.deletions[0].Revision
-		c.deletions = slices.Delete(c.deletions, 0, 1)
-	}
+	c.addDeletion(e)
 	return true
 }
 
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -71,6 +71,19 @@
 	is.Equal(confirmedAt, epoch.Add(time.Second))
 }
 
+// TestAListDoesNotMakeOthersListToo guards against a whole fleet that reads the complete content again because its readers
+// have listed the store, which they do during a series of changes.
+func TestAListDoesNotMakeOthersListToo(t *testing.T) {
+	is := is.New(t)
+	c := NewCopy()
+	c.Reset([]mirror.Entry{put("a", 3).Entry, put("b", 4).Entry}, at(0, 10, 1))
+	c.Reset([]mirror.Entry{put("b", 4).Entry, put("c", 19).Entry}, at(0, 20, 2))
+	is.Equal(describe(c.Since(10)), "20 c@19 a@20-")
+	is.Equal(describe(c.Since(20)), "20")
+	is.True(c.Apply([]mirror.Event{put("a", 21)}, at(20, 21, 3)))
+	is.Equal(describe(c.Since(20)), "21 a@21")
+}
+
 func TestCopyForgetsOldDeletions(t *testing.T) {
 	is := is.New(t)
 	c := NewCopy()
