Let instances wait for readers during the first start

Change: instances look for readers with a cheap list that may be old, the ones with few cores later than those that claim first, and read the store themselves only if none appear. The failure domains of the primaries are not read once all groups have owners.

--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -21,18 +21,32 @@
 		}
 	}
 	started := n.opts.Clock()
+	if n.allClaimed() {
+		return
+	}
 	for delay := placementRetryDelay; n.opts.Clock().Sub(started) < startupTimeout && sleep(ctx, delay); delay *= 2 {
 		entries, err := n.opts.Store.ListStale(ctx, n.opts.Decoder.Prefixes().Members)
 		if err != nil {
 			n.opts.Log.Warn("could not read the failure domains of the primaries", "error", err)
 			continue
 		}
-		if n.applyPrimaryPlacement(entries) {
+		if n.applyPrimaryPlacement(entries) || n.allClaimed() {
 			return
 		}
 	}
 }
 
+// allClaimed reports whether every group has an owner, so that nothing is left to be claimed near its primary.
+func (n *Node) allClaimed() bool {
+	t := n.claims.Load()
+	for id := range n.Catalog().Groups {
+		if t.get(id).Owner == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // applyPrimaryPlacement passes the placement of the listed primaries to the planner and reports whether every group has a primary.
 func (n *Node) applyPrimaryPlacement(entries []mirror.Entry) bool {
 	n.mu.Lock()
--- a/internal/node/readers.go
+++ b/internal/node/readers.go
@@ -12,13 +12,17 @@
 )
 
 const (
-	// discoveryTimeout bounds the search for readers when a process starts.
+	// discoveryTimeout bounds one look for readers when a process starts.
 	discoveryTimeout = time.Second
-	// discoveryDelayPerCore is how long an instance with one core waits before it reads the store during the first start
-	// of a fleet, inversely proportional to its cores. Instances with more CPU time claim groups first, and the others
-	// then find readers.
-	discoveryDelayPerCore = 300 * time.Millisecond
-	maxDiscoveryDelay     = 1500 * time.Millisecond
+	// discoveryDelay and discoveryLimit are, for an instance with one core, when it looks for readers for the first time
+	// during the first start of a fleet, and when it reads the store although there are none yet. Both are inversely
+	// proportional to its cores: instances with more CPU time claim groups first, and the others then find readers.
+	discoveryDelay = 300 * time.Millisecond
+	discoveryLimit = 600 * time.Millisecond
+	// maxDiscoveryTime bounds both, so that a fleet of tiny instances starts in time.
+	maxDiscoveryTime = 3500 * time.Millisecond
+	// discoveryInterval is the time between two looks for readers.
+	discoveryInterval = 400 * time.Millisecond
 )
 
 // isReader reports whether other instances may ask this one for shared entries.
@@ -60,6 +64,18 @@
 	return fanout.Reader{Instance: c.Owner, Process: c.Process, Address: c.Address, Domain: c.Domain, Cores: c.Cores}
 }
 
+// awaitReaders looks for readers when a process starts. During the first start of a fleet it waits for some to appear.
+func (n *Node) awaitReaders(ctx context.Context) {
+	delay, limit := discoveryTimes(n.opts.Settings)
+	for waited := delay; sleep(ctx, delay); waited += delay {
+		n.discoverReaders(ctx)
+		if len(n.readers.Load().Readers) > 0 || waited >= limit {
+			return
+		}
+		delay = discoveryInterval
+	}
+}
+
 // discoverReaders looks for readers with a cheap read of the claims, which may be old, so that a process that starts does
 // not add to the load of the store.
 func (n *Node) discoverReaders(ctx context.Context) {
@@ -85,12 +101,14 @@
 	}
 }
 
-// discoveryDelay returns how long an instance waits before it reads the store when its process starts.
-func discoveryDelay(s Settings) time.Duration {
+// discoveryTimes returns when an instance looks for readers first, and when it stops to wait for them, counted from the
+// start of its process.
+func discoveryTimes(s Settings) (delay, limit time.Duration) {
 	if !s.FirstStart || s.Cores <= 0 {
-		return 0
+		return 0, 0
 	}
-	return min(time.Duration(float64(discoveryDelayPerCore)/s.Cores), maxDiscoveryDelay)
+	perCore := func(d time.Duration) time.Duration { return min(time.Duration(float64(d)/s.Cores), maxDiscoveryTime) }
+	return perCore(discoveryDelay), perCore(discoveryLimit)
 }
 
 // newReaderServer returns the server that passes on the shared entries.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -51,10 +51,7 @@
 		},
 	}
 	group.Go(func() error {
-		if !sleep(background, discoveryDelay(n.opts.Settings)) {
-			return nil
-		}
-		n.discoverReaders(background)
+		n.awaitReaders(background)
 		for _, m := range mirrors {
 			group.Go(func() error { return ignoreStopped(background, m.Run(background)) })
 		}
