Contain malformed messages of peers and panics of sessions

Cause: looked for "one malformed message took a whole process down". An unknown code of a peer was cut to eight bits (256 became a success), an unknown transaction state ended the process when it was written to the caller, a panic in a session ended all sessions of the instance, and the server ran statements of kinds that no instance sends. Change: numbers of peers are decoded once into known values (an unknown code means in doubt, never a promise); such statements are refused; a session that panics ends alone, is logged and counted (celerystep_caller_panics_total).

--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -14,6 +14,8 @@
 	Rejected  *prometheus.CounterVec
 	Answers   *prometheus.CounterVec
 	Durations *prometheus.HistogramVec
+	// Panics counts sessions that were ended by a panic.
+	Panics prometheus.Counter
 }
 
 // NewMetrics creates and registers the metrics.
@@ -30,8 +32,9 @@
 			Name: "celerystep_caller_seconds", Help: "Time from a statement's arrival to its answer.",
 			Buckets: []float64{.002, .005, .01, .02, .05, .1, .15, .25, .5, 1, 2.5},
 		}, []string{"kind"}),
+		Panics: prometheus.NewCounter(prometheus.CounterOpts{Name: "celerystep_caller_panics_total", Help: "Sessions that were ended by a panic."}),
 	}
-	r.MustRegister(m.Sessions, m.Rejected, m.Answers, m.Durations)
+	r.MustRegister(m.Sessions, m.Rejected, m.Answers, m.Durations, m.Panics)
 	return m
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,9 +171,19 @@
 	s.wg.Done()
 }
 
+// recoverSession ends a session that panicked, so that the fault of one request does not end the sessions of all callers.
+// The caller sees a closed connection, which promises nothing about its statement.
+func (s *Server) recoverSession(c net.Conn) {
+	if r := recover(); r != nil {
+		s.Metrics.Panics.Inc()
+		s.Log.Error("session ended by a panic", "caller", c.RemoteAddr(), "panic", r, "stack", string(debug.Stack()))
+	}
+}
+
 // serve runs one session.
 func (s *Server) serve(ctx context.Context, c net.Conn) {
 	defer s.removeConn(c)
+	defer s.recoverSession(c)
 	codec := s.NewCodec(c)
 	session := s.openSession(c, codec)
 	if session == nil {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -213,3 +213,37 @@
 	_, code = dial(t, address)
 	is.Equal(code, statement.CodeOK)
 }
+
+// panickingRunner panics on the first request and answers the others.
+type panickingRunner struct {
+	scriptedRunner
+	panicked atomic.Bool
+}
+
+func (s *panickingRunner) Run(context.Context, *operation.Request) operation.Response {
+	if !s.panicked.Swap(true) {
+		panic("unexpected")
+	}
+	return operation.Response{}
+}
+
+// TestAPanicEndsOneSessionOnly guards against a fault of one request that ends the sessions of all callers.
+func TestAPanicEndsOneSessionOnly(t *testing.T) {
+	is := is.New(t)
+	s, address := startServer(t, &panickingRunner{})
+	other, code := dial(t, address)
+	is.Equal(code, statement.CodeOK)
+	c, code := dial(t, address)
+	is.Equal(code, statement.CodeOK)
+	_, err := c.Write([]byte{1})
+	is.NoErr(err)
+	_, err = io.ReadFull(c, make([]byte, 1))
+	is.True(err != nil) // closed without an answer
+	_, err = other.Write([]byte{1})
+	is.NoErr(err)
+	_, err = io.ReadFull(other, make([]byte, 1))
+	is.NoErr(err)
+	for s.Sessions() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/fleetlink/convert.go
+++ b/internal/fleetlink/convert.go
@@ -61,10 +61,10 @@
 		Key:             r.GetKey(),
 		CatalogRevision: r.GetCatalogRevision(),
 		Statement: statement.Statement{
-			ID: s.GetId(), Kind: statement.Kind(s.GetKind()), Text: s.GetText(), Name: s.GetName(), Value: s.GetValue(),
+			ID: s.GetId(), Kind: statement.KindFromWire(s.GetKind()), Text: s.GetText(), Name: s.GetName(), Value: s.GetValue(),
 			Prepared: statement.Prepared{Writes: s.GetPreparedWrites(), Definition: s.GetPreparedShape()},
 		},
-		Begin:         statement.Kind(r.GetBegin()),
+		Begin:         statement.KindFromWire(r.GetBegin()),
 		InTransaction: r.GetInTransaction(),
 		Values:        r.GetValues(),
 		Floor:         fromPosition(r.GetFloor()),
@@ -84,8 +84,8 @@
 func fromResponse(r *fleetv1.RunResponse) operation.Response {
 	return operation.Response{
 		Answer: statement.Answer{
-			Rows: r.GetRows(), Receipt: r.GetReceipt(), Code: statement.Code(r.GetCode()), Detail: r.GetDetail(),
-			State: statement.TxState(r.GetState()), Position: fromPosition(r.GetPosition()),
+			Rows: r.GetRows(), Receipt: r.GetReceipt(), Code: statement.CodeFromWire(r.GetCode()), Detail: r.GetDetail(),
+			State: statement.TxStateFromWire(r.GetState()), Position: fromPosition(r.GetPosition()),
 		},
 		RetryAfter:      time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
 		OverRate:        r.GetOverRate(),
--- a/internal/fleetlink/server.go
+++ b/internal/fleetlink/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
 	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
@@ -41,6 +42,9 @@
 	Follow(ctx context.Context, r fanout.Request) (fanout.Answer, error)
 }
 
+// errInvalidRequest reports a request that no instance sends; nothing ran.
+var errInvalidRequest = errors.New("the statement cannot be run on a member")
+
 // handler implements fleetv1connect.FleetServiceHandler.
 type handler struct {
 	local   Local
@@ -65,7 +69,11 @@
 
 // Run implements fleetv1connect.FleetServiceHandler.
 func (h *handler) Run(ctx context.Context, r *connect.Request[fleetv1.RunRequest]) (*connect.Response[fleetv1.RunResponse], error) {
-	return connect.NewResponse(toResponse(h.local.Run(ctx, fromRequest(r.Msg)))), nil
+	q := fromRequest(r.Msg)
+	if !q.Valid() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errInvalidRequest)
+	}
+	return connect.NewResponse(toResponse(h.local.Run(ctx, q))), nil
 }
 
 // End implements fleetv1connect.FleetServiceHandler.
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -43,6 +43,21 @@
 	Elapsed time.Duration
 }
 
+// Valid reports whether the statement is one that runs on a member.
+func (r *Request) Valid() bool {
+	switch r.Begin {
+	case statement.KindInvalid, statement.KindBegin, statement.KindBeginRead:
+	default:
+		return false
+	}
+	switch r.Statement.Kind {
+	case statement.KindRead, statement.KindWrite, statement.KindExecute, statement.KindCommit:
+		return true
+	default:
+		return false
+	}
+}
+
 // Response is the answer to a Request.
 type Response struct {
 	statement.Answer
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -109,6 +109,30 @@
 	CodeMalformed
 )
 
+// KindFromWire returns the kind that a peer sent as a number, KindInvalid if it is none.
+func KindFromWire(n uint32) Kind {
+	if n > uint32(KindReset) {
+		return KindInvalid
+	}
+	return Kind(n)
+}
+
+// TxStateFromWire returns the transaction state that a peer sent as a number, TxFailed if it is none.
+func TxStateFromWire(n uint32) TxState {
+	if n > uint32(TxFailed) {
+		return TxFailed
+	}
+	return TxState(n)
+}
+
+// CodeFromWire returns the code that a peer sent as a number. A number that is none means that the statement may have run.
+func CodeFromWire(n uint32) Code {
+	if n > uint32(CodeMalformed) {
+		return CodeInDoubt
+	}
+	return Code(n)
+}
+
 // String returns the name of the code in logs and metrics.
 func (c Code) String() string {
 	names := [...]string{
