Hand groups over without a gap while the store is slow

A claim takes several calls, so 513 statements met a group whose old owner had stopped after 0.8 s and whose new owner was not known or had no members yet. Change: a leaving owner serves for 40 % of the grace period while nobody has claimed the group; an instance that is asked and is not the owner names the newest claim that it knows; members are read before a claim is written.

--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -29,6 +29,8 @@
 	// Current returns the last known claim, whether this process holds it, and a channel that is closed when either
 	// changes.
 	Current(g upstream.GroupID) (claim ownership.Claim, mine bool, changed <-chan struct{})
+	// ClaimLearned reports a claim that another instance knows.
+	ClaimLearned(claim ownership.Claim)
 	// ClaimDoubted reports that the claim's owner denied owning the group. The implementation may look for a newer
 	// claim, but must return quickly.
 	ClaimDoubted(ctx context.Context, claim ownership.Claim)
@@ -96,6 +98,10 @@
 			return r.refuse(q, statement.CodeAborted, "the owner of the transaction has ended", claim, err, 0)
 		}
 		if err == nil && !mine {
+			if resp.Owner.Revision > claim.Revision {
+				r.Claims.ClaimLearned(resp.Owner)
+				continue
+			}
 			r.Claims.ClaimDoubted(ctx, claim)
 		}
 		left := ownerWait - r.Clock().Sub(started)
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -9,7 +10,10 @@
 	"github.com/matryer/is"
 
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/fanout"
+	"github.com/celerystep/celerystep/internal/fleetlink"
 	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/owner"
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -35,6 +39,8 @@
 	return ownership.Claim{Group: g, Owner: "self"}, true, nil
 }
 
+func (selfClaims) ClaimLearned(ownership.Claim) {}
+
 func (selfClaims) ClaimDoubted(context.Context, ownership.Claim) {}
 
 func (selfClaims) OwnerEnded(ownership.Claim) {}
@@ -86,3 +92,60 @@
 	is.Equal(r.Run(ctx, request("k1")).Code, statement.CodeOK)
 	is.Equal(r.Run(ctx, request("k1")).Code, statement.CodeOK)
 }
+
+// movingClaims names a peer as the owner until it learns of a claim of this process.
+type movingClaims struct {
+	selfClaims
+	claim   ownership.Claim
+	doubted bool
+}
+
+func (m *movingClaims) Current(upstream.GroupID) (ownership.Claim, bool, <-chan struct{}) {
+	return m.claim, m.claim.Owner == "self", nil
+}
+
+func (m *movingClaims) ClaimLearned(c ownership.Claim) { m.claim = c }
+
+func (m *movingClaims) ClaimDoubted(context.Context, ownership.Claim) { m.doubted = true }
+
+// leavingOwner answers as an owner that has handed the group over.
+type leavingOwner struct {
+	scriptedRunner
+	next ownership.Claim
+}
+
+func (l *leavingOwner) Run(context.Context, *operation.Request) operation.Response {
+	return operation.Response{Answer: statement.Answer{Code: statement.CodeBusy}, NotOwner: true, Owner: l.next}
+}
+
+func (l *leavingOwner) Grant(upstream.GroupID, []owner.TokenRequest) ([]owner.TokenRequest, bool) {
+	return nil, false
+}
+
+func (l *leavingOwner) Follow(context.Context, fanout.Request) (fanout.Answer, error) {
+	return fanout.Answer{}, fanout.ErrNotReader
+}
+
+// TestThePreviousOwnerNamesTheNextOne guards against refusals after a planned move while the store is slow: the instance that
+// serves the caller need not wait until its own watch shows the new claim.
+func TestThePreviousOwnerNamesTheNextOne(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	previous := &leavingOwner{next: ownership.Claim{Owner: "self", Revision: 8}}
+	server := fleetlink.NewServer(previous, previous, "previous", "p")
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	claims := &movingClaims{claim: ownership.Claim{Group: "g", Owner: "previous", Address: l.Addr().String(), Revision: 7}}
+	self := &fakeOwner{run: func(*operation.Request) operation.Response { return operation.Response{} }}
+	r := newRouter(self, time.Now)
+	r.Claims, r.Peers = claims, fleetlink.NewPeers()
+	is.Equal(r.Run(context.Background(), request("k1")).Code, statement.CodeOK)
+	is.Equal(self.calls, 1)
+	is.Equal(claims.claim.Group, upstream.GroupID("g"))
+	is.True(!claims.doubted) // no call to the store
+	// A claim that is not newer changes nothing.
+	claims.claim = ownership.Claim{Group: "g", Owner: "previous", Address: l.Addr().String(), Revision: 9}
+	is.Equal(r.Run(context.Background(), request("k1")).Code, statement.CodeBusy)
+	is.True(claims.doubted)
+}
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -104,7 +104,9 @@
 	if err != nil {
 		return operation.Response{}, classifyError(p.address, err)
 	}
-	return fromResponse(resp.Msg), nil
+	answer := fromResponse(resp.Msg)
+	answer.Owner.Group = r.Group
+	return answer, nil
 }
 
 // End asks the peer to roll back the session's open transaction.
--- a/internal/fleetlink/convert.go
+++ b/internal/fleetlink/convert.go
@@ -7,6 +7,7 @@
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -73,11 +74,28 @@
 	}
 }
 
+func toClaim(c ownership.Claim) *fleetv1.Claim {
+	if c.Owner == "" {
+		return nil
+	}
+	return &fleetv1.Claim{
+		Instance: string(c.Owner), Process: c.Process, Address: c.Address, Cores: c.Cores, Domain: string(c.Domain), Revision: c.Revision,
+	}
+}
+
+// fromClaim returns a claim without its group, which the request names.
+func fromClaim(c *fleetv1.Claim) ownership.Claim {
+	return ownership.Claim{
+		Owner: instance.ID(c.GetInstance()), Process: c.GetProcess(), Address: c.GetAddress(), Cores: c.GetCores(),
+		Domain: instance.FailureDomain(c.GetDomain()), Revision: c.GetRevision(),
+	}
+}
+
 func toResponse(r operation.Response) *fleetv1.RunResponse {
 	return &fleetv1.RunResponse{
 		Rows: r.Rows, Receipt: r.Receipt, Code: uint32(r.Code), Detail: r.Detail, State: uint32(r.State),
 		Position: toPosition(r.Position), RetryAfterMs: uint32(r.RetryAfter.Milliseconds()), NotOwner: r.NotOwner,
-		CatalogRevision: r.CatalogRevision, OverRate: r.OverRate,
+		CatalogRevision: r.CatalogRevision, OverRate: r.OverRate, Owner: toClaim(r.Owner),
 	}
 }
 
@@ -91,6 +109,7 @@
 		OverRate:        r.GetOverRate(),
 		NotOwner:        r.GetNotOwner(),
 		CatalogRevision: r.GetCatalogRevision(),
+		Owner:           fromClaim(r.GetOwner()),
 	}
 }
 
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -140,8 +140,8 @@
 	n.applyEvents(events)
 }
 
-// prepareOwnership returns a lease and concurrently verifies the keys if the next verification is due, so that a new owner starts
-// with keys that stay verified until its next regular verification.
+// prepareOwnership returns a lease. Concurrently it verifies the keys if the next verification is due and reads the members, so
+// that a new owner can serve as soon as its claim is written, also while the store is slow.
 func (n *Node) prepareOwnership(ctx context.Context) (lease platform.LeaseID, err error) {
 	calls, ctx := errgroup.WithContext(ctx)
 	calls.Go(func() error {
@@ -160,10 +160,25 @@
 		}
 		return nil
 	})
+	calls.Go(func() error { return n.loadMembers(ctx) })
 	err = calls.Wait()
 	return lease, err
 }
 
+// loadMembers reads the members unless this process watches them already.
+func (n *Node) loadMembers(ctx context.Context) error {
+	if n.watchesMembers.Load() {
+		return nil
+	}
+	prefix := n.opts.Decoder.Prefixes().Members
+	entries, _, err := n.opts.Store.List(ctx, prefix)
+	if err != nil {
+		return errors.Wrap(err, "members")
+	}
+	n.replacePrefix(prefix, entries)
+	return nil
+}
+
 // livenessRecord is the revision of this process's liveness key and the lease that the key is attached to.
 type livenessRecord struct {
 	lease    platform.LeaseID
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -11,6 +11,8 @@
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/mirror"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/owner"
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/platform"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -118,6 +120,7 @@
 			return nil
 		case <-n.ownershipGained:
 		}
+		n.watchesMembers.Store(true)
 		follow, stop := context.WithCancel(ctx)
 		m := &mirror.Mirror{Source: n.opts.Store, Prefix: n.opts.Decoder.Prefixes().Members, Sink: n, Clock: n.opts.Clock, Log: n.opts.Log}
 		done := make(chan struct{})
@@ -127,6 +130,7 @@
 		}()
 		for n.ownsAny() && sleep(ctx, memberWatchLinger) {
 		}
+		n.watchesMembers.Store(false)
 		stop()
 		<-done
 	}
@@ -283,6 +287,32 @@
 	n.storeLostAt.CompareAndSwap(0, n.opts.Clock().UnixNano())
 }
 
+// ClaimLearned implements caller.Claims. The previous owner of a group often knows the next one before the watch does.
+func (n *Node) ClaimLearned(c ownership.Claim) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.applyClaim(ClaimChange{Claim: c})
+	n.publishClaims()
+}
+
+// peerService serves the calls of other instances. It implements fleetlink.Local.
+type peerService struct {
+	*owner.Manager
+	node *Node
+}
+
+// Run implements operation.Runner. When this instance does not own the group, it tells who does.
+func (s peerService) Run(ctx context.Context, r *operation.Request) operation.Response {
+	resp := s.Manager.Run(ctx, r)
+	if !resp.NotOwner {
+		return resp
+	}
+	if c, mine, _ := s.node.Current(r.Group); !mine {
+		resp.Owner = c
+	}
+	return resp
+}
+
 // ClaimDoubted implements caller.Claims. It reads the claim from the store, because a watch on a stalled connection delivers
 // nothing for half a minute. Concurrent callers share one read.
 func (n *Node) ClaimDoubted(ctx context.Context, c ownership.Claim) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,6 +178,8 @@
 	leaseValidUntil atomic.Int64
 	// ownershipGained wakes watchMembers when this process becomes the owner of a group.
 	ownershipGained chan struct{}
+	// watchesMembers is true while watchMembers keeps the members current.
+	watchesMembers atomic.Bool
 	// storeLostAt is the time in Unix nanoseconds at which the connection to the store was lost; 0 while connected.
 	storeLostAt atomic.Int64
 	draining    atomic.Bool
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -24,8 +24,9 @@
 }
 
 const (
-	// handoverTimeout bounds how long an owner that shuts down keeps serving a group while no other instance has claimed it.
-	handoverTimeout = 800 * time.Millisecond
+	// handoverPercent is the percentage of the grace period for which an owner that shuts down keeps serving a group while
+	// no other instance has claimed it. A claim takes several calls to a store that may be slow.
+	handoverPercent = 40
 	// exitMargin is the part of the grace period that is reserved for the exit of the process.
 	exitMargin = time.Second
 	// peerDrainTimeout bounds the wait for in-flight calls of peers during the shutdown.
@@ -66,7 +67,7 @@
 	group.Go(func() error { return n.runLeaseRenewal(background) })
 	group.Go(func() error { return n.runKeyVerification(background) })
 	servers := []*http.Server{
-		fleetlink.NewServer(n.Owner, n.newReaderServer(), n.opts.Settings.Instance, n.opts.Settings.Process),
+		fleetlink.NewServer(peerService{n.Owner, n}, n.newReaderServer(), n.opts.Settings.Instance, n.opts.Settings.Process),
 		{Handler: ready, ReadHeaderTimeout: time.Second},
 		{Handler: metrics, ReadHeaderTimeout: time.Second},
 	}
@@ -154,9 +155,9 @@
 	n.opts.Log.Info("shut down", "took", n.opts.Clock().Sub(started), "sessions", callers.Sessions(), "open_transactions", n.Owner.OpenTransactions())
 }
 
-// handOver removes a claim and serves the group until another instance has claimed it or handoverTimeout has passed.
+// handOver removes a claim and serves the group until another instance has claimed it or its part of the grace period has passed.
 func (n *Node) handOver(ctx context.Context, c ownership.Claim) {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.opts.Settings.GracePeriod*handoverPercent/100)
 	defer cancel()
 	n.relinquish(ctx, c)
 	for ctx.Err() == nil {
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -65,8 +66,10 @@
 	RetryAfter time.Duration
 	// OverRate is true if the statement was rejected because its customer exceeded the rate limit; nothing ran.
 	OverRate bool
-	// NotOwner is true if the receiver does not own the group; nothing ran.
+	// NotOwner is true if the receiver does not own the group; nothing ran. Owner is then the newest claim that it knows of
+	// another process, or the zero Claim.
 	NotOwner bool
+	Owner    ownership.Claim
 	// CatalogRevision is the revision of the configuration that the owner used.
 	CatalogRevision uint64
 }
