Use the open connections in turn while a member has none left

Change: a rejection limits the number of connections to that member for 0.3 s to those that are open; idle ones of other customers are closed in their favour.

--- a/internal/dispatch/connections.go
+++ b/internal/dispatch/connections.go
@@ -30,6 +30,8 @@
 	minEvictIdle = 30 * time.Millisecond
 	// openRetryDelay is the delay after a failed attempt to open a connection.
 	openRetryDelay = 100 * time.Millisecond
+	// connLimitPeriod is how long a rejected connection limits the number of connections to the member.
+	connLimitPeriod = 300 * time.Millisecond
 	// maxOpening limits the connections being opened to one member: each takes a slot meanwhile.
 	maxOpening = 2
 )
@@ -56,6 +58,9 @@
 	lastPositionAt time.Time
 	// openAfter is the earliest time for another open after a failure.
 	openAfter time.Time
+	// connLimit is how many connections the member accepts at present, until connLimitUntil.
+	connLimit      int
+	connLimitUntil time.Time
 	// warmupTokens is the token bucket that limits statements to a member that is warming up.
 	warmupTokens float64
 	warmupAt     time.Time
@@ -99,7 +104,7 @@
 	if m.opening >= maxOpening || now.Before(m.openAfter) {
 		return Open{}, false
 	}
-	if len(m.conns) >= s.limits.Connections {
+	if len(m.conns) >= s.connLimit(m, now) {
 		evictable := s.evictable(m, customer, now)
 		if evictable == nil {
 			return Open{}, false
@@ -182,6 +187,29 @@
 	s.removeConn(c)
 }
 
+// OpenRejected records that a connection could not be opened because the member has none left: somebody else holds some, for
+// example an earlier owner that lost power. For a while the connections that are open are used in turn instead.
+func (s *Scheduler) OpenRejected(id ConnID, now time.Time) {
+	c := s.conns[id]
+	if c == nil {
+		return
+	}
+	m := c.member
+	s.removeConn(c)
+	m.connLimit, m.connLimitUntil = max(1, len(m.conns)), now.Add(connLimitPeriod)
+	if len(m.conns) == 0 {
+		m.openAfter = now.Add(openRetryDelay)
+	}
+}
+
+// connLimit returns how many connections to the member may be open.
+func (s *Scheduler) connLimit(m *member, now time.Time) int {
+	if now.Before(m.connLimitUntil) {
+		return min(s.limits.Connections, m.connLimit)
+	}
+	return s.limits.Connections
+}
+
 // Closed records that a connection has been closed, whatever its state.
 func (s *Scheduler) Closed(id ConnID) {
 	if c := s.conns[id]; c != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -136,7 +136,7 @@
 	Waited time.Duration
 }
 
-// Open requests a new connection. Opened or OpenFailed must be called.
+// Open requests a new connection. Opened, OpenFailed or OpenRejected must be called.
 type Open struct {
 	Conn     ConnID
 	Member   upstream.MemberID
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -24,12 +24,17 @@
 	inTime, late, refused, expired int
 	perCustomer                    map[string]int
 	worstRefusal                   time.Duration
+	// connectedTo holds the member of each open connection; rejected counts the connections that members rejected.
+	connectedTo map[ConnID]*server
+	rejected    int
 }
 
 // server simulates a member: statements run in slots, excess ones in order of arrival.
 type server struct {
 	free  []time.Time
 	slots int
+	// connections counts the open ones. Unless limit is 0, the member rejects those beyond it.
+	connections, limit int
 }
 
 type caller struct {
@@ -59,6 +64,7 @@
 	l := &loadSimulation{
 		s: newScheduler(21), random: rand.New(rand.NewPCG(seed, 1)),
 		members: make(map[upstream.MemberID]*server), callers: make(map[Ticket]*caller), perCustomer: make(map[string]int),
+		connectedTo: make(map[ConnID]*server),
 	}
 	for _, m := range members() {
 		l.members[m.ID] = &server{slots: m.Slots, free: make([]time.Time, m.Slots)}
@@ -85,15 +91,35 @@
 		delete(l.callers, e.Ticket)
 		l.expired++
 	}
+	for _, id := range p.Closes {
+		if m := l.connectedTo[id]; m != nil {
+			m.connections--
+			delete(l.connectedTo, id)
+		}
+	}
 	for _, o := range p.Opens {
-		done := l.members[o.Member].run(now, 12*time.Millisecond)
-		l.after(done, func() { l.s.Opened(o.Conn, done) })
+		l.open(o, now)
 	}
 	for _, a := range p.Assignments {
 		l.start(a, now)
 	}
 }
 
+// open opens a connection, which takes a slot for a while, unless the member has no connection left.
+func (l *loadSimulation) open(o Open, now time.Time) {
+	m := l.members[o.Member]
+	if m.limit > 0 && m.connections >= m.limit {
+		answered := now.Add(2 * time.Millisecond)
+		l.rejected++
+		l.after(answered, func() { l.s.OpenRejected(o.Conn, answered) })
+		return
+	}
+	m.connections++
+	l.connectedTo[o.Conn] = m
+	done := m.run(now, 12*time.Millisecond)
+	l.after(done, func() { l.s.Opened(o.Conn, done) })
+}
+
 func (l *loadSimulation) start(a Assignment, now time.Time) {
 	c := l.callers[a.Ticket]
 	delete(l.callers, a.Ticket)
@@ -223,3 +249,25 @@
 		is.True(l.perCustomer[fmt.Sprint(i)] >= 20*20*90/100) // 90 % of what they send
 	}
 }
+
+// TestConnectionsOfAnEndedOwnerLeaveRoomForAllCustomers simulates the first two seconds of an owner whose predecessor lost
+// power: the members hold its connections until they find them dead, and reject what is beyond the rest. 71 customers then
+// share a few connections, each of which belongs to one customer at a time.
+func TestConnectionsOfAnEndedOwnerLeaveRoomForAllCustomers(t *testing.T) {
+	is := is.New(t)
+	l := newLoadSimulation(5)
+	l.s.SetLimits(DefaultLimits(32))
+	for _, m := range l.members {
+		m.limit = 14
+	}
+	for ms := 0; ms < 3000; ms += 40 {
+		l.after(at(ms), func() {}) // owners step a group at least this often
+	}
+	for i := range 71 {
+		l.arrive(fmt.Sprint(i), 1.7, 0.1, at(2000))
+	}
+	l.run(at(3000))
+	t.Log(l, "rejected connections", l.rejected)
+	is.True(l.inTime*100 >= 84*(l.inTime+l.late+l.refused+l.expired)) // the aim for a day with trouble
+	is.True(l.rejected <= 30)                                          // each takes the member's time as well
+}
--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -214,7 +214,11 @@
 	if err != nil {
 		g.o.Metrics.Dials.WithLabelValues("failed").Inc()
 		g.log.Warn("could not connect to a member", "member", m.ID, "customer", o.Customer, "error", err)
-		g.scheduler.OpenFailed(o.Conn, now)
+		if errors.Is(err, member.ErrLimit) {
+			g.scheduler.OpenRejected(o.Conn, now)
+		} else {
+			g.scheduler.OpenFailed(o.Conn, now)
+		}
 		if f := member.FailureOf(err); f != promotion.FailureBusy {
 			g.machine.Failed(m.ID, f, now)
 			g.signal()
