Count the interval of key verifications from their request

Change: the interval counts from the request, and a reader counts the age of the content that it passes on. load_test.go is formatted.

--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -269,5 +269,5 @@
 	l.run(at(3000))
 	t.Log(l, "rejected connections", l.rejected)
 	is.True(l.inTime*100 >= 84*(l.inTime+l.late+l.refused+l.expired)) // the aim for a day with trouble
-	is.True(l.rejected <= 30)                                          // each takes the member's time as well
+	is.True(l.rejected <= 30)                                         // each takes the member's time as well
 }
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -12,6 +12,8 @@
 const (
 	// keyVerifyInterval is the time between two verifications that the keys of the configuration are current.
 	keyVerifyInterval = 1900 * time.Millisecond
+	// minVerifyGap is the minimum time between two verifications. One through a reader may be nearly due on arrival.
+	minVerifyGap = 300 * time.Millisecond
 	// readTimeout bounds a read of the configuration, which may be large. A verification that takes longer would be almost
 	// out of date on arrival.
 	readTimeout = 3 * time.Second
@@ -126,14 +128,37 @@
 		if needed := owned && n.opts.Settings.KeyMaxAge > 0 || n.isReader(); !needed {
 			continue
 		}
-		if remaining := keyVerifyInterval - time.Duration(n.opts.Clock().UnixNano()-n.keysVerifiedAt.Load()); remaining > 0 {
-			gap = remaining // verified in the meantime by another read
+		if age := n.verificationAge(); age < keyVerifyInterval {
+			gap = verificationGap(age) // verified in the meantime by another read
 			continue
 		}
 		if err := n.verifyKeys(ctx, 0); err != nil {
-			age := time.Duration(n.opts.Clock().UnixNano() - n.keysVerifiedAt.Load())
-			n.opts.Log.Warn("could not prove that keys are in force", "age", age, "limit", n.opts.Settings.KeyMaxAge, "error", err)
+			n.opts.Log.Warn("could not prove that keys are in force", "age", n.keyAge(), "limit", n.opts.Settings.KeyMaxAge, "error", err)
 			gap = storeRetryDelay
+			continue
 		}
+		gap = verificationGap(n.verificationAge())
+	}
+}
+
+// keyAge returns the time since the request of the last verification.
+func (n *Node) keyAge() time.Duration {
+	return time.Duration(n.opts.Clock().UnixNano() - n.keysVerifiedAt.Load())
+}
+
+// verificationAge returns the age that decides when to verify again: that of the keys or, at a reader, that of the content that
+// it passes on, if that is older.
+func (n *Node) verificationAge() time.Duration {
+	age := n.keyAge()
+	if !n.isReader() {
+		return age
 	}
+	_, confirmedAt, _ := n.operators.State()
+	return max(age, n.opts.Clock().Sub(confirmedAt))
+}
+
+// verificationGap returns the time until the next verification, given the age of the last one. The interval counts from the
+// request, so that the age stays bounded while the store answers slowly.
+func verificationGap(age time.Duration) time.Duration {
+	return max(keyVerifyInterval-age, minVerifyGap)
 }
--- a/internal/node/keys_test.go
+++ b/internal/node/keys_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/owner"
 	"github.com/celerystep/celerystep/internal/ownership"
@@ -178,3 +179,36 @@
 		})
 	}
 }
+
+// readerMaxAge is the age from which a reader's content is not passed on any more.
+const readerMaxAge = 2600 * time.Millisecond
+
+// slowStore answers a key verification after a delay, with a manual clock.
+type slowStore struct {
+	*fakeStore
+	fixture *keyFixture
+	delay   time.Duration
+}
+
+func (s *slowStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]mirror.Event, mirror.Version, error) {
+	s.fixture.now = s.fixture.now.Add(s.delay)
+	return s.fakeStore.Watch(ctx, prefix, after, wait)
+}
+
+// TestVerificationsCountFromTheirRequest guards against content of a reader that is too old in every round while the store
+// answers slowly, which sends a whole fleet to the store.
+func TestVerificationsCountFromTheirRequest(t *testing.T) {
+	is := is.New(t)
+	p := newKeyFixture()
+	store := &slowStore{fakeStore: p.store, fixture: p, delay: 400 * time.Millisecond} // a store that is a hundred times slower
+	p.node.shared = fanout.NewSource(store, nil, func() fanout.Route { return fanout.Route{} }, func() time.Time { return p.now }, hclog.NewNullLogger(), nil)
+	p.list()
+	for range 5 {
+		is.NoErr(p.node.verifyKeys(context.Background(), 0))
+		gap := verificationGap(p.node.keyAge())
+		is.True(gap >= minVerifyGap)
+		p.now = p.now.Add(gap)
+		is.True(p.node.keyAge()+store.delay < readerMaxAge) // when the next answer arrives
+	}
+	is.Equal(verificationGap(time.Hour), minVerifyGap)
+}
