--- a/internal/fanout/play_test.go
+++ b/internal/fanout/play_test.go
@@ -20,8 +20,8 @@
 	playInstances  = 300
 	playOwners     = 20
 	playDomains    = 5
-	playConfig     = "op/config"
-	playOperators  = "op/"
+	playConfig     = "operators/config"
+	playOperators  = "operators/"
 	playOwnership  = "own/"
 	storeLatency   = 4 * time.Millisecond
 	peerLatency    = time.Millisecond
--- a/internal/fanout/server_test.go
+++ b/internal/fanout/server_test.go
@@ -14,7 +14,7 @@
 	"github.com/celerystep/celerystep/internal/mirror"
 )
 
-const testPrefix = "op/"
+const testPrefix = "operators/"
 
 // newTestServer returns the server of a reader whose content was confirmed just now.
 func newTestServer() (*Server, *Copy, *atomic.Bool) {
