Pause the claims of instances that the store rejects

Change: an instance that learns of claims through another one and on whose claims the store has not decided pauses for all groups, up to 3.2 s; groups that it takes back are exempt.

--- a/internal/node/readers.go
+++ b/internal/node/readers.go
@@ -38,11 +38,13 @@
 	n.setReaders(readers)
 }
 
+// setReaders sets the readers. The caller holds n.mu.
 func (n *Node) setReaders(readers []fanout.Reader) {
 	self := n.opts.Settings
 	isSelf := func(r fanout.Reader) bool { return r.Instance == self.Instance }
 	next := &fanout.Route{Reads: slices.ContainsFunc(readers, isSelf)}
 	next.Readers = slices.DeleteFunc(fanout.Order(self.Instance, self.Domain, readers), isSelf)
+	n.planner.SetRelayed(len(next.Readers) > 0 && !next.Reads)
 	if before := n.readers.Swap(next); next.Reads && !before.Reads {
 		// Others ask a new reader at once, so its content must be confirmed now.
 		select {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -21,6 +21,9 @@
 	// owner after an outage.
 	MinRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// maxPause is the maximum time for which an instance that learns of claims through another one claims nothing after the
+	// store has not decided on its claims: others reach the store and claim the groups.
+	maxPause = 3200 * time.Millisecond
 )
 
 // Claim records which process owns a group, as the store holds it.
@@ -111,6 +114,10 @@
 	groupsKnownSince time.Time
 	// failedClaims counts the consecutive claims on which the store has not decided.
 	failedClaims int
+	// relayed is true while this process learns of claims through another instance. pausedUntil is when it claims again
+	// after claims on which the store has not decided.
+	relayed     bool
+	pausedUntil time.Time
 	// claimsDisabled is true while the instance must not claim groups: it is leaving or cannot serve.
 	claimsDisabled bool
 }
@@ -139,6 +146,9 @@
 // SetClaimsDisabled sets whether the instance must not claim groups.
 func (p *Planner) SetClaimsDisabled(claimsDisabled bool) { p.claimsDisabled = claimsDisabled }
 
+// SetRelayed sets whether this process learns of claims through another instance, which shows that others reach the store.
+func (p *Planner) SetRelayed(relayed bool) { p.relayed = relayed }
+
 // SetLocalPrimary records whether the group's primary is in the instance's failure domain.
 func (p *Planner) SetLocalPrimary(id upstream.GroupID, local bool) {
 	p.local[id] = local
@@ -248,7 +258,7 @@
 	}
 	var actions []Action
 	delays := p.claimDelays(now)
-	for _, id := range p.sortedGroups(func(g *group) bool { return g.claimable() && !now.Before(g.retryAt) }) {
+	for _, id := range p.sortedGroups(func(g *group) bool { return g.claimable() && !now.Before(p.retryTime(g)) }) {
 		g := p.groups[id]
 		wait := delays.delay(p, id, g)
 		if now.Sub(g.ownerlessSince) < wait {
@@ -277,8 +287,8 @@
 			continue
 		}
 		at := g.ownerlessSince.Add(delays.delay(p, id, g))
-		if g.retryAt.After(at) {
-			at = g.retryAt
+		if retry := p.retryTime(g); retry.After(at) {
+			at = retry
 		}
 		if next.IsZero() || at.Before(next) {
 			next = at
@@ -291,8 +301,9 @@
 // recorded with SetClaim.
 func (p *Planner) ClaimDone(id upstream.GroupID, decided bool, now time.Time) {
 	p.failedClaims++
+	p.pausedUntil = now.Add(min(MinRetryDelay<<min(p.failedClaims-1, 8), maxPause))
 	if decided {
-		p.failedClaims = 0
+		p.failedClaims, p.pausedUntil = 0, time.Time{}
 	}
 	if g := p.groups[id]; g != nil {
 		g.claiming = false
@@ -300,6 +311,21 @@
 	}
 }
 
+// retryTime returns the earliest time for another claim on a group. The pause does not hold for a group that this instance
+// takes back.
+func (p *Planner) retryTime(g *group) time.Time {
+	if p.relayed && !p.takesBack(g) && p.pausedUntil.After(g.retryAt) {
+		return p.pausedUntil
+	}
+	return g.retryAt
+}
+
+// takesBack reports whether the group is of an earlier process of this instance, or was owned by this process until the claim
+// ended.
+func (p *Planner) takesBack(g *group) bool {
+	return g.ownedLast && !g.ownerDead && !g.relinquished || g.ownerDead && g.claim.Owner == p.self.Instance
+}
+
 // retryDelay doubles with each consecutive failure. A hash-based jitter spreads the retries of instances that failed at
 // the same time.
 func (p *Planner) retryDelay(id upstream.GroupID) time.Duration {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -336,3 +336,30 @@
 	next, _ := p.NextPlanTime(now)
 	is.Equal(next.Sub(now), MinRetryDelay) // reset after a decision of the store
 }
+
+// TestAnInstanceThatOthersInformPausesItsFailedClaims guards against instances that the store rejects for a while and that
+// learn through others of groups without an owner: 100 of them must not call the store for each group again and again.
+func TestAnInstanceThatOthersInformPausesItsFailedClaims(t *testing.T) {
+	is := is.New(t)
+	const groups, rejectedFor = 7, 9 * time.Second
+	attempts := func(relayed bool) int {
+		p := NewPlanner(Self{Instance: "a", Process: "p"})
+		p.SetRelayed(relayed)
+		var ids []upstream.GroupID
+		for i := range groups {
+			ids = append(ids, upstream.GroupID(fmt.Sprint("g", i)))
+		}
+		p.SetGroups(ids, epoch)
+		n := 0
+		for now := epoch; now.Sub(epoch) < rejectedFor; now = now.Add(5 * time.Millisecond) {
+			for _, a := range p.Plan(now) {
+				n++
+				p.ClaimDone(a.Group, false, now)
+			}
+		}
+		return n
+	}
+	t.Logf("%d claims tried alone, %d with others", attempts(false), attempts(true))
+	is.True(attempts(true) <= 4*groups)
+	is.True(attempts(false) >= 10*groups) // without others, groups must not stay without an owner
+}
--- a/internal/ownership/pace.go
+++ b/internal/ownership/pace.go
@@ -83,7 +83,7 @@
 // delay returns how long the instance waits before it claims the group, so that better placed instances claim first. An
 // instance takes back groups of its own last process, or that it owned until the claim ended, without delay.
 func (c claimDelays) delay(p *Planner, id upstream.GroupID, g *group) time.Duration {
-	if g.ownedLast && !g.ownerDead && !g.relinquished || g.ownerDead && g.claim.Owner == p.self.Instance {
+	if p.takesBack(g) {
 		return 0
 	}
 	d := c.stagger(hash(p.self.Instance, id))
