--- a/internal/audit/writer.go
+++ b/internal/audit/writer.go
@@ -32,7 +32,7 @@
 	Records     []json.RawMessage `json:"records"`
 }
 
-// pendingBatch is a batch that has not surely been stored. It keeps key and content over all tries.
+// pendingBatch is a batch whose storing has not been confirmed. It keeps key and content over all tries.
 type pendingBatch struct {
 	ref     batchRef
 	batch   batch
--- a/internal/classify/statement.go
+++ b/internal/classify/statement.go
@@ -1,5 +1,5 @@
 // Package classify decides from the text of SQL statements whether they may run on a replica, whether they open or end
-// a transaction block, and which of them the proxy answers or refuses itself. Whatever is not surely a read is a write.
+// a transaction block, and which of them the proxy answers or refuses itself. Whatever is not known to be a read is a write.
 package classify
 
 import "github.com/celerystep/celerystep/internal/request"
@@ -12,7 +12,7 @@
 
 // Statement describes the text of one Query or Parse message. It is shared by all sessions and must not be changed.
 type Statement struct {
-	// Kind is KindRead only when every statement of the text is surely a read, or when the text opens a block that
+	// Kind is KindRead only when every statement of the text is known to be a read, or when the text opens a block that
 	// the caller declared read only.
 	Kind request.Kind
 	// Count is the number of statements, which is the number of admission tokens of a Query message.
--- a/internal/load/contract.go
+++ b/internal/load/contract.go
@@ -19,7 +19,7 @@
 
 // reference is a token bucket that tells which requests of a customer are within its contract. A request without
 // tokens waits for them, in its session or in the fleet, and so takes tokens of later ones. A request that would wait
-// for longer than the caller's patience is given up and takes none.
+// for longer than the caller's timeout is given up and takes none.
 type reference struct {
 	changes  []ContractChange
 	patience time.Duration
--- a/internal/local/local_test.go
+++ b/internal/local/local_test.go
@@ -27,8 +27,8 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// patience bounds a test with its real sockets.
-const patience = 90 * time.Second
+// testTimeout bounds a test with real sockets.
+const testTimeout = 90 * time.Second
 
 // sslRequest is the code of the packet that asks for TLS.
 const sslRequest = 80877103
@@ -62,7 +62,7 @@
 
 func start(t *testing.T) *world {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
 	w := &world{t: t, ctx: ctx}
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Trace, Output: &w.log})
@@ -184,7 +184,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	_ = conn.SetDeadline(time.Now().Add(patience))
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	ask := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, 8), sslRequest)
 	answer := make([]byte, 1)
 	if _, err = conn.Write(ask); err == nil {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -21,7 +21,7 @@
 
 // Kinds of request.
 const (
-	// KindWrite goes to the primary. It is the zero value because what is not surely a read is a write.
+	// KindWrite goes to the primary. It is the zero value because what is not known to be a read is a write.
 	KindWrite Kind = iota
 	// KindRead may be served by a replica.
 	KindRead
