--- a/review/kit/database.go
+++ b/review/kit/database.go
@@ -292,7 +292,7 @@
 	db := m.db
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
-	line, err := in.ReadString('\n')
+	line, err := readMessage(in)
 	if err != nil {
 		return
 	}
@@ -321,11 +321,11 @@
 	s := &session{m: m, state: "I"}
 	_, _ = fmt.Fprintf(c, "READY I %s\r\n", m.position())
 	for {
-		line, err := in.ReadString('\n')
+		line, err := readMessage(in)
 		if err != nil {
 			return
 		}
-		parts := strings.SplitN(strings.TrimRight(line, "\r\n"), " ", 3)
+		parts := strings.SplitN(line, " ", 3)
 		if len(parts) != 3 || parts[0] != "QUERY" {
 			return
 		}
@@ -335,6 +335,21 @@
 	}
 }
 
+// readMessage reads a message, which ends with CR LF, and returns it without these.
+func readMessage(in *bufio.Reader) (string, error) {
+	var message strings.Builder
+	for {
+		part, err := in.ReadString('\n')
+		if err != nil {
+			return "", err
+		}
+		message.WriteString(part)
+		if strings.HasSuffix(part, "\r\n") {
+			return strings.TrimSuffix(message.String(), "\r\n"), nil
+		}
+	}
+}
+
 // occupy takes a slot for a time.
 func (m *member) occupy(d time.Duration) {
 	m.slots <- struct{}{}
