--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -23,7 +23,6 @@
 
 // scripts holds the scripts by name. Each gets the path of its record and whether to inject the disruption.
 var scripts = map[string]func(recordPath string, trouble bool) outcome{
-	"term":    playTerm,
 	"stale":   playStale,
 	"stall":   playStall,
 	"newline": playNewline,
--- a/review/kit/stall.go
+++ b/review/kit/stall.go
@@ -15,8 +15,8 @@
 
 // dashboards is the number of dashboards at each instance, and dashboardGap the time between their reads.
 const (
-	dashboards   = 7
-	dashboardGap = 100 * time.Millisecond
+	dashboards   = 8
+	dashboardGap = 80 * time.Millisecond
 )
 
 // playStall lets the machine that owns the service freeze and wake again and again, each time for half a second, under a few
@@ -30,7 +30,7 @@
 		return outcome{err: err}
 	}
 	db := f.databases[0]
-	db.work = 80 * time.Millisecond
+	db.work = 130 * time.Millisecond
 	end := time.Now().Add(stallLength)
 	stop := make(chan struct{})
 	var consumers sync.WaitGroup
@@ -46,7 +46,7 @@
 		}
 		frozen[owner] = true
 		for i := 0; i < stallsInARow && time.Now().Before(end); i++ {
-			d := between(500*time.Millisecond, 600*time.Millisecond)
+			d := between(480*time.Millisecond, 580*time.Millisecond)
 			f.record.add("%s freezes for %v", owner.name, d)
 			owner.freeze(d)
 			time.Sleep(between(40*time.Millisecond, 80*time.Millisecond))
@@ -54,16 +54,37 @@
 	}
 	close(stop)
 	consumers.Wait()
+	return outcome{breaches: judgeExits(f, frozen)}
+}
+
+// exitsOfAMachine and machinesWithExits are the limits of the rule: on that many machines processes end by themselves that
+// often, with no impairment there.
+const (
+	exitsOfAMachine   = 3
+	machinesWithExits = 2
+)
+
+// judgeExits returns the machines on which processes ended by themselves too often, if there are enough of them. Machines that
+// were frozen at any time don't count.
+func judgeExits(f *fleet, frozen map[*instance]bool) []string {
 	var breaches []string
+	total := 0
 	for _, in := range f.instances {
 		in.mu.Lock()
 		f.record.say("%s: %d exits by itself, frozen at times: %t", in.name, len(in.exits), frozen[in])
-		for _, e := range in.exits {
-			breaches = append(breaches, fmt.Sprintf("%s ended by itself at %.3f: %v", in.name, f.record.at(e.at), e.err))
+		if !frozen[in] {
+			total += len(in.exits)
+			if len(in.exits) >= exitsOfAMachine {
+				breaches = append(breaches, fmt.Sprintf("Fault: on %s, which no impairment hit, processes ended by themselves %d times", in.name, len(in.exits)))
+			}
 		}
 		in.mu.Unlock()
 	}
-	return outcome{breaches: breaches}
+	f.record.say("%d exits by themselves on machines without impairment", total)
+	if len(breaches) < machinesWithExits {
+		return nil
+	}
+	return breaches
 }
 
 // refresh plays the dashboards of an instance: about once a second they read their items one after the other, each in a session
@@ -76,7 +97,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(between(700*time.Millisecond, 1000*time.Millisecond)):
+		case <-time.After(between(600*time.Millisecond, 900*time.Millisecond)):
 		}
 		for i := range sessions {
 			d := &sessions[i]
