--- a/review/kit/instance.go
+++ b/review/kit/instance.go
@@ -18,8 +18,6 @@
 const (
 	// restartDelay is the time between the exit of a process and its restart.
 	restartDelay = 150 * time.Millisecond
-	// graceTime is the time between SIGTERM and SIGKILL: graceS of the settings.
-	graceTime  = 6 * time.Second
 	program    = "target/celerystep-instance"
 	callerPort = 8465
 	readyPort  = 8460
@@ -41,8 +39,6 @@
 	closed   bool
 	rotation bool
 	misses   int
-	// terminated is true after a signal that ends the process.
-	terminated bool
 	// exits holds the ends of processes that no signal explains.
 	exits []exit
 }
@@ -101,11 +97,10 @@
 		err := cmd.Wait()
 		_ = log.Close()
 		in.mu.Lock()
-		if !in.closed && !in.terminated {
+		if !in.closed {
 			in.exits = append(in.exits, exit{time.Now(), err})
 			in.record.say("%s: its process has ended by itself: %v", in.name, err)
 		}
-		in.terminated = false
 		in.mu.Unlock()
 		close(exited)
 		time.Sleep(restartDelay)
@@ -120,23 +115,6 @@
 	_ = in.cmd.Process.Signal(s)
 }
 
-// terminate sends SIGTERM, and SIGKILL after graceTime. It returns how long the process took to end.
-func (in *instance) terminate() time.Duration {
-	in.mu.Lock()
-	exited, process := in.exited, in.cmd.Process
-	in.terminated = true
-	in.mu.Unlock()
-	started := time.Now()
-	_ = process.Signal(syscall.SIGTERM)
-	select {
-	case <-exited:
-	case <-time.After(graceTime):
-		_ = process.Kill()
-		<-exited
-	}
-	return time.Since(started)
-}
-
 // freeze stops the process for a time.
 func (in *instance) freeze(d time.Duration) {
 	in.signal(syscall.SIGSTOP)
