--- a/review/kit/instance.go
+++ b/review/kit/instance.go
@@ -18,9 +18,9 @@
 const (
 	// restartDelay is the time between the exit of a process and its restart.
 	restartDelay = 150 * time.Millisecond
-	program    = "target/celerystep-instance"
-	callerPort = 8465
-	readyPort  = 8460
+	program      = "target/celerystep-instance"
+	callerPort   = 8465
+	readyPort    = 8460
 )
 
 // instance is a machine on which the program of the deploy file runs. It is started again when it exits.
