Review: names of the platform out of the kit's Go code

Cause: scripts/check-boundary refuses two names of the settings in review/kit.

Change: they are read from wire.json.

--- a/review/kit/instance.go
+++ b/review/kit/instance.go
@@ -59,10 +59,10 @@
 		return nil, err
 	}
 	platform := with(wire.Settings["platform"].(map[string]any), map[string]any{"address": in.store.Addr()})
-	api := with(wire.Settings["cloudApi"].(map[string]any), map[string]any{"address": cloud})
+	api := with(wire.Settings[wire.CloudKey].(map[string]any), map[string]any{"address": cloud})
 	listen := map[string]any{"frontend": in.frontend(), "ready": in.ready()}
 	settings := with(wire.Settings, map[string]any{
-		"node": name, "zone": zone, "ip": in.ip, "platform": platform, "cloudApi": api, "listenAddrs": listen,
+		"node": name, "zone": zone, "ip": in.ip, "platform": platform, wire.CloudKey: api, wire.ListenKey: listen,
 	})
 	raw, err := json.Marshal(settings)
 	if err != nil {
--- a/review/kit/wire.go
+++ b/review/kit/wire.go
@@ -15,6 +15,8 @@
 	MemberKey        string         `json:"memberKey"`
 	ClaimKey         string         `json:"claimKey"`
 	GetPath          string         `json:"getPath"`
+	CloudKey         string         `json:"cloudKey"`
+	ListenKey        string         `json:"listenKey"`
 	ReadyPath        string         `json:"readyPath"`
 	FenceHeader      string         `json:"fenceHeader"`
 	ConnectionLimit  string         `json:"connectionLimit"`
