--- a/review/kit/stall.go
+++ b/review/kit/stall.go
@@ -15,8 +15,8 @@
 
 // dashboards is the number of dashboards at each instance, and dashboardGap the time between their reads.
 const (
-	dashboards   = 7
-	dashboardGap = 100 * time.Millisecond
+	dashboards   = 8
+	dashboardGap = 80 * time.Millisecond
 )
 
 // playStall lets the machine that owns the service freeze and wake again and again, each time for half a second, under a few
@@ -46,7 +46,7 @@
 		}
 		frozen[owner] = true
 		for i := 0; i < stallsInARow && time.Now().Before(end); i++ {
-			d := between(450*time.Millisecond, 500*time.Millisecond)
+			d := between(480*time.Millisecond, 580*time.Millisecond)
 			f.record.add("%s freezes for %v", owner.name, d)
 			owner.freeze(d)
 			time.Sleep(between(40*time.Millisecond, 80*time.Millisecond))
