Guard read-only transactions on a primary that may be replaced

Cause: once the lease no longer rules out a successor, plain reads on the primary run inside BEGIN ... ROLLBACK, which a member that lost the lead refuses. Transactions of the caller took an earlier branch of Group.execute and were opened with BEGIN READ, which a replica accepts.

Change: whether a read must be guarded is decided first, for single reads and read-only transactions alike; a guarded one is opened with a plain BEGIN. The owner refuses writes in it, which the member would accept.

--- a/internal/owner/admit_test.go
+++ b/internal/owner/admit_test.go
@@ -17,9 +17,9 @@
 var epoch = time.Unix(1000, 0)
 
 // fakeAuthority grants everything except what its fields deny.
-type fakeAuthority struct{ keysStale bool }
+type fakeAuthority struct{ keysStale, unleased bool }
 
-func (a *fakeAuthority) Leased(ownership.Claim) bool           { return true }
+func (a *fakeAuthority) Leased(ownership.Claim) bool           { return !a.unleased }
 func (a *fakeAuthority) KeysFresh() bool                       { return !a.keysStale }
 func (a *fakeAuthority) DomainOut(instance.FailureDomain) bool { return false }
 
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -17,22 +17,34 @@
 	ctx, cancel := l.context(ctx)
 	defer cancel(nil)
 	setup := l.setupCommands(c.r.Values, c.r.Statement)
-	after := g.after(c, primary)
+	// A primary that another owner may have replaced answers reads and opens read-only transactions. It refuses plain ones.
+	guarded := primary && c.reads() && !c.r.Statement.Writes() && !g.primaryConfirmed()
+	c.tx = txMode{begin: c.r.Begin, guarded: guarded}
 	if c.r.Begin != statement.KindInvalid {
-		begin := internalCommand(c.r.Begin)
-		begin.After = after
-		return g.executeAfterBegin(ctx, c, l, append(setup, begin), primary)
+		return g.executeAfterBegin(ctx, c, l, append(setup, g.beginCommand(c, primary)), primary)
 	}
-	if primary && !c.r.Statement.Writes() && !g.primaryConfirmed() {
+	if guarded {
 		return g.readInTransaction(ctx, c, l, append(setup, internalCommand(statement.KindBegin)))
 	}
 	command := member.Command{Statement: withPreparedName(c.r.Statement)}
 	if !c.r.Statement.Writes() {
-		command.After = after
+		command.After = g.after(c, primary)
 	}
 	return g.send(ctx, c, l, setup, command, primary, primary)
 }
 
+// beginCommand returns the command that opens the call's transaction on the member: a plain one for a guarded read-only
+// transaction.
+func (g *Group) beginCommand(c *call, primary bool) member.Command {
+	if c.tx.guarded {
+		c.tx.begin = statement.KindBegin
+		return internalCommand(statement.KindBegin)
+	}
+	begin := internalCommand(c.r.Begin)
+	begin.After = g.after(c, primary)
+	return begin
+}
+
 // after returns the position that the member's log must have reached before it serves the read.
 func (g *Group) after(c *call, primary bool) position.Position {
 	g.mu.Lock()
@@ -60,7 +72,7 @@
 	if answer, err := g.runSetup(ctx, l, begin); err != nil || answer.Code != statement.CodeOK {
 		return answer, err
 	}
-	return g.send(ctx, c, l, nil, member.Command{Statement: withPreparedName(c.r.Statement)}, primary, primary && c.r.Begin == statement.KindBegin)
+	return g.send(ctx, c, l, nil, member.Command{Statement: withPreparedName(c.r.Statement)}, primary, primary && c.tx.begin == statement.KindBegin)
 }
 
 // readInTransaction reads inside a transaction, which a member that is no longer primary refuses.
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -40,9 +40,19 @@
 	refusal    *dispatch.Refusal
 }
 
+// txMode describes how a transaction was opened on its member.
+type txMode struct {
+	// begin is the kind of the statement that opened it there; KindInvalid outside transactions.
+	begin statement.Kind
+	// guarded is true for a read or a read-only transaction of the caller that runs in a plain transaction, so that a
+	// member which lost the lead refuses it.
+	guarded bool
+}
+
 // transaction is the open transaction of a session.
 type transaction struct {
 	memberConn *memberConn
+	mode       txMode
 	// primary is true when the transaction runs on the primary.
 	primary bool
 	busy    bool
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -40,6 +40,8 @@
 	// primaryOnly is true after a replica could not serve the read.
 	primaryOnly bool
 	waited      time.Duration
+	// tx is the mode of the transaction that the last attempt opened or runs in.
+	tx txMode
 	// floor is the position that a replica's log had to reach in the last attempt.
 	floor position.Position
 }
@@ -305,7 +307,7 @@
 	} else {
 		if open {
 			l.markAnswered()
-			g.txs[c.r.Session] = &transaction{memberConn: l, primary: primary, lastUsed: g.o.Clock()}
+			g.txs[c.r.Session] = &transaction{memberConn: l, mode: c.tx, primary: primary, lastUsed: g.o.Clock()}
 			g.scheduler.Done(l.id, true, g.o.Clock())
 			g.applyPlan(g.o.Clock())
 		} else {
@@ -403,6 +405,9 @@
 	}()
 }
 
+// readOnlyDetail explains the refusal of a write in a guarded read-only transaction, which its member would accept.
+const readOnlyDetail = "the transaction is read-only"
+
 // runInTransaction runs a statement on the connection of the session's transaction.
 func (g *Group) runInTransaction(ctx context.Context, r *operation.Request) operation.Response {
 	c, refused := g.admit(r)
@@ -421,7 +426,13 @@
 		}
 		g.logRefusal(r, "aborted", detail)
 		return aborted(detail)
+	case t.mode.guarded && r.Statement.Writes():
+		g.rollBack(r.Session, t)
+		g.mu.Unlock()
+		g.logRefusal(r, statement.CodeReadOnly.String(), readOnlyDetail)
+		return operation.Response{Answer: statement.Answer{Code: statement.CodeReadOnly, Detail: readOnlyDetail, State: statement.TxFailed}}
 	}
+	c.tx = t.mode
 	l := t.memberConn
 	t.busy = true
 	l.markSent(g.o.Clock())
