Observe positions only of answers that prove the lead

What callers might see: a replica read that lacks commits, after its owner had taken the log position of a replaced primary for the newest one.

Cause: answers inside transactions counted as the primary's, although a replica answers reads of a read-only transaction and the commit of a transaction that wrote nothing. The position of a refused guarded read counted as well.

Change: a position is observed when the answer proves the lead (a write, a statement of a plain transaction, the commit of one that wrote), otherwise only while the claim excludes a successor and the member is the primary when its answer arrives.

--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -18,7 +18,7 @@
 	defer cancel(nil)
 	setup := l.setupCommands(c.r.Values, c.r.Statement)
 	// A primary that another owner may have replaced answers reads and opens read-only transactions. It refuses plain ones.
-	guarded := primary && c.reads() && !c.r.Statement.Writes() && !g.primaryConfirmed()
+	guarded := primary && c.reads() && !c.r.Statement.Writes() && !g.primaryConfirmed(l)
 	c.tx = txMode{begin: c.r.Begin, guarded: guarded}
 	if c.r.Begin != statement.KindInvalid {
 		return g.executeAfterBegin(ctx, c, l, append(setup, g.beginCommand(c, primary)), primary)
@@ -30,7 +30,7 @@
 	if !c.r.Statement.Writes() {
 		command.After = g.after(c, primary)
 	}
-	return g.send(ctx, c, l, setup, command, primary, primary)
+	return g.send(ctx, c, l, setup, command, primary)
 }
 
 // beginCommand returns the command that opens the call's transaction on the member: a plain one for a guarded read-only
@@ -59,12 +59,26 @@
 	return floor
 }
 
-// primaryConfirmed reports whether no other owner can have replaced the primary: the claim's lease is valid, and the
-// platform refuses the orders of earlier owners.
-func (g *Group) primaryConfirmed() bool {
+// primaryConfirmed reports whether the connection's member is the primary and no other owner can have replaced it: the
+// claim's lease is valid, and the platform refuses the orders of earlier owners.
+func (g *Group) primaryConfirmed(l *memberConn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.machine.Confirmed() && g.o.Authority.Leased(g.claim)
+	return l.member.ID == g.servingPrimary && g.machine.Confirmed() && g.o.Authority.Leased(g.claim)
+}
+
+// answeredAsPrimary reports whether the member was the primary while it ran the statement of a successful answer. A
+// member that lost the lead refuses writes and the statements of plain transactions, except the commit of one that wrote
+// nothing. It does answer other statements; for those the claim must show that nobody has replaced the primary.
+func (g *Group) answeredAsPrimary(l *memberConn, s statement.Statement, tx txMode) bool {
+	switch {
+	case s.Writes():
+		return true
+	case tx.begin == statement.KindBegin && (s.Kind != statement.KindCommit || tx.wrote):
+		return true
+	default:
+		return g.primaryConfirmed(l)
+	}
 }
 
 // executeAfterBegin opens a transaction and, once the member has accepted it, runs its first statement.
@@ -72,7 +86,7 @@
 	if answer, err := g.runSetup(ctx, l, begin); err != nil || answer.Code != statement.CodeOK {
 		return answer, err
 	}
-	return g.send(ctx, c, l, nil, member.Command{Statement: withPreparedName(c.r.Statement)}, primary, primary && c.tx.begin == statement.KindBegin)
+	return g.send(ctx, c, l, nil, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
 }
 
 // readInTransaction reads inside a transaction, which a member that is no longer primary refuses.
@@ -85,7 +99,7 @@
 	if len(answers) == 0 {
 		return statement.Answer{}, closeCauseOr(ctx, err)
 	}
-	g.observe(c, l, answers[0], started, true)
+	g.observe(c, l, answers[0], started, answers[0].Code == statement.CodeOK)
 	if err != nil || answers[1].State != statement.TxIdle {
 		// The read has been answered; only the connection is unusable.
 		l.close(member.ErrLost)
@@ -121,9 +135,8 @@
 	return nil
 }
 
-// send runs the setup commands and the statement. authoritative is true when the answer's position is that of the
-// current primary's log.
-func (g *Group) send(ctx context.Context, c *call, l *memberConn, setup []member.Command, command member.Command, primary, authoritative bool) (statement.Answer, error) {
+// send runs the setup commands and the statement. primary is true when the member is used as the primary.
+func (g *Group) send(ctx context.Context, c *call, l *memberConn, setup []member.Command, command member.Command, primary bool) (statement.Answer, error) {
 	started := g.o.Clock()
 	answers, err := l.conn.Do(ctx, append(setup, command)...)
 	if len(answers) <= len(setup) {
@@ -134,10 +147,7 @@
 		return statement.Answer{}, failed
 	}
 	answer := answers[len(setup)]
-	authoritative = authoritative && answer.Code == statement.CodeOK
-	if primary && !command.Writes() && c.r.Begin == statement.KindInvalid && !c.r.InTransaction {
-		authoritative = authoritative && g.primaryConfirmed()
-	}
+	authoritative := primary && answer.Code == statement.CodeOK && g.answeredAsPrimary(l, command.Statement, c.tx)
 	g.observe(c, l, answer, started, authoritative)
 	return answer, nil
 }
@@ -153,7 +163,7 @@
 			return statement.Answer{}, errors.Wrap(member.ErrLost, "the session values changed in a way that needs a reset")
 		}
 	}
-	return g.send(ctx, c, l, setup, member.Command{Statement: withPreparedName(c.r.Statement)}, primary, primary)
+	return g.send(ctx, c, l, setup, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
 }
 
 // observe records an answer. authoritative is true when the member was the primary while it answered.
--- a/internal/owner/execute_test.go
+++ b/internal/owner/execute_test.go
@@ -12,6 +12,7 @@
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/promotion"
 	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -107,3 +108,70 @@
 	is.Equal(len(conn.sent), 1)
 	is.Equal(conn.sent[0].Kind, statement.KindRollback)
 }
+
+// Guards against floors of replica reads that lack commits: the log of a primary that another owner has replaced does not
+// hold what was acknowledged since.
+func TestPositionsOfAReplacedPrimaryAreNotObserved(t *testing.T) {
+	const (
+		read   = statement.KindRead
+		write  = statement.KindWrite
+		commit = statement.KindCommit
+	)
+	readOnly, plain := txMode{begin: statement.KindBeginRead}, txMode{begin: statement.KindBegin}
+	wrote := txMode{begin: statement.KindBegin, wrote: true}
+	for _, c := range []struct {
+		name     string
+		unleased bool
+		tx       txMode
+		kind     statement.Kind
+		observed bool
+	}{
+		{"read in a read-only transaction", false, readOnly, read, true},
+		{"read in a read-only transaction, unconfirmed", true, readOnly, read, false},
+		{"commit of a read-only transaction, unconfirmed", true, readOnly, commit, false},
+		{"read in a plain transaction, unconfirmed", true, plain, read, true},
+		{"write in a plain transaction, unconfirmed", true, plain, write, true},
+		{"commit without a write, unconfirmed", true, plain, commit, false},
+		{"commit without a write", false, plain, commit, true},
+		{"commit of a write, unconfirmed", true, wrote, commit, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newLeadingGroup(&fakeAuthority{unleased: c.unleased})
+			l, _ := newTestConn(statement.Answer{State: statement.TxOpen, Position: position.Position{Term: 2, LSN: 7}})
+			k := testCall(c.kind)
+			k.tx, k.r.InTransaction = c.tx, true
+			_, err := g.executeInTransaction(context.Background(), k, l, true)
+			is.NoErr(err)
+			is.Equal(!g.history.Latest().IsZero(), c.observed)
+		})
+	}
+}
+
+// Guards against the same through a guarded read that the member refuses between its BEGIN and the read.
+func TestThePositionOfARefusedGuardedReadIsNotObserved(t *testing.T) {
+	for _, code := range []statement.Code{statement.CodeOK, statement.CodeReadOnly} {
+		t.Run(code.String(), func(t *testing.T) {
+			is := is.New(t)
+			g := newLeadingGroup(&fakeAuthority{unleased: true})
+			l, _ := newTestConn(statement.Answer{State: statement.TxOpen},
+				statement.Answer{Code: code, Position: position.Position{Term: 2, LSN: 7}}, statement.Answer{})
+			_, err := g.execute(context.Background(), testCall(statement.KindRead), l, true)
+			is.NoErr(err)
+			is.Equal(g.history.Latest().IsZero(), code != statement.CodeOK)
+		})
+	}
+}
+
+// Guards against the position of a former primary that this owner itself has replaced while the statement ran.
+func TestThePositionOfAPrimaryReplacedByThisOwnerIsNotObserved(t *testing.T) {
+	is := is.New(t)
+	g := newLeadingGroup(&fakeAuthority{})
+	g.servingPrimary = "m2"
+	l, _ := newTestConn(statement.Answer{State: statement.TxOpen, Position: position.Position{Term: 2, LSN: 7}})
+	k := testCall(statement.KindRead)
+	k.tx, k.r.InTransaction = txMode{begin: statement.KindBeginRead}, true
+	_, err := g.executeInTransaction(context.Background(), k, l, true)
+	is.NoErr(err)
+	is.True(g.history.Latest().IsZero())
+}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -47,6 +47,8 @@
 	// guarded is true for a read or a read-only transaction of the caller that runs in a plain transaction, so that a
 	// member which lost the lead refuses it.
 	guarded bool
+	// wrote is true once a statement of the transaction has changed data.
+	wrote bool
 }
 
 // transaction is the open transaction of a session.
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -307,6 +307,7 @@
 	} else {
 		if open {
 			l.markAnswered()
+			c.tx.wrote = c.r.Statement.Writes()
 			g.txs[c.r.Session] = &transaction{memberConn: l, mode: c.tx, primary: primary, lastUsed: g.o.Clock()}
 			g.scheduler.Done(l.id, true, g.o.Clock())
 			g.applyPlan(g.o.Clock())
@@ -472,6 +473,7 @@
 		return aborted("the connection to the member broke in the transaction")
 	}
 	if answer.Code == statement.CodeOK && answer.State == statement.TxOpen && !t.abandoned {
+		t.mode.wrote = t.mode.wrote || c.r.Statement.Writes()
 		l.markAnswered()
 		g.scheduler.Done(l.id, true, now)
 		g.applyPlan(now)
