Keep the primary unconfirmed while an own order may replace it

What callers might see: stale plain reads on a primary that a late order of its own owner replaces.

Cause: Machine.Confirmed stayed true while an order for another member had no result or an unknown one and the owner had gone back to the primary. An order under an earlier token could confirm the next token, too.

Change: the machine counts the orders under the current token that may still take effect. While there is one for another member than the primary, the primary is not confirmed, so its reads are guarded, and a higher token is requested. An order under an earlier token confirms nothing.

Evidence: TestAnOrderWithoutResultShutsOutConfirmationUntilTheTokenIs- Renewed and TestAnOrderUnderAnEarlierTokenDoesNotConfirm fail on the code before and pass now; an unanswered confirmation of the primary itself renews nothing (TestAnUnansweredConfirmationOfThePrimaryRenewsNothing).

--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -173,8 +173,12 @@
 	primary    upstream.MemberID
 	term       position.Term
 	target     upstream.MemberID
-	// orderPending is true while the result of an order is outstanding.
-	orderPending bool
+	// orderPending is true while the result of an order is outstanding, orderOutdated if that order has an earlier token.
+	orderPending  bool
+	orderOutdated bool
+	// unresolved counts, by member, the orders under the current token that may still take effect: without a result, or with
+	// an unknown one.
+	unresolved map[upstream.MemberID]int
 	// confirmed is true once the platform has accepted an order under this owner's token.
 	confirmed   bool
 	nextConfirm time.Time
@@ -190,7 +194,9 @@
 
 // New returns a machine that does not know the primary yet.
 func New(t Timing, now time.Time) *Machine {
-	return &Machine{timing: t, members: make(map[upstream.MemberID]*member), phaseStart: now, cause: "start"}
+	return &Machine{
+		timing: t, members: make(map[upstream.MemberID]*member), unresolved: make(map[upstream.MemberID]int), phaseStart: now, cause: "start",
+	}
 }
 
 // Phase returns the current phase, its start and its cause.
@@ -201,9 +207,39 @@
 	return m.primary, m.term, m.phase == PhaseLeading
 }
 
-// Confirmed reports whether the platform has accepted an order under this owner's token, so that no order of an earlier
-// owner can take effect.
-func (m *Machine) Confirmed() bool { return m.confirmed }
+// Confirmed reports whether no order can replace the primary any more: the platform has accepted one under this owner's
+// token and so refuses those of earlier owners, and no order of this owner for another member may still take effect.
+func (m *Machine) Confirmed() bool { return m.confirmed && !m.lateOrderPossible() }
+
+// lateOrderPossible reports whether an order under the current token may still replace the primary.
+func (m *Machine) lateOrderPossible() bool {
+	for id := range m.unresolved {
+		if id != m.primary {
+			return true
+		}
+	}
+	return false
+}
+
+// orderPromotion returns the action that orders the promotion of the member.
+func (m *Machine) orderPromotion(kind ActionKind, id upstream.MemberID) Action {
+	m.orderPending = true
+	m.unresolved[id]++
+	return Action{Kind: kind, Member: id}
+}
+
+// orderDone records that an order has a result. It returns false if the order has an earlier token.
+func (m *Machine) orderDone(id upstream.MemberID, r Result) bool {
+	outdated := m.orderOutdated
+	m.orderPending, m.orderOutdated = false, false
+	if outdated || r == ResultUnknown {
+		return !outdated
+	}
+	if m.unresolved[id]--; m.unresolved[id] <= 0 {
+		delete(m.unresolved, id)
+	}
+	return true
+}
 
 // ExpectedPrimary estimates when a primary will accept statements; it returns the zero time when the current phase has
 // exceeded EstimateTimeout and no estimate is possible.
@@ -351,15 +387,15 @@
 
 // PromoteDone records the outcome of an order.
 func (m *Machine) PromoteDone(id upstream.MemberID, r Result, now time.Time) {
-	m.orderPending = false
+	current := m.orderDone(id, r)
 	switch {
 	case r == ResultRejected:
 		m.orderRejected(id, now)
 	case m.phase == PhasePromoting && id == m.target && r == ResultAccepted:
-		m.rejections, m.confirmed = 0, true
+		m.rejections, m.confirmed = 0, current
 		m.enter(PhaseAwaiting, now, "the platform has accepted the order")
 	case r == ResultAccepted && id == m.primary:
-		m.rejections, m.confirmed = 0, true
+		m.rejections, m.confirmed = 0, current
 	}
 }
 
@@ -376,8 +412,13 @@
 	m.nextConfirm = now.Add(500 * time.Millisecond)
 }
 
-// TokenRenewed records that the owner has a higher fencing token.
-func (m *Machine) TokenRenewed() { m.tokenRejected, m.confirmed = false, false }
+// TokenRenewed records that the owner has a higher fencing token. Once an order under it has been accepted, the platform
+// refuses those under the earlier one.
+func (m *Machine) TokenRenewed() {
+	m.tokenRejected, m.confirmed = false, false
+	m.orderOutdated = m.orderPending
+	clear(m.unresolved)
+}
 
 func (m *Machine) enter(p Phase, now time.Time, cause string) {
 	m.explanations = append(m.explanations, fmt.Sprintf("%s -> %s: %s (primary %s, term %d, %v in the phase before)",
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -322,3 +322,62 @@
 	g.run(time.Second)
 	is.True(g.isPrimary("c"))
 }
+
+// Guards against unguarded reads on a primary that a late order of this owner replaces: the order was sent while the primary
+// seemed dead and its result is unknown.
+func TestAnOrderWithoutResultShutsOutConfirmationUntilTheTokenIsRenewed(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	is.True(g.m.Confirmed())
+	g.accept = func(upstream.MemberID) Result { return ResultUnknown }
+	g.members["a"].fail = FailureRefused
+	g.m.Failed("a", FailureConnectionLost, g.now)
+	g.run(time.Second)
+	is.True(len(g.orders) > 0)
+
+	// The target leaves the service discovery, and the primary answers again.
+	all := g.infos
+	g.infos = g.infos[:1]
+	g.members["a"].fail = 0
+	for end := g.now.Add(3 * time.Second); !g.isPrimary("a") && g.now.Before(end); {
+		g.run(10 * time.Millisecond)
+		is.True(!g.m.Confirmed() || !g.isPrimary("a"))
+	}
+	g.infos = all
+	is.True(g.isPrimary("a"))
+	g.accept = g.promote
+	g.run(2 * time.Second)
+	is.True(g.renewed > 0)
+	is.True(g.m.Confirmed()) // under a token that shuts the order out
+}
+
+// Guards against a confirmation whose order has an earlier token: it does not shut out other orders under that token.
+func TestAnOrderUnderAnEarlierTokenDoesNotConfirm(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.m.SetMembers(g.infos, epoch)
+	g.m.StatusDone("a", g.members["a"].status, epoch)
+	now := epoch.Add(time.Second)
+	is.Equal(g.m.Tick(now), []Action{{Kind: ActionConfirm, Member: "a"}})
+	g.m.TokenRenewed()
+	g.m.PromoteDone("a", ResultAccepted, now)
+	is.True(!g.m.Confirmed())
+	now = now.Add(time.Second)
+	is.Equal(g.m.Tick(now), []Action{{Kind: ActionConfirm, Member: "a"}})
+	g.m.PromoteDone("a", ResultAccepted, now)
+	is.True(g.m.Confirmed())
+}
+
+// Guards against a claim written again and again while the platform does not answer: an order for the primary itself is harmless.
+func TestAnUnansweredConfirmationOfThePrimaryRenewsNothing(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.accept = func(upstream.MemberID) Result { return ResultUnknown }
+	g.run(5 * time.Second)
+	is.True(g.isPrimary("a"))
+	is.Equal(g.renewed, 0)
+	g.accept = g.promote
+	g.run(time.Second)
+	is.True(g.m.Confirmed())
+}
--- a/internal/promotion/tick.go
+++ b/internal/promotion/tick.go
@@ -21,7 +21,7 @@
 // Tick advances the machine and returns the actions to carry out now.
 func (m *Machine) Tick(now time.Time) []Action {
 	var a []Action
-	if m.tokenRejected && now.Sub(m.lastRenewal) >= tokenRenewInterval {
+	if m.needsNewToken() && now.Sub(m.lastRenewal) >= tokenRenewInterval {
 		m.lastRenewal = now
 		a = append(a, Action{Kind: ActionRenewToken})
 	}
@@ -44,6 +44,12 @@
 	return a
 }
 
+// needsNewToken reports whether the platform has rejected the token, or a higher one must shut out an own order that may still
+// replace the primary.
+func (m *Machine) needsNewToken() bool {
+	return m.tokenRejected || m.phase == PhaseLeading && !m.orderPending && m.lateOrderPossible()
+}
+
 // discover probes the members for the primary, starting with the one that the service discovery reports.
 func (m *Machine) discover(a []Action, now time.Time) []Action {
 	reportedPrimary := m.reportedPrimary()
@@ -111,8 +117,8 @@
 		a = m.probe(a, other, now)
 	}
 	if !m.confirmed && !m.orderPending && now.After(m.nextConfirm) {
-		m.orderPending, m.nextConfirm = true, now.Add(500*time.Millisecond)
-		a = append(a, Action{Kind: ActionConfirm, Member: m.primary})
+		m.nextConfirm = now.Add(500 * time.Millisecond)
+		a = append(a, m.orderPromotion(ActionConfirm, m.primary))
 	}
 	return a
 }
@@ -256,8 +262,7 @@
 	if m.orderPending || m.tokenRejected {
 		return a
 	}
-	m.orderPending = true
-	return append(a, Action{Kind: ActionPromote, Member: m.target})
+	return append(a, m.orderPromotion(ActionPromote, m.target))
 }
 
 // awaitPrimary probes the promoted member until it is primary.
