--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -27,8 +27,9 @@
 )
 
 const (
-	// queueLines bounds the lines that wait for the output.
-	queueLines = 4096
+	// queueLines bounds the lines that wait for the output, maxLineBytes the length of each.
+	queueLines   = 4096
+	maxLineBytes = 8 << 10
 	// reportGap is the time between two lines that say how much was left out.
 	reportGap = time.Second
 )
@@ -99,7 +100,7 @@
 	now := c.log.now()
 	c.tokens = min(c.limit.Burst, c.tokens+now.Sub(c.at).Seconds()*c.limit.PerSecond)
 	c.at = now
-	if c.tokens < 1 || !c.enqueue(append([]byte(nil), line...)) {
+	if c.tokens < 1 || !c.enqueue(shorten(line)) {
 		c.dropped++
 		return len(line), nil
 	}
@@ -114,6 +115,15 @@
 	return len(line), nil
 }
 
+// shorten returns a copy of the line, cut to maxLineBytes.
+func shorten(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	cut := append([]byte(nil), line[:maxLineBytes]...)
+	return fmt.Appendf(cut, "... (%d bytes left out)\n", len(line)-maxLineBytes)
+}
+
 func (c *class) enqueue(line []byte) bool {
 	select {
 	case c.log.queue <- line:
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -59,3 +59,15 @@
 	l.Close()
 	is.True(strings.Contains(out.String(), "last words"))
 }
+
+// Guards against a line that quotes a huge value: thousands of them may wait for the output.
+func TestLongLinesAreCut(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := New(&out)
+	_, err := l.Writer().Write([]byte("2026 [WARN]  " + strings.Repeat("9", 1<<20) + "\n"))
+	is.NoErr(err)
+	l.Close()
+	is.True(out.Len() < 2*maxLineBytes)
+	is.True(strings.HasSuffix(out.String(), "bytes left out)\n"))
+}
