Prove the lead with each read on a primary

Cause: a refused connection ends a claim before its lease, because the process has probably ended. The owner, if it lives, took its valid lease for proof that nobody had replaced the primary, and sent plain reads.

Change: no read relies on the lease. An answer counts as the primary's only if it proves the lead. The log says what was seen (the owner refuses connections), and 'answered' names the claim.

--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -34,8 +34,9 @@
 	// ClaimDoubted reports that the claim's owner denied owning the group. The implementation may look for a newer
 	// claim, but must return quickly.
 	ClaimDoubted(ctx context.Context, claim ownership.Claim)
-	// OwnerEnded reports proof that the owner's process has ended.
-	OwnerEnded(claim ownership.Claim)
+	// OwnerRefused reports that nothing listens at the owner's address: its process has probably ended, but it may also be cut
+	// off from this instance.
+	OwnerRefused(claim ownership.Claim)
 }
 
 // Router forwards operations to the owners of their groups. It implements operation.Runner.
@@ -122,7 +123,7 @@
 	}
 	resp, err := r.Peers.At(claim.Address).Run(ctx, q)
 	if errors.Is(err, fleetlink.ErrConnectionRefused) {
-		r.Claims.OwnerEnded(claim)
+		r.Claims.OwnerRefused(claim)
 	}
 	return resp, err
 }
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -43,7 +43,7 @@
 
 func (selfClaims) ClaimDoubted(context.Context, ownership.Claim) {}
 
-func (selfClaims) OwnerEnded(ownership.Claim) {}
+func (selfClaims) OwnerRefused(ownership.Claim) {}
 
 func newRouter(o *fakeOwner, clock func() time.Time) *Router {
 	c := catalog.New(1, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,12 +274,12 @@
 	return c, n.ownsClaim(c), t.changed
 }
 
-// OwnerEnded implements caller.Claims.
-func (n *Node) OwnerEnded(c ownership.Claim) {
+// OwnerRefused implements caller.Claims.
+func (n *Node) OwnerRefused(c ownership.Claim) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.planner.MarkOwnerDead(c.Group, c.Revision, n.opts.Clock()) {
-		n.opts.Log.Info("owner process terminated", "group", c.Group, "owner", c.Owner, "claim", c.Revision)
+	if n.planner.MarkOwnerRefused(c.Group, c.Revision, n.opts.Clock()) {
+		n.opts.Log.Info("the owner refuses connections", "group", c.Group, "owner", c.Owner, "claim", c.Revision)
 		n.triggerPlanner()
 	}
 }
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -17,8 +17,9 @@
 	ctx, cancel := l.context(ctx)
 	defer cancel(nil)
 	setup := l.setupCommands(c.r.Values, c.r.Statement)
-	// A primary that another owner may have replaced answers reads and opens read-only transactions. It refuses plain ones.
-	guarded := primary && c.reads() && !c.r.Statement.Writes() && !g.primaryConfirmed(l)
+	// Another owner may have replaced the primary at any time. As a replica it still answers reads and opens read-only
+	// transactions, but refuses plain ones, so reads that rely on the primary run in those.
+	guarded := primary && c.reads() && !c.r.Statement.Writes()
 	c.tx = txMode{begin: c.r.Begin, guarded: guarded}
 	if c.r.Begin != statement.KindInvalid {
 		return g.executeAfterBegin(ctx, c, l, append(setup, g.beginCommand(c, primary)), primary)
@@ -28,7 +29,7 @@
 	}
 	command := member.Command{Statement: withPreparedName(c.r.Statement)}
 	if !c.r.Statement.Writes() {
-		command.After = g.after(c, primary)
+		command.After = c.after(primary)
 	}
 	return g.send(ctx, c, l, setup, command, primary)
 }
@@ -41,44 +42,24 @@
 		return internalCommand(statement.KindBegin)
 	}
 	begin := internalCommand(c.r.Begin)
-	begin.After = g.after(c, primary)
+	begin.After = c.after(primary)
 	return begin
 }
 
-// after returns the position that the member's log must have reached before it serves the read.
-func (g *Group) after(c *call, primary bool) position.Position {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// after returns the position that the member's log must have reached before it serves a read: none at the primary, which
+// holds every commit.
+func (c *call) after(primary bool) position.Position {
 	if primary {
-		if c.reads() && c.route.Consistency == catalog.Primary {
-			return g.history.Latest()
-		}
 		return position.Position{}
 	}
-	floor, _ := g.floor(c)
-	return floor
-}
-
-// primaryConfirmed reports whether the connection's member is the primary and no other owner can have replaced it: the
-// claim's lease is valid, and the platform refuses the orders of earlier owners.
-func (g *Group) primaryConfirmed(l *memberConn) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return l.member.ID == g.servingPrimary && g.machine.Confirmed() && g.o.Authority.Leased(g.claim)
+	return c.floor
 }
 
-// answeredAsPrimary reports whether the member was the primary while it ran the statement of a successful answer. A
-// member that lost the lead refuses writes and the statements of plain transactions, except the commit of one that wrote
-// nothing. It does answer other statements; for those the claim must show that nobody has replaced the primary.
-func (g *Group) answeredAsPrimary(l *memberConn, s statement.Statement, tx txMode) bool {
-	switch {
-	case s.Writes():
-		return true
-	case tx.begin == statement.KindBegin && (s.Kind != statement.KindCommit || tx.wrote):
-		return true
-	default:
-		return g.primaryConfirmed(l)
-	}
+// answeredAsPrimary reports whether a successful answer proves that the member was the primary while it ran the statement.
+// A member that lost the lead refuses writes and the statements of plain transactions, except the commit of one that wrote
+// nothing.
+func answeredAsPrimary(s statement.Statement, tx txMode) bool {
+	return s.Writes() || tx.begin == statement.KindBegin && (s.Kind != statement.KindCommit || tx.wrote)
 }
 
 // executeAfterBegin opens a transaction and, once the member has accepted it, runs its first statement.
@@ -89,7 +70,8 @@
 	return g.send(ctx, c, l, nil, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
 }
 
-// readInTransaction reads inside a transaction, which a member that is no longer primary refuses.
+// readInTransaction reads inside a plain transaction. The BEGIN is not pipelined with the read: after a refused BEGIN a
+// replica would run the read all the same.
 func (g *Group) readInTransaction(ctx context.Context, c *call, l *memberConn, begin []member.Command) (statement.Answer, error) {
 	if answer, err := g.runSetup(ctx, l, begin); err != nil || answer.Code != statement.CodeOK {
 		return answer, err
@@ -147,7 +129,7 @@
 		return statement.Answer{}, failed
 	}
 	answer := answers[len(setup)]
-	authoritative := primary && answer.Code == statement.CodeOK && g.answeredAsPrimary(l, command.Statement, c.tx)
+	authoritative := primary && answer.Code == statement.CodeOK && answeredAsPrimary(command.Statement, c.tx)
 	g.observe(c, l, answer, started, authoritative)
 	return answer, nil
 }
--- a/internal/owner/execute_test.go
+++ b/internal/owner/execute_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,7 +16,6 @@
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/promotion"
 	"github.com/celerystep/celerystep/internal/statement"
-	"github.com/celerystep/celerystep/internal/upstream"
 )
 
 // scriptedConn answers commands from a list and records them.
@@ -38,14 +38,10 @@
 
 func (c *scriptedConn) Close() {}
 
-// newLeadingGroup returns a group whose primary m1 is confirmed under the owner's token.
-func newLeadingGroup(a Authority) *Group {
+// newServingGroup returns a group that can run statements.
+func newServingGroup(a Authority) *Group {
 	g := newTestGroup(newCatalog(5, "orders", "mill", "k1"), a)
 	g.o.Metrics = NewMetrics(prometheus.NewRegistry())
-	g.machine.SetMembers([]promotion.Info{{ID: "m1"}}, epoch)
-	g.machine.StatusDone("m1", promotion.Status{Role: upstream.RolePrimary, Term: 1}, epoch)
-	g.machine.PromoteDone("m1", promotion.ResultAccepted, epoch)
-	g.servingPrimary = "m1"
 	return g
 }
 
@@ -61,30 +57,56 @@
 	}
 }
 
-// Guards against read-only transactions on a primary that another owner may have replaced: as a replica it accepts them.
-func TestReadTransactionsOnAnUnconfirmedPrimaryAreGuarded(t *testing.T) {
+// Guards against reads on a primary that another owner may have replaced: as a replica it answers them, and opens read-only
+// transactions. The next owner need not wait for the end of this one's lease, so a valid lease changes nothing.
+func TestReadsOnThePrimaryAreGuarded(t *testing.T) {
+	const (
+		begin     = statement.KindBegin
+		beginRead = statement.KindBeginRead
+		read      = statement.KindRead
+		write     = statement.KindWrite
+	)
 	for _, c := range []struct {
-		name     string
-		unleased bool
-		begin    statement.Kind
-		first    statement.Kind
-		opened   statement.Kind
+		name   string
+		begin  statement.Kind
+		first  statement.Kind
+		opened statement.Kind
 	}{
-		{"confirmed", false, statement.KindBeginRead, statement.KindRead, statement.KindBeginRead},
-		{"unconfirmed", true, statement.KindBeginRead, statement.KindRead, statement.KindBegin},
-		{"unconfirmed, plain", true, statement.KindBegin, statement.KindRead, statement.KindBegin},
-		{"unconfirmed, first statement writes", true, statement.KindBeginRead, statement.KindWrite, statement.KindBeginRead},
+		{"read", statement.KindInvalid, read, begin},
+		{"write", statement.KindInvalid, write, write},
+		{"read-only transaction", beginRead, read, begin},
+		{"plain transaction", begin, read, begin},
+		{"read-only transaction whose first statement writes", beginRead, write, beginRead},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		for _, unleased := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, unleased %t", c.name, unleased), func(t *testing.T) {
+				is := is.New(t)
+				g := newServingGroup(&fakeAuthority{unleased: unleased})
+				l, conn := newTestConn(statement.Answer{State: statement.TxOpen}, statement.Answer{State: statement.TxOpen}, statement.Answer{})
+				k := testCall(c.first)
+				k.r.Begin = c.begin
+				_, err := g.execute(context.Background(), k, l, true)
+				is.NoErr(err)
+				is.Equal(conn.sent[0].Kind, c.opened)
+				is.Equal(k.tx.guarded, c.first == read && c.begin != begin)
+			})
+		}
+	}
+}
+
+// Guards against a guarded read that is sent with its BEGIN in one go: after a refused BEGIN a replica would run it.
+func TestAGuardedReadIsNotSentAfterARefusedBegin(t *testing.T) {
+	for _, begin := range []statement.Kind{statement.KindInvalid, statement.KindBeginRead} {
+		t.Run(begin.String(), func(t *testing.T) {
 			is := is.New(t)
-			g := newLeadingGroup(&fakeAuthority{unleased: c.unleased})
-			l, conn := newTestConn(statement.Answer{State: statement.TxOpen}, statement.Answer{State: statement.TxOpen})
-			k := testCall(c.first)
-			k.r.Begin = c.begin
-			_, err := g.execute(context.Background(), k, l, true)
+			g := newServingGroup(&fakeAuthority{})
+			l, conn := newTestConn(statement.Answer{Code: statement.CodeReadOnly})
+			k := testCall(statement.KindRead)
+			k.r.Begin = begin
+			answer, err := g.execute(context.Background(), k, l, true)
 			is.NoErr(err)
-			is.Equal(conn.sent[0].Kind, c.opened)
-			is.Equal(k.tx.guarded, c.opened != c.begin)
+			is.Equal(answer.Code, statement.CodeReadOnly)
+			is.Equal(len(conn.sent), 1)
 		})
 	}
 }
@@ -92,7 +114,7 @@
 // Guards against writes in a guarded read-only transaction, which the member would accept.
 func TestAGuardedReadTransactionRefusesWrites(t *testing.T) {
 	is := is.New(t)
-	g := newLeadingGroup(&fakeAuthority{unleased: true})
+	g := newServingGroup(&fakeAuthority{unleased: true})
 	l, conn := newTestConn(statement.Answer{State: statement.TxIdle})
 	session := operation.SessionID{Instance: "i", Number: 1}
 	g.txs[session] = &transaction{memberConn: l, mode: txMode{begin: statement.KindBegin, guarded: true}, primary: true}
@@ -121,23 +143,21 @@
 	wrote := txMode{begin: statement.KindBegin, wrote: true}
 	for _, c := range []struct {
 		name     string
-		unleased bool
 		tx       txMode
 		kind     statement.Kind
 		observed bool
 	}{
-		{"read in a read-only transaction", false, readOnly, read, true},
-		{"read in a read-only transaction, unconfirmed", true, readOnly, read, false},
-		{"commit of a read-only transaction, unconfirmed", true, readOnly, commit, false},
-		{"read in a plain transaction, unconfirmed", true, plain, read, true},
-		{"write in a plain transaction, unconfirmed", true, plain, write, true},
-		{"commit without a write, unconfirmed", true, plain, commit, false},
-		{"commit without a write", false, plain, commit, true},
-		{"commit of a write, unconfirmed", true, wrote, commit, true},
+		{"read in a read-only transaction", readOnly, read, false},
+		{"commit of a read-only transaction", readOnly, commit, false},
+		{"write in a read-only transaction", readOnly, write, true},
+		{"read in a plain transaction", plain, read, true},
+		{"write in a plain transaction", plain, write, true},
+		{"commit without a write", plain, commit, false},
+		{"commit of a write", wrote, commit, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			g := newLeadingGroup(&fakeAuthority{unleased: c.unleased})
+			g := newServingGroup(&fakeAuthority{})
 			l, _ := newTestConn(statement.Answer{State: statement.TxOpen, Position: position.Position{Term: 2, LSN: 7}})
 			k := testCall(c.kind)
 			k.tx, k.r.InTransaction = c.tx, true
@@ -153,7 +173,7 @@
 	for _, code := range []statement.Code{statement.CodeOK, statement.CodeReadOnly} {
 		t.Run(code.String(), func(t *testing.T) {
 			is := is.New(t)
-			g := newLeadingGroup(&fakeAuthority{unleased: true})
+			g := newServingGroup(&fakeAuthority{unleased: true})
 			l, _ := newTestConn(statement.Answer{State: statement.TxOpen},
 				statement.Answer{Code: code, Position: position.Position{Term: 2, LSN: 7}}, statement.Answer{})
 			_, err := g.execute(context.Background(), testCall(statement.KindRead), l, true)
@@ -162,16 +182,3 @@
 		})
 	}
 }
-
-// Guards against the position of a former primary that this owner itself has replaced while the statement ran.
-func TestThePositionOfAPrimaryReplacedByThisOwnerIsNotObserved(t *testing.T) {
-	is := is.New(t)
-	g := newLeadingGroup(&fakeAuthority{})
-	g.servingPrimary = "m2"
-	l, _ := newTestConn(statement.Answer{State: statement.TxOpen, Position: position.Position{Term: 2, LSN: 7}})
-	k := testCall(statement.KindRead)
-	k.tx, k.r.InTransaction = txMode{begin: statement.KindBeginRead}, true
-	_, err := g.executeInTransaction(context.Background(), k, l, true)
-	is.NoErr(err)
-	is.True(g.history.Latest().IsZero())
-}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -112,6 +112,6 @@
 // logAnswer logs a served statement with the inputs of the routing decision.
 func (g *Group) logAnswer(c *call, l *memberConn, primary bool, a statement.Answer) {
 	g.log.Info("answered", "request", c.r.Statement.ID, "session", c.r.Session.Number, "kind", c.r.Statement.Kind,
-		"database", c.r.Database, "member", l.member.ID, "primary", primary, "guarded", c.tx.guarded, "floor", c.floor, "position", a.Position,
+		"database", c.r.Database, "member", l.member.ID, "primary", primary, "claim", c.claim, "floor", c.floor, "position", a.Position,
 		"attempt", c.attempts, "age", g.o.Clock().Sub(c.arrived), "waited", c.waited, "config", c.catalog.Version)
 }
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -42,8 +42,10 @@
 	waited      time.Duration
 	// tx is the mode of the transaction that the last attempt opened or runs in.
 	tx txMode
-	// floor is the position that a replica's log had to reach in the last attempt.
+	// floor is the position that a replica's log had to reach in the last attempt, claim the revision of the claim under which
+	// it was made.
 	floor position.Position
+	claim uint64
 }
 
 // reads reports whether neither the statement nor its transaction can change data.
@@ -220,6 +222,7 @@
 		return nil, false, refusal(statement.CodeBusy, "the connection to the member broke", 20*time.Millisecond)
 	}
 	l.markSent(now)
+	c.claim = g.claim.Revision
 	return l, a.Member == g.servingPrimary, nil
 }
 
@@ -433,7 +436,7 @@
 		g.logRefusal(r, statement.CodeReadOnly.String(), readOnlyDetail)
 		return operation.Response{Answer: statement.Answer{Code: statement.CodeReadOnly, Detail: readOnlyDetail, State: statement.TxFailed}}
 	}
-	c.tx = t.mode
+	c.tx, c.claim = t.mode, g.claim.Revision
 	l := t.memberConn
 	t.busy = true
 	l.markSent(g.o.Clock())
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -57,7 +57,7 @@
 	// Expected is the revision of the claim to replace; 0 when there is none.
 	Expected uint64
 	// Expired is the process whose liveness key must still be absent when the claim is replaced. It is the zero Process
-	// when the owner's process is known to have ended.
+	// when the owner is taken for dead, so that its liveness key does not matter.
 	Expired Process
 	// Cause is the reason for the claim: owner_dead, lease_lapsed or no_owner.
 	Cause string
@@ -71,7 +71,9 @@
 	// ownerlessSince is when the group was found without an owner, or with an owner that is dead or whose liveness key
 	// is absent; zero while the group is owned.
 	ownerlessSince time.Time
-	// ownerDead is true when the owner's process is known to have ended, expired when its liveness key is absent.
+	// ownerDead is true when the owner is taken for dead: it is an earlier process of this instance, or nothing listens at its
+	// address. In the second case it may live on, cut off from this instance, with a valid lease. expired is true when the
+	// owner's liveness key is absent.
 	ownerDead bool
 	expired   bool
 	// ownedLast is true when this process was the last owner.
@@ -215,9 +217,10 @@
 	}
 }
 
-// MarkOwnerDead records that the process that holds the claim has ended. It returns false when that changes nothing:
-// the claim has another revision, belongs to this process, or its owner is already known to be dead.
-func (p *Planner) MarkOwnerDead(id upstream.GroupID, revision uint64, now time.Time) bool {
+// MarkOwnerRefused records that nothing listens at the address of the claim's owner. The group can then be claimed without
+// waiting for the end of the owner's lease. It returns false when that changes nothing: the claim has another revision,
+// belongs to this process, or its owner is already taken for dead.
+func (p *Planner) MarkOwnerRefused(id upstream.GroupID, revision uint64, now time.Time) bool {
 	g := p.groups[id]
 	if g == nil || g.claim.Revision != revision || g.ownerDead || p.isOwn(g.claim) {
 		return false
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -52,9 +52,9 @@
 	is := is.New(t)
 	p := newTestPlanner("a")
 	p.SetClaim(claim("g", "b", "x", 5), epoch)
-	is.True(!p.MarkOwnerDead("g", 4, epoch)) // about an earlier claim
-	is.True(p.MarkOwnerDead("g", 5, epoch))
-	is.True(!p.MarkOwnerDead("g", 5, epoch)) // already known
+	is.True(!p.MarkOwnerRefused("g", 4, epoch)) // about an earlier claim
+	is.True(p.MarkOwnerRefused("g", 5, epoch))
+	is.True(!p.MarkOwnerRefused("g", 5, epoch)) // already known
 	actions := p.Plan(epoch.Add(time.Second))
 	is.Equal(len(actions), 1)
 	is.Equal(actions[0].Expected, uint64(5))
@@ -108,9 +108,9 @@
 	is.Equal(len(p.Plan(epoch.Add(time.Hour))), 0)
 	is.Equal(p.Claims()["g"].Revision, uint64(5))
 	p.SetAliveProcesses(map[Process]bool{}, epoch.Add(time.Hour))
-	is.True(p.MarkOwnerDead("g", 5, epoch.Add(time.Hour)))
+	is.True(p.MarkOwnerRefused("g", 5, epoch.Add(time.Hour)))
 	actions = p.Plan(epoch.Add(2 * time.Hour))
-	is.Equal(actions[0].Expired, Process{}) // the process has ended, so its liveness key does not matter
+	is.Equal(actions[0].Expired, Process{}) // whose liveness key does not matter
 }
 
 // Guards against groups changing owners after an outage of all instances that outlasted their leases: each restarted
@@ -236,7 +236,7 @@
 	lost := f.claims["g1"]
 	f.planners = slices.DeleteFunc(f.planners, func(p *Planner) bool { return p.self.Instance == lost.Owner })
 	for _, p := range f.planners {
-		p.MarkOwnerDead("g1", lost.Revision, epoch.Add(10*time.Second))
+		p.MarkOwnerRefused("g1", lost.Revision, epoch.Add(10*time.Second))
 	}
 	f.simulate(10*time.Second, 11*time.Second)
 	is.True(f.claims["g1"].Owner != lost.Owner)
