Keep the availability of a peer in one type

Cause: the channel that cancels calls was closed and set to nil when a peer became unavailable, and made anew by the next call only. A call from before that could start another probe; when it failed first, it closed nil, in a goroutine whose panic ends the process.

Change: availability (available, probed, unavailable) has one transition that closes the channel and one that replaces it. A slow call that is lost already starts no probe.

--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -46,7 +46,7 @@
 	probe fleetv1connect.FleetServiceClient
 	// bulk uses a separate connection for large answers.
 	bulk   fleetv1connect.FleetServiceClient
-	health health
+	health *health
 }
 
 // Peers holds the clients of other instances by address. It is safe for concurrent use.
@@ -66,7 +66,7 @@
 		return known
 	}
 	peer := &Peer{address: address, client: newClient(address), probe: newClient(address), bulk: newClient(address)}
-	peer.health.identify = peer.identify
+	peer.health = newHealth(peer.identify)
 	p.peers[address] = peer
 	return peer
 }
--- a/internal/fleetlink/health.go
+++ b/internal/fleetlink/health.go
@@ -24,17 +24,18 @@
 	maxProbeTime = 20 * time.Second
 )
 
-// health tracks whether a peer is responsive. A call that takes long triggers a health probe. While the probes fail, calls in
-// flight are cancelled and new calls fail immediately.
+// health monitors the calls to a peer. A call that takes long triggers a health probe. While the probes fail, calls in flight
+// are cancelled and new calls fail immediately.
 type health struct {
 	identify func(context.Context) error
 
-	mu sync.Mutex
-	// unavailable is the error of new calls while the peer is unresponsive: ErrUnresponsive or ErrConnectionRefused.
-	unavailable error
-	probing     bool
-	// lost is closed when the peer becomes unresponsive. It is replaced by the first call after its recovery.
-	lost chan struct{}
+	mu    sync.Mutex
+	state availability
+}
+
+// newHealth returns the health of an available peer; identify sends a probe.
+func newHealth(identify func(context.Context) error) *health {
+	return &health{identify: identify, state: newAvailability()}
 }
 
 // startCall starts to monitor a call. The returned context is cancelled when the peer becomes unresponsive. The caller must call
@@ -42,37 +43,41 @@
 func (h *health) startCall(ctx context.Context) (context.Context, func(), error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.unavailable != nil {
-		return nil, nil, h.unavailable
-	}
-	if h.lost == nil {
-		h.lost = make(chan struct{})
+	lost, err := h.state.begin()
+	if err != nil {
+		return nil, nil, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	lost := h.lost
-	timer := time.AfterFunc(probeAfter, func() {
-		h.startProbe()
-		select {
-		case <-lost:
-			cancel(errPeerUnresponsive)
-		case <-ctx.Done():
-		}
-	})
+	timer := time.AfterFunc(probeAfter, func() { h.watchSlowCall(ctx, cancel, lost) })
 	return ctx, func() {
 		timer.Stop()
 		cancel(nil)
 	}, nil
 }
 
-// startProbe starts probing the peer unless a probe is in progress.
-func (h *health) startProbe() {
+// watchSlowCall has the peer probed and cancels the call when the peer is unresponsive, or has been since the call began.
+func (h *health) watchSlowCall(ctx context.Context, cancel context.CancelCauseFunc, lost <-chan struct{}) {
+	select {
+	case <-lost:
+		cancel(errPeerUnresponsive)
+		return
+	default:
+	}
+	h.suspect()
+	select {
+	case <-lost:
+		cancel(errPeerUnresponsive)
+	case <-ctx.Done():
+	}
+}
+
+// suspect starts probing the peer unless a probe is in progress.
+func (h *health) suspect() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.probing {
-		return
+	if h.state.suspect() {
+		go h.probe()
 	}
-	h.probing = true
-	go h.probe()
 }
 
 // probe probes the peer until it answers or maxProbeTime has passed, and then allows calls again.
@@ -85,24 +90,16 @@
 		if err == nil {
 			break
 		}
-		h.markUnavailable(err)
+		h.probeFailed(err)
 		time.Sleep(probeRetryDelay)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.probing, h.unavailable = false, nil
+	h.state.probingEnded()
 }
 
-// markUnavailable cancels the calls in flight and makes new calls fail.
-func (h *health) markUnavailable(cause error) {
+func (h *health) probeFailed(err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.unavailable == nil {
-		close(h.lost)
-		h.lost = nil
-	}
-	h.unavailable = ErrUnresponsive
-	if errors.Is(cause, ErrConnectionRefused) {
-		h.unavailable = ErrConnectionRefused
-	}
+	h.state.probeFailed(err)
 }
--- a/internal/fleetlink/health_test.go
+++ b/internal/fleetlink/health_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,13 +17,13 @@
 func TestCallsToAnUnresponsivePeerAreCancelledAndLaterOnesFailFast(t *testing.T) {
 	is := is.New(t)
 	var answers atomic.Bool
-	h := health{identify: func(ctx context.Context) error {
+	h := newHealth(func(ctx context.Context) error {
 		if answers.Load() {
 			return nil
 		}
 		<-ctx.Done()
 		return ctx.Err()
-	}}
+	})
 	ctx, done, err := h.startCall(context.Background())
 	is.NoErr(err)
 	defer done()
@@ -49,7 +50,7 @@
 func TestASlowCallToAResponsivePeerIsNotCancelled(t *testing.T) {
 	is := is.New(t)
 	asked := make(chan struct{}, 10)
-	h := health{identify: func(context.Context) error { asked <- struct{}{}; return nil }}
+	h := newHealth(func(context.Context) error { asked <- struct{}{}; return nil })
 	ctx, done, err := h.startCall(context.Background())
 	is.NoErr(err)
 	<-asked
@@ -59,7 +60,7 @@
 
 func TestARefusedProbeReportsATerminatedProcess(t *testing.T) {
 	is := is.New(t)
-	h := health{identify: func(context.Context) error { return errors.Wrap(ErrConnectionRefused, "dial") }}
+	h := newHealth(func(context.Context) error { return errors.Wrap(ErrConnectionRefused, "dial") })
 	ctx, done, err := h.startCall(context.Background())
 	is.NoErr(err)
 	<-ctx.Done()
@@ -67,3 +68,38 @@
 	_, _, err = h.startCall(context.Background())
 	is.True(errors.Is(err, ErrConnectionRefused))
 }
+
+// Guards against a peer that stalls twice in a short time: a call from before the first recovery starts a probe, which fails before
+// another call begins. That ended the process with "close of nil channel".
+func TestAPeerThatStallsTwiceDoesNotEndTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var stalled atomic.Bool
+		h := newHealth(func(ctx context.Context) error {
+			if !stalled.Load() {
+				return nil
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		stalled.Store(true)
+		first, done, err := h.startCall(context.Background())
+		is.NoErr(err)
+		defer done()
+		time.Sleep(2*probeAfter - 10*time.Millisecond) // the first probe is about to fail
+		second, done, err := h.startCall(context.Background())
+		is.NoErr(err)
+		defer done()
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(context.Cause(first), errPeerUnresponsive)
+		stalled.Store(false)
+		time.Sleep(probeRetryDelay) // the peer has recovered
+		is.NoErr(second.Err())
+		stalled.Store(true)
+		time.Sleep(2 * probeAfter) // long enough for a probe that the second call starts
+		is.Equal(context.Cause(second), errPeerUnresponsive)
+		_, done, err = h.startCall(context.Background())
+		is.NoErr(err) // nothing is known of the second stall yet
+		done()
+	})
+}
