Charge a refused connection to the claims known before it

Cause: a refusal met by a probe is remembered until the next probe, and was reported against whatever claim was known when the next call came.

Change: a refusal carries a time before its connection was attempted; the planner ignores it for claims that were learned later, since a process listens before it claims. The log line shows the age of the refusal.

Evidence: TestARefusalBeforeTheClaimWasLearnedIsIgnored fails without the comparison of times and passes with it.

--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -35,8 +35,8 @@
 	// claim, but must return quickly.
 	ClaimDoubted(ctx context.Context, claim ownership.Claim)
 	// OwnerRefused reports that nothing listens at the owner's address: its process has probably ended, but it may also be cut
-	// off from this instance.
-	OwnerRefused(claim ownership.Claim)
+	// off from this instance. at is a time before the connection was refused; a claim that was learned later is not affected.
+	OwnerRefused(claim ownership.Claim, at time.Time)
 }
 
 // Router forwards operations to the owners of their groups. It implements operation.Runner.
@@ -122,8 +122,8 @@
 		return operation.Response{}, errNoOwner
 	}
 	resp, err := r.Peers.At(claim.Address).Run(ctx, q)
-	if errors.Is(err, fleetlink.ErrConnectionRefused) {
-		r.Claims.OwnerRefused(claim)
+	if refused := (*fleetlink.RefusedError)(nil); errors.As(err, &refused) {
+		r.Claims.OwnerRefused(claim, refused.At)
 	}
 	return resp, err
 }
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/catalog"
 	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/fleetlink"
@@ -43,7 +44,7 @@
 
 func (selfClaims) ClaimDoubted(context.Context, ownership.Claim) {}
 
-func (selfClaims) OwnerRefused(ownership.Claim) {}
+func (selfClaims) OwnerRefused(ownership.Claim, time.Time) {}
 
 func newRouter(o *fakeOwner, clock func() time.Time) *Router {
 	c := catalog.New(1, 1)
@@ -139,7 +140,7 @@
 	claims := &movingClaims{claim: ownership.Claim{Group: "g", Owner: "previous", Address: l.Addr().String(), Revision: 7}}
 	self := &fakeOwner{run: func(*operation.Request) operation.Response { return operation.Response{} }}
 	r := newRouter(self, time.Now)
-	r.Claims, r.Peers = claims, fleetlink.NewPeers()
+	r.Claims, r.Peers = claims, fleetlink.NewPeers(boottime.Now)
 	is.Equal(r.Run(context.Background(), request("k1")).Code, statement.CodeOK)
 	is.Equal(self.calls, 1)
 	is.Equal(claims.claim.Group, upstream.GroupID("g"))
--- a/internal/fleetlink/availability.go
+++ b/internal/fleetlink/availability.go
@@ -18,7 +18,7 @@
 // has no goroutines and is not safe for concurrent use.
 type availability struct {
 	state peerState
-	// cause is the error of new calls in stateUnavailable: ErrUnresponsive or ErrConnectionRefused.
+	// cause is the error of new calls in stateUnavailable: ErrUnresponsive or the RefusedError of the last probe.
 	cause error
 	// lost is closed on the way to stateUnavailable and replaced on the way back, so each channel is closed once. A call
 	// keeps the one of its beginning.
@@ -54,8 +54,8 @@
 		close(a.lost)
 	}
 	a.cause = ErrUnresponsive
-	if errors.Is(err, ErrConnectionRefused) {
-		a.cause = ErrConnectionRefused
+	if refused := (*RefusedError)(nil); errors.As(err, &refused) {
+		a.cause = refused
 	}
 }
 
--- a/internal/fleetlink/availability_test.go
+++ b/internal/fleetlink/availability_test.go
@@ -15,7 +15,7 @@
 }{
 	{"suspect", func(a *availability) { a.suspect() }},
 	{"failed", func(a *availability) { a.probeFailed(errors.New("no answer")) }},
-	{"refused", func(a *availability) { a.probeFailed(errors.Wrap(ErrConnectionRefused, "dial")) }},
+	{"refused", func(a *availability) { a.probeFailed(errors.Wrap(&RefusedError{}, "dial")) }},
 	{"ended", func(a *availability) { a.probingEnded() }},
 }
 
@@ -108,9 +108,9 @@
 	_, err = a.begin()
 	is.Equal(err, ErrUnresponsive)
 	is.True(!a.suspect())
-	a.probeFailed(errors.Wrap(ErrConnectionRefused, "dial"))
+	a.probeFailed(errors.Wrap(&RefusedError{}, "dial"))
 	_, err = a.begin()
-	is.Equal(err, ErrConnectionRefused)
+	is.True(errors.Is(err, ErrConnectionRefused))
 	a.probingEnded()
 	_, err = a.begin()
 	is.NoErr(err)
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -12,6 +12,7 @@
 
 	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
 	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
+	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/netopt"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
@@ -28,7 +29,7 @@
 
 // Errors that guarantee that the peer did not execute the call. After any other error it may have been executed.
 var (
-	// ErrConnectionRefused: no process listens at the peer's address, so the process that did has terminated.
+	// ErrConnectionRefused: nothing listens at the peer's address. All such errors are RefusedErrors.
 	ErrConnectionRefused = errors.New("no process listens at the peer's address")
 	// ErrUnreachable: no connection could be established.
 	ErrUnreachable = errors.New("peer cannot be reached")
@@ -38,8 +39,21 @@
 	ErrNotOwner = errors.New("peer does not own the group")
 )
 
+// RefusedError reports that a connection to a peer was refused. It matches ErrConnectionRefused.
+type RefusedError struct {
+	// At is a time before the connection was attempted. What was learned of the peer later is not affected.
+	At time.Time
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return ErrConnectionRefused.Error() }
+
+// Is makes errors.Is match ErrConnectionRefused.
+func (e *RefusedError) Is(target error) bool { return target == ErrConnectionRefused }
+
 // Peer is a client of one other instance.
 type Peer struct {
+	clock   boottime.Clock
 	address string
 	client  fleetv1connect.FleetServiceClient
 	// probe uses a separate connection, so that health probes are not affected by a stalled one.
@@ -51,12 +65,15 @@
 
 // Peers holds the clients of other instances by address. It is safe for concurrent use.
 type Peers struct {
+	clock boottime.Clock
 	mu    sync.Mutex
 	peers map[string]*Peer
 }
 
 // NewPeers returns an empty set.
-func NewPeers() *Peers { return &Peers{peers: make(map[string]*Peer)} }
+func NewPeers(clock boottime.Clock) *Peers {
+	return &Peers{clock: clock, peers: make(map[string]*Peer)}
+}
 
 // At returns the client of the peer at the address and creates it on first use.
 func (p *Peers) At(address string) *Peer {
@@ -65,7 +82,7 @@
 	if known := p.peers[address]; known != nil {
 		return known
 	}
-	peer := &Peer{address: address, client: newClient(address), probe: newClient(address), bulk: newClient(address)}
+	peer := &Peer{clock: p.clock, address: address, client: newClient(address), probe: newClient(address), bulk: newClient(address)}
 	peer.health = newHealth(peer.identify)
 	p.peers[address] = peer
 	return peer
@@ -87,8 +104,9 @@
 
 // identify sends a health probe to the peer.
 func (p *Peer) identify(ctx context.Context) error {
+	started := p.clock()
 	if _, err := p.probe.Identify(ctx, connect.NewRequest(&fleetv1.IdentifyRequest{})); err != nil {
-		return classifyError(p.address, err)
+		return classifyError(p.address, err, started)
 	}
 	return nil
 }
@@ -100,9 +118,10 @@
 		return operation.Response{}, errors.Wrapf(err, "peer %s", p.address)
 	}
 	defer done()
+	started := p.clock()
 	resp, err := p.client.Run(ctx, connect.NewRequest(toRequest(r)))
 	if err != nil {
-		return operation.Response{}, classifyError(p.address, err)
+		return operation.Response{}, classifyError(p.address, err, started)
 	}
 	answer := fromResponse(resp.Msg)
 	answer.Owner.Group = r.Group
@@ -113,18 +132,20 @@
 func (p *Peer) End(ctx context.Context, g upstream.GroupID, s operation.SessionID) error {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
+	started := p.clock()
 	_, err := p.client.End(ctx, connect.NewRequest(&fleetv1.EndRequest{Session: toSession(s), Group: string(g)}))
 	if err != nil {
-		return classifyError(p.address, err)
+		return classifyError(p.address, err, started)
 	}
 	return nil
 }
 
 // TakeTokens requests rate-limit tokens from the peer, which must own the group.
 func (p *Peer) TakeTokens(ctx context.Context, g upstream.GroupID, requests []owner.TokenRequest) ([]owner.TokenRequest, error) {
+	started := p.clock()
 	resp, err := p.client.TakeTokens(ctx, connect.NewRequest(&fleetv1.TakeTokensRequest{Group: string(g), Requests: toTokens(requests)}))
 	if err != nil {
-		return nil, classifyError(p.address, err)
+		return nil, classifyError(p.address, err, started)
 	}
 	if resp.Msg.GetNotOwner() {
 		return nil, ErrNotOwner
@@ -133,12 +154,12 @@
 }
 
 // classifyError wraps an error of a call. It maps errors that guarantee that the call was not executed to ErrConnectionRefused and
-// ErrUnreachable.
-func classifyError(address string, err error) error {
+// ErrUnreachable. started is a time before the call.
+func classifyError(address string, err error, started time.Time) error {
 	var op interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return errors.Wrapf(ErrConnectionRefused, "peer %s", address)
+		return errors.Wrapf(&RefusedError{At: started}, "peer %s", address)
 	case isDialError(err):
 		return errors.Wrapf(ErrUnreachable, "peer %s: %v", address, err)
 	case errors.As(err, &op) && op.Timeout():
--- a/internal/fleetlink/health_test.go
+++ b/internal/fleetlink/health_test.go
@@ -60,13 +60,15 @@
 
 func TestARefusedProbeReportsATerminatedProcess(t *testing.T) {
 	is := is.New(t)
-	h := newHealth(func(context.Context) error { return errors.Wrap(ErrConnectionRefused, "dial") })
+	refusal := &RefusedError{At: time.Unix(1000, 0)}
+	h := newHealth(func(context.Context) error { return errors.Wrap(refusal, "dial") })
 	ctx, done, err := h.startCall(context.Background())
 	is.NoErr(err)
 	<-ctx.Done()
 	done()
 	_, _, err = h.startCall(context.Background())
 	is.True(errors.Is(err, ErrConnectionRefused))
+	is.Equal(err, refusal) // with its time
 }
 
 // Guards against a peer that stalls twice in a short time: a call from before the first recovery starts a probe, which fails before
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,7 +220,7 @@
 func New(opts Options) *Node {
 	n := &Node{
 		opts:            opts,
-		Peers:           fleetlink.NewPeers(),
+		Peers:           fleetlink.NewPeers(opts.Clock),
 		replan:          make(chan struct{}, 1),
 		ownershipGained: make(chan struct{}, 1),
 		becameReader:    make(chan struct{}, 1),
@@ -275,11 +275,12 @@
 }
 
 // OwnerRefused implements caller.Claims.
-func (n *Node) OwnerRefused(c ownership.Claim) {
+func (n *Node) OwnerRefused(c ownership.Claim, at time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.planner.MarkOwnerRefused(c.Group, c.Revision, n.opts.Clock()) {
-		n.opts.Log.Info("the owner refuses connections", "group", c.Group, "owner", c.Owner, "claim", c.Revision)
+	now := n.opts.Clock()
+	if n.planner.MarkOwnerRefused(c.Group, c.Revision, at, now) {
+		n.opts.Log.Info("the owner refuses connections", "group", c.Group, "owner", c.Owner, "claim", c.Revision, "age", now.Sub(at))
 		n.triggerPlanner()
 	}
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -68,6 +68,8 @@
 // group is the planner's state of one group.
 type group struct {
 	claim Claim
+	// claimSince is when the claim was learned.
+	claimSince time.Time
 	// ownerlessSince is when the group was found without an owner, or with an owner that is dead or whose liveness key
 	// is absent; zero while the group is owned.
 	ownerlessSince time.Time
@@ -168,6 +170,9 @@
 	}
 	p.maxCores = max(p.maxCores, c.Cores)
 	g.reclaimed = p.isOwn(c) && (g.reclaimed || g.claim.Owner == p.self.Instance && !p.isOwn(g.claim))
+	if c.Revision > g.claim.Revision {
+		g.claimSince = now
+	}
 	g.claim, g.lastClaim, g.ownerDead, g.expired, g.ownerlessSince = c, c, false, false, time.Time{}
 	g.claimRank = claimRank(hash(c.Owner, c.Group))
 	g.ownedLast, g.relinquished = p.isOwn(c), false
@@ -217,12 +222,13 @@
 	}
 }
 
-// MarkOwnerRefused records that nothing listens at the address of the claim's owner. The group can then be claimed without
-// waiting for the end of the owner's lease. It returns false when that changes nothing: the claim has another revision,
-// belongs to this process, or its owner is already taken for dead.
-func (p *Planner) MarkOwnerRefused(id upstream.GroupID, revision uint64, now time.Time) bool {
+// MarkOwnerRefused records that nothing listened at the address of the claim's owner after the time at. The group can then
+// be claimed without waiting for the end of the owner's lease. It returns false when that changes nothing: the claim has
+// another revision, belongs to this process or was learned after at, or its owner is already taken for dead. A claim that
+// was learned later may be that of a new process at the same address, which listens before it claims.
+func (p *Planner) MarkOwnerRefused(id upstream.GroupID, revision uint64, at, now time.Time) bool {
 	g := p.groups[id]
-	if g == nil || g.claim.Revision != revision || g.ownerDead || p.isOwn(g.claim) {
+	if g == nil || g.claim.Revision != revision || g.ownerDead || p.isOwn(g.claim) || at.Before(g.claimSince) {
 		return false
 	}
 	if !g.expired {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -48,13 +48,28 @@
 	is.True(!ok)
 }
 
+// Guards against a refusal by an earlier process, remembered until the next probe of the peer, that is charged to the claim of its
+// successor at the same address.
+func TestARefusalBeforeTheClaimWasLearnedIsIgnored(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlanner("a")
+	p.SetClaim(claim("g", "b", "x", 5), epoch)
+	refused := epoch.Add(time.Second)
+	p.SetClaim(claim("g", "b", "y", 6), refused.Add(time.Millisecond))
+	now := refused.Add(100 * time.Millisecond)
+	is.True(!p.MarkOwnerRefused("g", 6, refused, now))
+	is.Equal(len(p.Plan(now.Add(time.Hour))), 0)
+	p.SetClaim(claim("g", "b", "y", 6), now.Add(time.Second)) // learned once more
+	is.True(p.MarkOwnerRefused("g", 6, now, now))
+}
+
 func TestTakesOverADeadOwnerUnderItsRevision(t *testing.T) {
 	is := is.New(t)
 	p := newTestPlanner("a")
 	p.SetClaim(claim("g", "b", "x", 5), epoch)
-	is.True(!p.MarkOwnerRefused("g", 4, epoch)) // about an earlier claim
-	is.True(p.MarkOwnerRefused("g", 5, epoch))
-	is.True(!p.MarkOwnerRefused("g", 5, epoch)) // already known
+	is.True(!p.MarkOwnerRefused("g", 4, epoch, epoch)) // about an earlier claim
+	is.True(p.MarkOwnerRefused("g", 5, epoch, epoch))
+	is.True(!p.MarkOwnerRefused("g", 5, epoch, epoch)) // already known
 	actions := p.Plan(epoch.Add(time.Second))
 	is.Equal(len(actions), 1)
 	is.Equal(actions[0].Expected, uint64(5))
@@ -108,7 +123,7 @@
 	is.Equal(len(p.Plan(epoch.Add(time.Hour))), 0)
 	is.Equal(p.Claims()["g"].Revision, uint64(5))
 	p.SetAliveProcesses(map[Process]bool{}, epoch.Add(time.Hour))
-	is.True(p.MarkOwnerRefused("g", 5, epoch.Add(time.Hour)))
+	is.True(p.MarkOwnerRefused("g", 5, epoch, epoch.Add(time.Hour)))
 	actions = p.Plan(epoch.Add(2 * time.Hour))
 	is.Equal(actions[0].Expired, Process{}) // whose liveness key does not matter
 }
@@ -236,7 +251,7 @@
 	lost := f.claims["g1"]
 	f.planners = slices.DeleteFunc(f.planners, func(p *Planner) bool { return p.self.Instance == lost.Owner })
 	for _, p := range f.planners {
-		p.MarkOwnerRefused("g1", lost.Revision, epoch.Add(10*time.Second))
+		p.MarkOwnerRefused("g1", lost.Revision, epoch.Add(10*time.Second), epoch.Add(10*time.Second))
 	}
 	f.simulate(10*time.Second, 11*time.Second)
 	is.True(f.claims["g1"].Owner != lost.Owner)
