Contain panics of goroutines that handle input from outside

What callers might see: all sessions of an instance cut by one unexpected answer of a peer, a member or the platform.

--- a/internal/fleetlink/health.go
+++ b/internal/fleetlink/health.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/contain"
 )
 
 // errPeerUnresponsive is the cancellation cause of unanswered calls to an unresponsive peer. The peer may have executed them, so
@@ -85,7 +87,7 @@
 	started := time.Now()
 	for time.Since(started) < maxProbeTime {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		err := h.identify(ctx)
+		err := contain.Err(func() error { return h.identify(ctx) })
 		cancel()
 		if err == nil {
 			break
--- a/internal/fleetlink/health_test.go
+++ b/internal/fleetlink/health_test.go
@@ -105,3 +105,29 @@
 		done()
 	})
 }
+
+// Guards against a probe whose panic ends the process: it runs in a goroutine of its own.
+func TestAPanicInAProbeCountsAsAFailedProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var panics atomic.Bool
+		panics.Store(true)
+		h := newHealth(func(context.Context) error {
+			if panics.Load() {
+				panic("probe")
+			}
+			return nil
+		})
+		ctx, done, err := h.startCall(context.Background())
+		is.NoErr(err)
+		defer done()
+		<-ctx.Done()
+		_, _, err = h.startCall(context.Background())
+		is.Equal(err, ErrUnresponsive)
+		panics.Store(false)
+		time.Sleep(2 * probeRetryDelay)
+		_, done, err = h.startCall(context.Background())
+		is.NoErr(err)
+		done()
+	})
+}
--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/celerystep/celerystep/internal/contain"
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/promotion"
@@ -207,7 +208,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	l := &memberConn{id: o.Conn, member: m, customer: o.Customer}
-	conn, err := g.o.Members.Dial(ctx, m, o.Customer, func() { g.connLost(l) })
+	var conn member.Conn
+	err := contain.Err(func() (err error) {
+		conn, err = g.o.Members.Dial(ctx, m, o.Customer, func() { g.connLost(l) })
+		return err
+	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock()
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/celerystep/celerystep/internal/contain"
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/operation"
@@ -37,7 +38,11 @@
 func (g *Group) probe(ctx context.Context, m member.Member) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	s, err := g.status(ctx, m)
+	var s promotion.Status
+	err := contain.Err(func() (err error) {
+		s, err = g.status(ctx, m)
+		return err
+	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock()
@@ -73,7 +78,11 @@
 func (g *Group) promote(ctx context.Context, id upstream.MemberID, token uint64) {
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	result, err := g.o.Promoter.Promote(ctx, g.id, id, token)
+	result := promotion.ResultUnknown
+	err := contain.Err(func() (err error) {
+		result, err = g.o.Promoter.Promote(ctx, g.id, id, token)
+		return err
+	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.log.Info("promotion ordered", "member", id, "token", token, "result", result, "error", err)
