--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -45,6 +45,9 @@
 	Key      string
 }
 
+// ErrMalformedStart is returned by Codec.ReadStart for a message that is no start message.
+var ErrMalformedStart = errors.New("the start message cannot be read")
+
 // Codec implements a wire protocol on one connection.
 type Codec interface {
 	ReadStart() (Start, error)
@@ -241,27 +244,38 @@
 	return true
 }
 
+// reject refuses a session.
+func (s *Server) reject(codec Codec, start Start, code statement.Code, reason string) {
+	s.Metrics.Rejected.WithLabelValues(code.String()).Inc()
+	s.Log.Info("session rejected", "database", start.Database, "code", code, "reason", reason, "version", s.Catalog().Version)
+	if err := codec.Reject(code, reason); err != nil {
+		s.Log.Debug("caller is gone", "error", err)
+	}
+}
+
 // openSession reads the start message and opens a session. It returns nil if the caller was refused or the connection
 // failed.
 func (s *Server) openSession(c net.Conn, codec Codec) *Session {
 	_ = c.SetReadDeadline(time.Now().Add(startTimeout))
 	start, err := codec.ReadStart()
+	if errors.Is(err, ErrMalformedStart) {
+		s.reject(codec, start, statement.CodeMalformed, err.Error())
+		return nil
+	}
 	if err != nil {
+		s.Log.Debug("connection ended before its start message", "caller", c.RemoteAddr(), "error", err)
 		return nil
 	}
 	deadline := time.Time{}
 	if s.draining.Load() {
 		deadline = time.Now().Add(firstStatementTimeout)
 		if deadline.After(s.drainDeadline) {
-			s.Metrics.Rejected.WithLabelValues(statement.CodeBusy.String()).Inc()
-			_ = codec.Reject(statement.CodeBusy, "the instance is shutting down; connect again")
+			s.reject(codec, start, statement.CodeBusy, "the instance is shutting down; connect again")
 			return nil
 		}
 	}
 	if !s.awaitCatalog() {
-		s.Metrics.Rejected.WithLabelValues(statement.CodeBusy.String()).Inc()
-		s.Log.Warn("session rejected", "database", start.Database, "code", statement.CodeBusy, "reason", "no configuration yet")
-		_ = codec.Reject(statement.CodeBusy, "the instance has no configuration yet; connect again")
+		s.reject(codec, start, statement.CodeBusy, "the instance has no configuration yet; connect again")
 		return nil
 	}
 	_ = c.SetReadDeadline(deadline)
@@ -274,9 +288,7 @@
 		clock:    s.Clock,
 	}
 	if code := session.Check(); code != statement.CodeOK {
-		s.Metrics.Rejected.WithLabelValues(code.String()).Inc()
-		s.Log.Info("session rejected", "database", start.Database, "code", code, "version", s.Catalog().Version)
-		_ = codec.Reject(code, "no such database or key")
+		s.reject(codec, start, code, "no such database or key")
 		return nil
 	}
 	if codec.Ready() != nil {
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -99,7 +99,7 @@
 		}
 		return s.forward(ctx, st, arrived)
 	default:
-		return s.fail(statement.CodeMalformed, "the statement cannot be read")
+		return s.fail(statement.CodeMalformed, "the statement cannot be read, nothing ran; a text must not contain line breaks")
 	}
 }
 
--- a/internal/fleetlink/convert_test.go
+++ b/internal/fleetlink/convert_test.go
@@ -32,6 +32,14 @@
 		is.True(!(&operation.Request{Statement: statement.Statement{Kind: k}}).Valid())
 	}
 	is.True((&operation.Request{Statement: statement.Statement{Kind: statement.KindRead}, Begin: statement.KindBegin}).Valid())
+	for _, s := range []statement.Statement{{ID: "1\n2"}, {Text: "READ a\rb"}, {Name: "s\n"}, {Value: "\n"}, {Prepared: statement.Prepared{Definition: "q\r"}}} {
+		s.Kind = statement.KindExecute
+		is.True(!(&operation.Request{Statement: s}).Valid()) // a member could take it for two messages
+	}
+	read := statement.Statement{Kind: statement.KindRead}
+	is.True((&operation.Request{Statement: read, Values: map[string]string{"zone": "a b"}}).Valid())
+	is.True(!(&operation.Request{Statement: read, Values: map[string]string{"zone": "a\nb"}}).Valid())
+	is.True(!(&operation.Request{Statement: read, Values: map[string]string{"zo\nne": "a"}}).Valid())
 	is.True(!(&operation.Request{Statement: statement.Statement{Kind: statement.KindRead}, Begin: statement.KindCommit}).Valid())
 }
 
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -44,8 +44,17 @@
 	Elapsed time.Duration
 }
 
-// Valid reports whether the statement is one that runs on a member.
+// Valid reports whether the statement is one that runs on a member and no part of the request contains a line break, which
+// a member could take for the end of a message.
 func (r *Request) Valid() bool {
+	if !r.Statement.IsOneLine() {
+		return false
+	}
+	for name, value := range r.Values {
+		if !(statement.Statement{Name: name, Value: value}).IsOneLine() {
+			return false
+		}
+	}
 	switch r.Begin {
 	case statement.KindInvalid, statement.KindBegin, statement.KindBeginRead:
 	default:
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -2,7 +2,11 @@
 // translate between a protocol and these types. The text of a statement is opaque.
 package statement
 
-import "github.com/celerystep/celerystep/internal/position"
+import (
+	"strings"
+
+	"github.com/celerystep/celerystep/internal/position"
+)
 
 // Kind is the kind of a statement.
 type Kind uint8
@@ -62,6 +66,17 @@
 	return s.Kind == KindWrite || s.Kind == KindExecute && s.Prepared.Writes
 }
 
+// IsOneLine reports whether no part of the statement contains a line break. Protocols that end messages at line breaks cannot
+// carry others.
+func (s Statement) IsOneLine() bool {
+	for _, part := range []string{s.ID, s.Text, s.Name, s.Value, s.Prepared.Definition} {
+		if strings.ContainsAny(part, "\r\n") {
+			return false
+		}
+	}
+	return true
+}
+
 // TxState is the transaction state of a session.
 type TxState uint8
 
