Pass texts that are no valid UTF-8 between instances

What callers saw: at an instance that did not own the group, a write of a text in Latin-1 was answered as in doubt although it had never been sent, and a read failed.

Cause: texts, session values, rows and details were protobuf strings between instances, whose encoding rejects invalid UTF-8.

Change: these fields are bytes. Their encoding on the wire is the same, so that old and new instances understand each other.

--- a/internal/fleetlink/convert.go
+++ b/internal/fleetlink/convert.go
@@ -37,16 +37,16 @@
 	return &fleetv1.RunRequest{
 		Session:         toSession(r.Session),
 		Group:           string(r.Group),
-		Database:        r.Database,
-		Key:             r.Key,
+		Database:        []byte(r.Database),
+		Key:             []byte(r.Key),
 		CatalogRevision: r.CatalogRevision,
 		Statement: &fleetv1.Statement{
-			Id: s.ID, Kind: uint32(s.Kind), Text: s.Text, Name: s.Name, Value: s.Value,
-			PreparedWrites: s.Prepared.Writes, PreparedShape: s.Prepared.Definition,
+			Id: []byte(s.ID), Kind: uint32(s.Kind), Text: []byte(s.Text), Name: []byte(s.Name), Value: []byte(s.Value),
+			PreparedWrites: s.Prepared.Writes, PreparedShape: []byte(s.Prepared.Definition),
 		},
 		Begin:         uint32(r.Begin),
 		InTransaction: r.InTransaction,
-		Values:        r.Values,
+		Values:        toValues(r.Values),
 		Floor:         toPosition(r.Floor),
 		ElapsedMs:     uint32(r.Elapsed.Milliseconds()),
 		Customer:      r.Customer,
@@ -58,22 +58,60 @@
 	return &operation.Request{
 		Session:         fromSession(r.GetSession()),
 		Group:           upstream.GroupID(r.GetGroup()),
-		Database:        r.GetDatabase(),
-		Key:             r.GetKey(),
+		Database:        string(r.GetDatabase()),
+		Key:             string(r.GetKey()),
 		CatalogRevision: r.GetCatalogRevision(),
 		Statement: statement.Statement{
-			ID: s.GetId(), Kind: statement.KindFromWire(s.GetKind()), Text: s.GetText(), Name: s.GetName(), Value: s.GetValue(),
-			Prepared: statement.Prepared{Writes: s.GetPreparedWrites(), Definition: s.GetPreparedShape()},
+			ID: string(s.GetId()), Kind: statement.KindFromWire(s.GetKind()), Text: string(s.GetText()), Name: string(s.GetName()),
+			Value: string(s.GetValue()), Prepared: statement.Prepared{Writes: s.GetPreparedWrites(), Definition: string(s.GetPreparedShape())},
 		},
 		Begin:         statement.KindFromWire(r.GetBegin()),
 		InTransaction: r.GetInTransaction(),
-		Values:        r.GetValues(),
+		Values:        fromValues(r.GetValues()),
 		Floor:         fromPosition(r.GetFloor()),
 		Elapsed:       time.Duration(r.GetElapsedMs()) * time.Millisecond,
 		Customer:      r.GetCustomer(),
 	}
 }
 
+func toValues(values map[string]string) []*fleetv1.SessionValue {
+	list := make([]*fleetv1.SessionValue, 0, len(values))
+	for name, value := range values {
+		list = append(list, &fleetv1.SessionValue{Name: []byte(name), Value: []byte(value)})
+	}
+	return list
+}
+
+func fromValues(list []*fleetv1.SessionValue) map[string]string {
+	if len(list) == 0 {
+		return nil
+	}
+	values := make(map[string]string, len(list))
+	for _, v := range list {
+		values[string(v.GetName())] = string(v.GetValue())
+	}
+	return values
+}
+
+func toRows(rows []string) [][]byte {
+	list := make([][]byte, len(rows))
+	for i, row := range rows {
+		list[i] = []byte(row)
+	}
+	return list
+}
+
+func fromRows(list [][]byte) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	rows := make([]string, len(list))
+	for i, row := range list {
+		rows[i] = string(row)
+	}
+	return rows
+}
+
 func toClaim(c ownership.Claim) *fleetv1.Claim {
 	if c.Owner == "" {
 		return nil
@@ -93,7 +131,7 @@
 
 func toResponse(r operation.Response) *fleetv1.RunResponse {
 	return &fleetv1.RunResponse{
-		Rows: r.Rows, Receipt: r.Receipt, Code: uint32(r.Code), Detail: r.Detail, State: uint32(r.State),
+		Rows: toRows(r.Rows), Receipt: []byte(r.Receipt), Code: uint32(r.Code), Detail: []byte(r.Detail), State: uint32(r.State),
 		Position: toPosition(r.Position), RetryAfterMs: uint32(r.RetryAfter.Milliseconds()), NotOwner: r.NotOwner,
 		CatalogRevision: r.CatalogRevision, OverRate: r.OverRate, Owner: toClaim(r.Owner),
 	}
@@ -102,7 +140,7 @@
 func fromResponse(r *fleetv1.RunResponse) operation.Response {
 	return operation.Response{
 		Answer: statement.Answer{
-			Rows: r.GetRows(), Receipt: r.GetReceipt(), Code: statement.CodeFromWire(r.GetCode()), Detail: r.GetDetail(),
+			Rows: fromRows(r.GetRows()), Receipt: string(r.GetReceipt()), Code: statement.CodeFromWire(r.GetCode()), Detail: string(r.GetDetail()),
 			State: statement.TxStateFromWire(r.GetState()), Position: fromPosition(r.GetPosition()),
 		},
 		RetryAfter:      time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
--- a/internal/fleetlink/convert_test.go
+++ b/internal/fleetlink/convert_test.go
@@ -76,7 +76,7 @@
 
 // FuzzPeerMessages checks that no message of a peer ends the process.
 func FuzzPeerMessages(f *testing.F) {
-	seed, err := proto.Marshal(&fleetv1.RunRequest{Group: "g", Statement: &fleetv1.Statement{Kind: 5, Text: "READ a"}, Floor: &fleetv1.Position{Term: 1}})
+	seed, err := proto.Marshal(&fleetv1.RunRequest{Group: "g", Statement: &fleetv1.Statement{Kind: 5, Text: []byte("READ a")}, Floor: &fleetv1.Position{Term: 1}})
 	if err != nil {
 		f.Fatal(err)
 	}
