--- a/internal/capacity/live.go
+++ b/internal/capacity/live.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/experiment"
 	"github.com/celerystep/celerystep/internal/fleet"
 	"github.com/celerystep/celerystep/internal/instance"
@@ -87,8 +88,8 @@
 	if err != nil {
 		return err
 	}
-	if err := pause(ctx, settleTime); err != nil {
-		return err
+	if !ctxtime.Sleep(ctx, settleTime) {
+		return ctx.Err()
 	}
 	return f(&liveFleet{Fleet: started, credential: credential, groups: groups})
 }
@@ -106,18 +107,6 @@
 	return wrap(err, "read")
 }
 
-// pause waits for d.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // usage is what this process used up to a moment.
 type usage struct {
 	at      time.Time
@@ -142,8 +131,8 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	if err := pause(ctx, d); err != nil {
-		return 0, 0, err
+	if !ctxtime.Sleep(ctx, d) {
+		return 0, 0, ctx.Err()
 	}
 	after, err := usageNow()
 	cpu, bytes = after.since(before)
--- a/internal/capacity/live_slopes.go
+++ b/internal/capacity/live_slopes.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/experiment"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -324,8 +325,8 @@
 		if ctx.Err() != nil {
 			return errors.Wrapf(err, "group %d takes no write", group)
 		}
-		if err := pause(ctx, retryPause); err != nil {
-			return err
+		if !ctxtime.Sleep(ctx, retryPause) {
+			return ctx.Err()
 		}
 	}
 }
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -13,6 +13,7 @@
 
 	peerv1 "github.com/celerystep/celerystep/gen/celerystep/peer/v1"
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/operator"
 )
@@ -147,7 +148,7 @@
 		if err := watch(); err != nil {
 			return c, err
 		}
-		if len(c.waiting) == 0 || time.Since(start) >= wait || !pause(ctx, confirmInterval) {
+		if len(c.waiting) == 0 || time.Since(start) >= wait || !ctxtime.Sleep(ctx, confirmInterval) {
 			break
 		}
 	}
@@ -168,15 +169,3 @@
 	}
 	return out
 }
-
-// pause returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -11,6 +11,7 @@
 
 	peerv1 "github.com/celerystep/celerystep/gen/celerystep/peer/v1"
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 )
 
 const (
@@ -213,7 +214,7 @@
 func (a *app) reportRevocation(ctx context.Context, targets []target, customer, name string) error {
 	ref := config.KeyRef{Customer: customer, Key: name}
 	waiting := targets
-	for start := a.env.Now(); len(waiting) > 0 && a.env.Now().Sub(start) < a.o.wait && pause(ctx, confirmInterval); {
+	for start := a.env.Now(); len(waiting) > 0 && a.env.Now().Sub(start) < a.o.wait && ctxtime.Sleep(ctx, confirmInterval); {
 		waiting = a.unaware(ctx, waiting, ref)
 	}
 	a.say("key %s.%s is revoked on %d of %d instances", customer, name, len(targets)-len(waiting), len(targets))
--- a/internal/fanout/play_test.go
+++ b/internal/fanout/play_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/mirror"
 )
@@ -36,6 +37,12 @@
 
 var errCut = errors.New("cut off")
 
+// sleep waits for d and returns the error of ctx if that ends first.
+func sleep(ctx context.Context, d time.Duration) error {
+	ctxtime.Sleep(ctx, d)
+	return ctx.Err()
+}
+
 // playStore is a store with a configuration key that changes. All times are virtual.
 type playStore struct {
 	mu       sync.Mutex
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/mirror"
 )
 
@@ -159,7 +160,10 @@
 		s.log.Info("reads shared entries", "reader", t.Reader.Instance, "store", t.Store(), "fallback", t.Fallback, "delay", t.Delay, "readers", len(route.Readers), "reads", route.Reads)
 	}
 	s.mu.Unlock()
-	return t, sleep(ctx, t.Delay)
+	if !ctxtime.Sleep(ctx, t.Delay) {
+		return t, ctx.Err()
+	}
+	return t, nil
 }
 
 // ask makes one call to a reader. Any error but mirror.ErrCompacted leaves the reader out for a while.
@@ -235,17 +239,3 @@
 	defer s.mu.Unlock()
 	s.revisions[prefix] = max(s.revisions[prefix], revision)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/gossip/loops.go
+++ b/internal/gossip/loops.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/membership"
 )
@@ -85,7 +86,7 @@
 		if err == nil {
 			s.RecordStoreAnswer()
 		}
-		if !sleep(ctx, storeCheckInterval-time.Since(started)) {
+		if !ctxtime.Sleep(ctx, storeCheckInterval-time.Since(started)) {
 			return ctx.Err()
 		}
 	}
@@ -99,7 +100,7 @@
 		if !s.View().Joined {
 			wait = joinDirectoryInterval
 		}
-		if !sleep(ctx, wait) {
+		if !ctxtime.Sleep(ctx, wait) {
 			return ctx.Err()
 		}
 	}
@@ -117,18 +118,6 @@
 	s.step(ctx, func(now time.Time) []membership.Call { return s.machine.ApplyInstanceList(now, entries) })
 }
 
-// sleep waits for d and reports whether ctx is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // event is a change to pass to the listeners.
 type event struct {
 	changes   membership.Changes
--- a/internal/gossip/move.go
+++ b/internal/gossip/move.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	peerv1 "github.com/celerystep/celerystep/gen/celerystep/peer/v1"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/homes"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/position"
@@ -193,7 +194,7 @@
 	}
 	var err error
 	for attempt := range handoverAttempts {
-		if attempt > 0 && !sleep(ctx, handoverRetryDelay) {
+		if attempt > 0 && !ctxtime.Sleep(ctx, handoverRetryDelay) {
 			return ctx.Err()
 		}
 		var accepted bool
--- a/internal/home/actions.go
+++ b/internal/home/actions.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/failover"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -31,7 +32,7 @@
 	case failover.Fence:
 		delay := g.fenceDelay(a.Member)
 		g.runOperation(a.Op, a.Member, a.Timeout, func(ctx context.Context, m upstream.Member) (upstream.MemberStatus, error) {
-			sleep(ctx, delay)
+			ctxtime.Sleep(ctx, delay)
 			return g.port.Fence(ctx, m, a.Term, a.Owner)
 		})
 	case failover.Promote:
--- a/internal/home/members.go
+++ b/internal/home/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/admission"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/pool"
 	"github.com/celerystep/celerystep/internal/quorum"
 	"github.com/celerystep/celerystep/internal/router"
@@ -66,7 +67,7 @@
 		if now.Sub(started) > streamBackoffMax {
 			backoff = streamBackoffBase
 		}
-		sleep(ctx, backoff)
+		ctxtime.Sleep(ctx, backoff)
 		backoff = min(2*backoff, streamBackoffMax)
 	}
 }
@@ -138,16 +139,3 @@
 	}
 	return c
 }
-
-// sleep waits for d or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/exchange"
 	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/position"
@@ -290,7 +291,7 @@
 		return false
 	}
 	g.log.Info("retrying", "trace", c.r.Trace, "attempt", c.attempt, "step", f.Step, "member", f.Peer, "delay", d.After, "error", f.Err)
-	sleep(g.ctx, d.After)
+	ctxtime.Sleep(g.ctx, d.After)
 	c.sent = false
 	return true
 }
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/pgauth"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -136,7 +137,7 @@
 	for i := range g.schedule.arrivals {
 		a := &g.schedule.arrivals[i]
 		wait := time.Until(g.start.Add(a.at))
-		if wait > 0 && !sleep(ctx, wait) {
+		if wait > 0 && !ctxtime.Sleep(ctx, wait) {
 			return
 		}
 		g.sessions[a.session].queue.push(queued{check.RequestID(i + 1), a})
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -208,7 +209,7 @@
 		if refused && s.stream.KeepKey {
 			return code, false
 		}
-		if time.Until(deadline) < pause+retryReserve || !sleep(ctx, pause) {
+		if time.Until(deadline) < pause+retryReserve || !ctxtime.Sleep(ctx, pause) {
 			return code, false
 		}
 		pause = min(2*pause, reconnectPauseMax)
@@ -290,15 +291,3 @@
 	}
 	return p
 }
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/matrix/client.go
+++ b/internal/matrix/client.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/request"
 	"github.com/celerystep/celerystep/internal/retry"
@@ -194,7 +195,7 @@
 		if !elsewhere || r.InTransaction || r.Timeout <= 0 {
 			return res, answer.Bytes()
 		}
-		wait(c.w.ctx, followPause)
+		ctxtime.Sleep(c.w.ctx, followPause)
 	}
 }
 
--- a/internal/matrix/disturb.go
+++ b/internal/matrix/disturb.go
@@ -6,6 +6,7 @@
 
 	"github.com/celerystep/celerystep/internal/check"
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/home"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/quorum"
@@ -146,7 +147,7 @@
 		if !w.waitTaken(h, held) {
 			return
 		}
-		wait(w.ctx, quorum.AuthorityWindow+lateBy)
+		ctxtime.Sleep(w.ctx, quorum.AuthorityWindow+lateBy)
 		for _, id := range held {
 			w.assertNoAuthority(h, id)
 		}
@@ -166,7 +167,7 @@
 		if taken == len(ids) {
 			return true
 		}
-		wait(w.ctx, 5*time.Millisecond)
+		ctxtime.Sleep(w.ctx, 5*time.Millisecond)
 	}
 	return false
 }
@@ -246,10 +247,10 @@
 	case "":
 	case FaultDelay:
 		w.tasks.Go(func() {
-			wait(w.ctx, peerTimeout+lateBy)
+			ctxtime.Sleep(w.ctx, peerTimeout+lateBy)
 			run()
 		})
-		wait(w.ctx, peerTimeout)
+		ctxtime.Sleep(w.ctx, peerTimeout)
 		return none, false
 	case FaultOneWay:
 		run()
@@ -257,14 +258,14 @@
 	case FaultReset:
 		return none, false
 	default:
-		wait(w.ctx, peerTimeout)
+		ctxtime.Sleep(w.ctx, peerTimeout)
 		return none, false
 	}
 	from.gate.pass()
 	lost := w.in.at(step, AfterSend, from)
 	answer = run()
 	if lost != "" {
-		wait(w.ctx, peerTimeout)
+		ctxtime.Sleep(w.ctx, peerTimeout)
 		return none, false
 	}
 	_ = w.in.at(step, AfterAnswer, from) // a fault of the call's connection has no effect any more
--- a/internal/matrix/port.go
+++ b/internal/matrix/port.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -135,9 +136,9 @@
 	case FaultReset:
 		return failed(upstream.ErrRefused, StepWatch, m, syscall.ECONNRESET)
 	case FaultDelay:
-		wait(ctx, streamSilence+lateBy)
+		ctxtime.Sleep(ctx, streamSilence+lateBy)
 	default:
-		wait(ctx, streamSilence)
+		ctxtime.Sleep(ctx, streamSilence)
 		return failed(upstream.ErrUnreachable, StepWatch, m, errLost)
 	}
 	p.home.gate.pass()
@@ -175,7 +176,7 @@
 	}
 	if fault := p.in.at(StepWatch, AfterSend, p.home); fault != "" {
 		if fault == FaultDelay {
-			wait(ctx, streamSilence+lateBy)
+			ctxtime.Sleep(ctx, streamSilence+lateBy)
 			f(st)
 			return
 		}
@@ -196,16 +197,6 @@
 	return s.muted
 }
 
-// wait blocks for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Status implements upstream.Port.
 func (p *port) Status(ctx context.Context, m upstream.Member) (upstream.MemberStatus, error) {
 	return p.operate(ctx, StepStatus, m, func(ctx context.Context) (upstream.MemberStatus, error) { return p.inner.Status(ctx, m) })
--- a/internal/matrix/workload.go
+++ b/internal/matrix/workload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/check"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 )
 
 const (
@@ -109,7 +110,7 @@
 		wg.Go(func() {
 			for !until() {
 				if part.run(part.insert()) != check.OutcomeOK {
-					wait(c.w.ctx, followPause) // a refusal at once must not become a busy loop
+					ctxtime.Sleep(c.w.ctx, followPause) // a refusal at once must not become a busy loop
 				}
 			}
 			logs[i] = part.log
@@ -166,7 +167,7 @@
 			plain.Go(func() {
 				for n := 0; n < rounds || !enough(); n++ {
 					c.round(n)
-					wait(w.ctx, roundPause)
+					ctxtime.Sleep(w.ctx, roundPause)
 				}
 			})
 		}
@@ -201,7 +202,7 @@
 	case ProtocolMove:
 		for range w.repeats() {
 			w.move(mainGroup)
-			wait(w.ctx, movePause)
+			ctxtime.Sleep(w.ctx, movePause)
 		}
 	}
 }
@@ -224,7 +225,7 @@
 		if err == nil || len(w.in.unfired()) < len(w.cell.Injections) {
 			return
 		}
-		wait(ctx, lateBy)
+		ctxtime.Sleep(ctx, lateBy)
 	}
 }
 
@@ -247,7 +248,7 @@
 					healLimit, last.Outcome, last.Code)
 				return
 			}
-			wait(w.ctx, 5*time.Millisecond)
+			ctxtime.Sleep(w.ctx, 5*time.Millisecond)
 		}
 	}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 )
 
 // ErrCompacted reports that the store has compacted the history after the given revision.
@@ -125,7 +126,7 @@
 			continue
 		}
 		m.reportConnection(err)
-		pause(ctx, retry+rand.N(retry))
+		ctxtime.Sleep(ctx, retry+rand.N(retry))
 		retry = min(2*retry, maxRetry)
 	}
 	return ctx.Err()
@@ -150,10 +151,10 @@
 	}
 	if len(latest) < len(fresh) && m.RelistInterval > 0 {
 		m.burst, m.synced = true, false
-		pause(ctx, m.RelistInterval)
+		ctxtime.Sleep(ctx, m.RelistInterval)
 		return nil
 	}
-	pause(ctx, m.batchDelay())
+	ctxtime.Sleep(ctx, m.batchDelay())
 	return nil
 }
 
@@ -174,7 +175,7 @@
 	m.burst = m.burst && !maps.Equal(before, m.revisions)
 	m.synced = !m.burst
 	if m.burst {
-		pause(ctx, m.RelistInterval)
+		ctxtime.Sleep(ctx, m.RelistInterval)
 	}
 	return nil
 }
@@ -229,15 +230,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/platform"
@@ -255,7 +256,7 @@
 func (n *Node) runLeaseRenewal(ctx context.Context) error {
 	gap := keepAliveInterval
 	for {
-		if !sleep(ctx, gap) {
+		if !ctxtime.Sleep(ctx, gap) {
 			return nil
 		}
 		gap = keepAliveInterval
@@ -292,15 +293,3 @@
 	n.claimsDirty = true
 	n.publishClaims()
 }
-
-// sleep waits for d and reports whether it did so before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/mirror"
@@ -128,7 +129,7 @@
 			defer close(done)
 			_ = m.Run(follow)
 		}()
-		for n.ownsAny() && sleep(ctx, memberWatchLinger) {
+		for n.ownsAny() && ctxtime.Sleep(ctx, memberWatchLinger) {
 		}
 		n.watchesMembers.Store(false)
 		stop()
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -16,7 +17,7 @@
 // the instances have started. It uses cheap lists, which may be seconds old, instead of a watch, because only owners watch members.
 func (n *Node) loadPrimaryPlacement(ctx context.Context) {
 	for n.Catalog().Revision == 0 {
-		if !sleep(ctx, placementRetryDelay) {
+		if !ctxtime.Sleep(ctx, placementRetryDelay) {
 			return
 		}
 	}
@@ -24,7 +25,7 @@
 	if n.allClaimed() {
 		return
 	}
-	for delay := placementRetryDelay; n.opts.Clock().Sub(started) < startupTimeout && sleep(ctx, delay); delay *= 2 {
+	for delay := placementRetryDelay; n.opts.Clock().Sub(started) < startupTimeout && ctxtime.Sleep(ctx, delay); delay *= 2 {
 		entries, err := n.opts.Store.ListStale(ctx, n.opts.Decoder.Prefixes().Members)
 		if err != nil {
 			n.opts.Log.Warn("could not read the failure domains of the primaries", "error", err)
--- a/internal/node/readers.go
+++ b/internal/node/readers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/ownership"
@@ -69,7 +70,7 @@
 // awaitReaders looks for readers when a process starts. During the first start of a fleet it waits for some to appear.
 func (n *Node) awaitReaders(ctx context.Context) {
 	delay, limit := discoveryTimes(n.opts.Settings)
-	for waited := delay; sleep(ctx, delay); waited += delay {
+	for waited := delay; ctxtime.Sleep(ctx, delay); waited += delay {
 		n.discoverReaders(ctx)
 		if len(n.readers.Load().Readers) > 0 || waited >= limit {
 			return
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/celerystep/celerystep/internal/caller"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/fleetlink"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/ownership"
@@ -140,7 +141,7 @@
 		return nil
 	})
 	_ = work.Wait()
-	for n.Owner.OpenTransactions() > 0 && sleep(ctx, drainPollInterval) {
+	for n.Owner.OpenTransactions() > 0 && ctxtime.Sleep(ctx, drainPollInterval) {
 	}
 	n.mu.Lock()
 	lease := n.lease
--- a/internal/node/slow.go
+++ b/internal/node/slow.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"time"
 
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/speed"
 )
@@ -21,7 +22,7 @@
 func (n *Node) watchSpeed(ctx context.Context) error {
 	var meter speed.Meter
 	work := make([]byte, speedWorkBytes)
-	for sleep(ctx, speedInterval) {
+	for ctxtime.Sleep(ctx, speedInterval) {
 		meter.Add(float64(measureWork(work)))
 		n.updateSlow(ctx, &meter)
 	}
--- a/internal/pathbench/idle.go
+++ b/internal/pathbench/idle.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/celerystep/celerystep/internal/ctxtime"
 )
 
 const (
@@ -52,7 +54,7 @@
 		return result, err
 	}
 	defer func() { err = errors.Join(err, e.close(ctx)) }()
-	wait(ctx, startTime)
+	ctxtime.Sleep(ctx, startTime)
 	// The first callers warm up what all callers share.
 	warm, err := e.connect(ctx, dialers)
 	if err != nil {
@@ -118,7 +120,7 @@
 type memory struct{ heap, stack, resident uint64 }
 
 func readMemory(ctx context.Context) memory {
-	wait(ctx, settleTime)
+	ctxtime.Sleep(ctx, settleTime)
 	// Pooled buffers survive one collection, so it takes two to free them. Free memory is returned, because the resident
 	// set would hold it otherwise.
 	runtime.GC()
--- a/internal/pathbench/pathbench.go
+++ b/internal/pathbench/pathbench.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/config"
+	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/experiment"
 	"github.com/celerystep/celerystep/internal/fleet"
 	"github.com/celerystep/celerystep/internal/instance"
@@ -194,7 +195,7 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, e.close(ctx)) }()
-	wait(ctx, startTime)
+	ctxtime.Sleep(ctx, startTime)
 	for _, w := range o.Works {
 		for _, n := range o.Concurrency {
 			cell := Cell{Service: service, Work: w, Concurrency: n, Runs: make(map[Mode][]Sample)}
--- a/internal/pathbench/run.go
+++ b/internal/pathbench/run.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/celerystep/celerystep/internal/ctxtime"
 )
 
 // Sample holds the figures of one run. Allocations and processor time are those of the whole process, which holds
@@ -66,10 +68,10 @@
 		latencies[i] = make([]time.Duration, 0, 1<<14)
 		group.Go(func() error { return k.loop(&phase, &latencies[i]) })
 	}
-	wait(ctx, o.Warmup)
+	ctxtime.Sleep(ctx, o.Warmup)
 	before := readUsage()
 	phase.Store(phaseMeasure)
-	wait(ctx, o.Duration)
+	ctxtime.Sleep(ctx, o.Duration)
 	phase.Store(phaseEnd)
 	after := readUsage()
 	if err := group.Wait(); err != nil {
@@ -94,15 +96,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // usage is what the process has used so far.
 type usage struct {
 	at             time.Time
