Roll back a transaction that its session has replaced

What callers might see: a transaction that nothing ends keeps its locks and one of the few connections to the primary.

Cause: Group.txs was overwritten when a session opened a transaction while the first statement of an earlier one, given up by its instance, was still running at the owner. The end of the earlier one then removed the newer one from the table.

Change: the earlier transaction is rolled back, and a transaction is removed only by itself.

--- a/internal/owner/execute_test.go
+++ b/internal/owner/execute_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,11 +21,14 @@
 
 // scriptedConn answers commands from a list and records them.
 type scriptedConn struct {
+	mu      sync.Mutex
 	answers []statement.Answer
 	sent    []member.Command
 }
 
 func (c *scriptedConn) Do(_ context.Context, commands ...member.Command) ([]statement.Answer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.sent = append(c.sent, commands...)
 	n := len(commands)
 	answers := c.answers[:n]
@@ -32,6 +36,25 @@
 	return answers, nil
 }
 
+// awaitCommands waits until n commands have been sent and returns their kinds.
+func (c *scriptedConn) awaitCommands(t *testing.T, n int) []statement.Kind {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		var kinds []statement.Kind
+		for _, s := range c.sent {
+			kinds = append(kinds, s.Kind)
+		}
+		c.mu.Unlock()
+		if len(kinds) >= n {
+			return kinds
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%v was sent, want %d commands", kinds, n)
+		}
+	}
+}
+
 func (c *scriptedConn) Status(context.Context) (promotion.Status, error) {
 	return promotion.Status{}, member.ErrBusy
 }
@@ -52,8 +75,9 @@
 
 func testCall(k statement.Kind) *call {
 	return &call{
-		r:     &operation.Request{Statement: statement.Statement{ID: "1", Kind: k}},
-		route: &catalog.Route{Database: "orders", Group: "g", Consistency: catalog.Primary},
+		r:       &operation.Request{Statement: statement.Statement{ID: "1", Kind: k}},
+		route:   &catalog.Route{Database: "orders", Group: "g", Consistency: catalog.Primary},
+		catalog: newCatalog(5, "orders", "mill", "k1"),
 	}
 }
 
@@ -124,11 +148,7 @@
 	})
 	is.Equal(resp.Code, statement.CodeReadOnly)
 	is.Equal(resp.State, statement.TxFailed)
-	for l.busy() {
-		time.Sleep(time.Millisecond) // until the transaction has been rolled back
-	}
-	is.Equal(len(conn.sent), 1)
-	is.Equal(conn.sent[0].Kind, statement.KindRollback)
+	is.Equal(conn.awaitCommands(t, 1), []statement.Kind{statement.KindRollback})
 }
 
 // Guards against floors of replica reads that lack commits: the log of a primary that another owner has replaced does not
@@ -182,3 +202,32 @@
 		})
 	}
 }
+
+// Guards against a transaction that nothing ends: the session's instance gave up its first statement, which was still running
+// here, and the session has opened another transaction since.
+func TestATransactionThatIsReplacedIsRolledBack(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		t.Run(fmt.Sprintf("busy %t", busy), func(t *testing.T) {
+			is := is.New(t)
+			g := newServingGroup(&fakeAuthority{})
+			session := operation.SessionID{Instance: "i", Number: 1}
+			older, olderConn := newTestConn(statement.Answer{State: statement.TxIdle})
+			newer, _ := newTestConn()
+			first := &transaction{memberConn: older, mode: txMode{begin: statement.KindBegin}, primary: true, busy: busy}
+			g.txs[session] = first
+			k := testCall(statement.KindRead)
+			k.r.Session, k.r.Begin, k.tx = session, statement.KindBegin, txMode{begin: statement.KindBegin}
+			_, again := g.completeAttempt(context.Background(), k, newer, true, statement.Answer{State: statement.TxOpen}, nil)
+			is.True(!again)
+			if busy {
+				inside := testCall(statement.KindRead)
+				inside.r.Session, inside.r.InTransaction = session, true
+				g.completeInTransaction(context.Background(), inside, first, statement.Answer{State: statement.TxOpen}, nil)
+			}
+			g.mu.Lock()
+			is.Equal(g.txs[session].memberConn, newer)
+			g.mu.Unlock()
+			is.Equal(olderConn.awaitCommands(t, 1), []statement.Kind{statement.KindRollback})
+		})
+	}
+}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -448,7 +448,7 @@
 
 // rollBack ends an idle transaction in the background.
 func (g *Group) rollBack(s operation.SessionID, t *transaction) {
-	delete(g.txs, s)
+	g.forgetTransaction(s, t)
 	l := t.memberConn
 	l.markSent(g.o.Clock())
 	go func() {
@@ -461,6 +461,13 @@
 	}()
 }
 
+// forgetTransaction removes the transaction unless its session has another one by now.
+func (g *Group) forgetTransaction(s operation.SessionID, t *transaction) {
+	if g.txs[s] == t {
+		delete(g.txs, s)
+	}
+}
+
 // dropTransaction removes the idle transaction of a lost connection.
 func (g *Group) dropTransaction(l *memberConn) {
 	for s, t := range g.txs {
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -309,11 +309,7 @@
 		g.rollBackConn(l)
 	} else {
 		if open {
-			l.markAnswered()
-			c.tx.wrote = c.r.Statement.Writes()
-			g.txs[c.r.Session] = &transaction{memberConn: l, mode: c.tx, primary: primary, lastUsed: g.o.Clock()}
-			g.scheduler.Done(l.id, true, g.o.Clock())
-			g.applyPlan(g.o.Clock())
+			g.keepTransaction(c, l, primary)
 		} else {
 			g.releaseConn(l, nil, false)
 		}
@@ -333,6 +329,25 @@
 	return operation.Response{Answer: answer, RetryAfter: after}, again
 }
 
+// keepTransaction records the transaction that the call has opened. The session's instance may have given up an earlier first
+// statement that was still running here, so a transaction that the session has already is rolled back. The group is locked.
+func (g *Group) keepTransaction(c *call, l *memberConn, primary bool) {
+	if old := g.txs[c.r.Session]; old != nil {
+		g.log.Info("rolling back a transaction that its session has replaced", "session", c.r.Session.Number, "instance", c.r.Session.Instance)
+		if old.busy {
+			old.abandoned = true
+		} else {
+			g.rollBack(c.r.Session, old)
+		}
+	}
+	now := g.o.Clock()
+	l.markAnswered()
+	c.tx.wrote = c.r.Statement.Writes()
+	g.txs[c.r.Session] = &transaction{memberConn: l, mode: c.tx, primary: primary, lastUsed: now}
+	g.scheduler.Done(l.id, true, now)
+	g.applyPlan(now)
+}
+
 // recordFailure records what the member's refusal implies for routing, and returns whether another attempt may succeed.
 func (g *Group) recordFailure(c *call, l *memberConn, primary bool, answer statement.Answer) bool {
 	g.mu.Lock()
@@ -462,7 +477,7 @@
 	now := g.o.Clock()
 	t.busy, t.lastUsed = false, now
 	if err != nil {
-		delete(g.txs, c.r.Session)
+		g.forgetTransaction(c.r.Session, t)
 		if f := member.FailureOf(err); f == promotion.FailureConnectionLost && !l.memberReplaced(g) {
 			g.machine.Failed(l.member.ID, f, now)
 			g.signal()
@@ -482,7 +497,7 @@
 		g.applyPlan(now)
 		return operation.Response{Answer: answer}
 	}
-	delete(g.txs, c.r.Session)
+	g.forgetTransaction(c.r.Session, t)
 	if answer.Code != statement.CodeOK {
 		g.logFailure(c, l, answer.Code.String(), answer.Detail, false)
 		if answer.Code == statement.CodeReadOnly && t.primary {
