Move the transactions of a group to a file of their own

Machine.Confirmed, which only tests used since reads prove the lead themselves, moves to its test file.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -15,7 +15,6 @@
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/promotion"
 	"github.com/celerystep/celerystep/internal/quota"
-	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -40,29 +39,6 @@
 	refusal    *dispatch.Refusal
 }
 
-// txMode describes how a transaction was opened on its member.
-type txMode struct {
-	// begin is the kind of the statement that opened it there; KindInvalid outside transactions.
-	begin statement.Kind
-	// guarded is true for a read or a read-only transaction of the caller that runs in a plain transaction, so that a
-	// member which lost the lead refuses it.
-	guarded bool
-	// wrote is true once a statement of the transaction has changed data.
-	wrote bool
-}
-
-// transaction is the open transaction of a session.
-type transaction struct {
-	memberConn *memberConn
-	mode       txMode
-	// primary is true when the transaction runs on the primary.
-	primary bool
-	busy    bool
-	// abandoned is true when the caller left while a statement was running.
-	abandoned bool
-	lastUsed  time.Time
-}
-
 // Group serves one database group that this instance owns.
 type Group struct {
 	o      Options
@@ -418,62 +394,3 @@
 		}
 	}
 }
-
-func (g *Group) openTransactions() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.txs)
-}
-
-func (g *Group) hasTransaction(s operation.SessionID) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.txs[s] != nil
-}
-
-// endTransaction rolls back the session's transaction.
-func (g *Group) endTransaction(s operation.SessionID) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	t := g.txs[s]
-	if t == nil {
-		return
-	}
-	if t.busy {
-		t.abandoned = true
-		return
-	}
-	g.rollBack(s, t)
-}
-
-// rollBack ends an idle transaction in the background.
-func (g *Group) rollBack(s operation.SessionID, t *transaction) {
-	g.forgetTransaction(s, t)
-	l := t.memberConn
-	l.markSent(g.o.Clock())
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
-		defer cancel()
-		_, err := l.conn.Do(ctx, internalCommand(statement.KindRollback))
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.releaseConn(l, err, false)
-	}()
-}
-
-// forgetTransaction removes the transaction unless its session has another one by now.
-func (g *Group) forgetTransaction(s operation.SessionID, t *transaction) {
-	if g.txs[s] == t {
-		delete(g.txs, s)
-	}
-}
-
-// dropTransaction removes the idle transaction of a lost connection.
-func (g *Group) dropTransaction(l *memberConn) {
-	for s, t := range g.txs {
-		if t.memberConn == l && !t.busy {
-			g.log.Info("transaction lost with its connection", "session", s.Number, "instance", s.Instance, "member", l.member.ID)
-			delete(g.txs, s)
-		}
-	}
-}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/celerystep/celerystep/internal/catalog"
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/member"
@@ -329,25 +327,6 @@
 	return operation.Response{Answer: answer, RetryAfter: after}, again
 }
 
-// keepTransaction records the transaction that the call has opened. The session's instance may have given up an earlier first
-// statement that was still running here, so a transaction that the session has already is rolled back. The group is locked.
-func (g *Group) keepTransaction(c *call, l *memberConn, primary bool) {
-	if old := g.txs[c.r.Session]; old != nil {
-		g.log.Info("rolling back a transaction that its session has replaced", "session", c.r.Session.Number, "instance", c.r.Session.Instance)
-		if old.busy {
-			old.abandoned = true
-		} else {
-			g.rollBack(c.r.Session, old)
-		}
-	}
-	now := g.o.Clock()
-	l.markAnswered()
-	c.tx.wrote = c.r.Statement.Writes()
-	g.txs[c.r.Session] = &transaction{memberConn: l, mode: c.tx, primary: primary, lastUsed: now}
-	g.scheduler.Done(l.id, true, now)
-	g.applyPlan(now)
-}
-
 // recordFailure records what the member's refusal implies for routing, and returns whether another attempt may succeed.
 func (g *Group) recordFailure(c *call, l *memberConn, primary bool, answer statement.Answer) bool {
 	g.mu.Lock()
@@ -408,110 +387,3 @@
 		return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the member's answer was lost"}}, false
 	}
 }
-
-// rollBackConn rolls back the transaction on a connection whose statement failed.
-func (g *Group) rollBackConn(l *memberConn) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
-		defer cancel()
-		answers, err := l.conn.Do(ctx, internalCommand(statement.KindRollback))
-		if err == nil && answers[0].State != statement.TxIdle {
-			err = errors.New("the transaction did not end")
-		}
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.releaseConn(l, err, false)
-	}()
-}
-
-// readOnlyDetail explains the refusal of a write in a guarded read-only transaction, which its member would accept.
-const readOnlyDetail = "the transaction is read-only"
-
-// runInTransaction runs a statement on the connection of the session's transaction.
-func (g *Group) runInTransaction(ctx context.Context, r *operation.Request) operation.Response {
-	c, refused := g.admit(r)
-	g.mu.Lock()
-	t := g.txs[r.Session]
-	switch {
-	case t == nil || t.busy:
-		g.mu.Unlock()
-		return aborted("the transaction was rolled back")
-	case refused != nil || t.memberConn.customer != c.customerName():
-		g.rollBack(r.Session, t)
-		g.mu.Unlock()
-		detail := "the key belongs to another customer now"
-		if refused != nil {
-			detail = refused.Detail
-		}
-		g.logRefusal(r, "aborted", detail)
-		return aborted(detail)
-	case t.mode.guarded && r.Statement.Writes():
-		g.rollBack(r.Session, t)
-		g.mu.Unlock()
-		g.logRefusal(r, statement.CodeReadOnly.String(), readOnlyDetail)
-		return operation.Response{Answer: statement.Answer{Code: statement.CodeReadOnly, Detail: readOnlyDetail, State: statement.TxFailed}}
-	}
-	c.tx, c.claim = t.mode, g.claim.Revision
-	l := t.memberConn
-	t.busy = true
-	l.markSent(g.o.Clock())
-	g.scheduler.Resume(l.id, g.o.Clock())
-	g.mu.Unlock()
-
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(c.deadline.Sub(g.o.Clock())))
-	defer cancel()
-	answer, err := g.executeInTransaction(ctx, c, l, t.primary)
-	g.countAnswer(t.primary, answer.Code)
-	if err == nil && answer.Code == statement.CodeOK {
-		g.logAnswer(c, l, t.primary, answer)
-	}
-	return g.completeInTransaction(ctx, c, t, answer, err)
-}
-
-// completeInTransaction keeps or ends the transaction after a statement.
-func (g *Group) completeInTransaction(ctx context.Context, c *call, t *transaction, answer statement.Answer, err error) operation.Response {
-	l := t.memberConn
-	ends := c.r.Statement.Kind == statement.KindCommit
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.o.Clock()
-	t.busy, t.lastUsed = false, now
-	if err != nil {
-		g.forgetTransaction(c.r.Session, t)
-		if f := member.FailureOf(err); f == promotion.FailureConnectionLost && !l.memberReplaced(g) {
-			g.machine.Failed(l.member.ID, f, now)
-			g.signal()
-		}
-		g.releaseConn(l, err, false)
-		if ends && t.primary {
-			g.logFailure(c, l, "in_doubt", err.Error(), false)
-			return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the answer to the commit was lost", State: statement.TxIdle}}
-		}
-		g.logFailure(c, l, "aborted", err.Error(), false)
-		return aborted("the connection to the member broke in the transaction")
-	}
-	if answer.Code == statement.CodeOK && answer.State == statement.TxOpen && !t.abandoned {
-		t.mode.wrote = t.mode.wrote || c.r.Statement.Writes()
-		l.markAnswered()
-		g.scheduler.Done(l.id, true, now)
-		g.applyPlan(now)
-		return operation.Response{Answer: answer}
-	}
-	g.forgetTransaction(c.r.Session, t)
-	if answer.Code != statement.CodeOK {
-		g.logFailure(c, l, answer.Code.String(), answer.Detail, false)
-		if answer.Code == statement.CodeReadOnly && t.primary {
-			g.machine.ReportedNotPrimary(l.member.ID, now)
-			g.signal()
-		}
-	}
-	if answer.State == statement.TxIdle {
-		g.releaseConn(l, nil, false)
-		return operation.Response{Answer: answer}
-	}
-	g.rollBackConn(l)
-	if answer.Code != statement.CodeOK {
-		answer.State = statement.TxFailed
-	}
-	return operation.Response{Answer: answer}
-}
--- /dev/null
+++ b/internal/owner/transaction.go
@@ -0,0 +1,221 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/member"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/promotion"
+	"github.com/celerystep/celerystep/internal/statement"
+)
+
+// txMode describes how a transaction was opened on its member.
+type txMode struct {
+	// begin is the kind of the statement that opened it there; KindInvalid outside transactions.
+	begin statement.Kind
+	// guarded is true for a read or a read-only transaction of the caller that runs in a plain transaction, so that a
+	// member which lost the lead refuses it.
+	guarded bool
+	// wrote is true once a statement of the transaction has changed data.
+	wrote bool
+}
+
+// transaction is the open transaction of a session.
+type transaction struct {
+	memberConn *memberConn
+	mode       txMode
+	// primary is true when the transaction runs on the primary.
+	primary bool
+	busy    bool
+	// abandoned is true when the caller left while a statement was running.
+	abandoned bool
+	lastUsed  time.Time
+}
+
+// keepTransaction records the transaction that the call has opened. The session's instance may have given up an earlier first
+// statement that was still running here, so a transaction that the session has already is rolled back. The group is locked.
+func (g *Group) keepTransaction(c *call, l *memberConn, primary bool) {
+	if old := g.txs[c.r.Session]; old != nil {
+		g.log.Info("rolling back a transaction that its session has replaced", "session", c.r.Session.Number, "instance", c.r.Session.Instance)
+		if old.busy {
+			old.abandoned = true
+		} else {
+			g.rollBack(c.r.Session, old)
+		}
+	}
+	now := g.o.Clock()
+	l.markAnswered()
+	c.tx.wrote = c.r.Statement.Writes()
+	g.txs[c.r.Session] = &transaction{memberConn: l, mode: c.tx, primary: primary, lastUsed: now}
+	g.scheduler.Done(l.id, true, now)
+	g.applyPlan(now)
+}
+
+// readOnlyDetail explains the refusal of a write in a guarded read-only transaction, which its member would accept.
+const readOnlyDetail = "the transaction is read-only"
+
+// runInTransaction runs a statement on the connection of the session's transaction.
+func (g *Group) runInTransaction(ctx context.Context, r *operation.Request) operation.Response {
+	c, refused := g.admit(r)
+	g.mu.Lock()
+	t := g.txs[r.Session]
+	switch {
+	case t == nil || t.busy:
+		g.mu.Unlock()
+		return aborted("the transaction was rolled back")
+	case refused != nil || t.memberConn.customer != c.customerName():
+		g.rollBack(r.Session, t)
+		g.mu.Unlock()
+		detail := "the key belongs to another customer now"
+		if refused != nil {
+			detail = refused.Detail
+		}
+		g.logRefusal(r, "aborted", detail)
+		return aborted(detail)
+	case t.mode.guarded && r.Statement.Writes():
+		g.rollBack(r.Session, t)
+		g.mu.Unlock()
+		g.logRefusal(r, statement.CodeReadOnly.String(), readOnlyDetail)
+		return operation.Response{Answer: statement.Answer{Code: statement.CodeReadOnly, Detail: readOnlyDetail, State: statement.TxFailed}}
+	}
+	c.tx, c.claim = t.mode, g.claim.Revision
+	l := t.memberConn
+	t.busy = true
+	l.markSent(g.o.Clock())
+	g.scheduler.Resume(l.id, g.o.Clock())
+	g.mu.Unlock()
+
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(c.deadline.Sub(g.o.Clock())))
+	defer cancel()
+	answer, err := g.executeInTransaction(ctx, c, l, t.primary)
+	g.countAnswer(t.primary, answer.Code)
+	if err == nil && answer.Code == statement.CodeOK {
+		g.logAnswer(c, l, t.primary, answer)
+	}
+	return g.completeInTransaction(ctx, c, t, answer, err)
+}
+
+// completeInTransaction keeps or ends the transaction after a statement.
+func (g *Group) completeInTransaction(ctx context.Context, c *call, t *transaction, answer statement.Answer, err error) operation.Response {
+	l := t.memberConn
+	ends := c.r.Statement.Kind == statement.KindCommit
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock()
+	t.busy, t.lastUsed = false, now
+	if err != nil {
+		g.forgetTransaction(c.r.Session, t)
+		if f := member.FailureOf(err); f == promotion.FailureConnectionLost && !l.memberReplaced(g) {
+			g.machine.Failed(l.member.ID, f, now)
+			g.signal()
+		}
+		g.releaseConn(l, err, false)
+		if ends && t.primary {
+			g.logFailure(c, l, "in_doubt", err.Error(), false)
+			return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the answer to the commit was lost", State: statement.TxIdle}}
+		}
+		g.logFailure(c, l, "aborted", err.Error(), false)
+		return aborted("the connection to the member broke in the transaction")
+	}
+	if answer.Code == statement.CodeOK && answer.State == statement.TxOpen && !t.abandoned {
+		t.mode.wrote = t.mode.wrote || c.r.Statement.Writes()
+		l.markAnswered()
+		g.scheduler.Done(l.id, true, now)
+		g.applyPlan(now)
+		return operation.Response{Answer: answer}
+	}
+	g.forgetTransaction(c.r.Session, t)
+	if answer.Code != statement.CodeOK {
+		g.logFailure(c, l, answer.Code.String(), answer.Detail, false)
+		if answer.Code == statement.CodeReadOnly && t.primary {
+			g.machine.ReportedNotPrimary(l.member.ID, now)
+			g.signal()
+		}
+	}
+	if answer.State == statement.TxIdle {
+		g.releaseConn(l, nil, false)
+		return operation.Response{Answer: answer}
+	}
+	g.rollBackConn(l)
+	if answer.Code != statement.CodeOK {
+		answer.State = statement.TxFailed
+	}
+	return operation.Response{Answer: answer}
+}
+
+func (g *Group) openTransactions() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.txs)
+}
+
+func (g *Group) hasTransaction(s operation.SessionID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.txs[s] != nil
+}
+
+// endTransaction rolls back the session's transaction.
+func (g *Group) endTransaction(s operation.SessionID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.txs[s]
+	if t == nil {
+		return
+	}
+	if t.busy {
+		t.abandoned = true
+		return
+	}
+	g.rollBack(s, t)
+}
+
+// rollBack ends an idle transaction in the background.
+func (g *Group) rollBack(s operation.SessionID, t *transaction) {
+	g.forgetTransaction(s, t)
+	l := t.memberConn
+	l.markSent(g.o.Clock())
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
+		defer cancel()
+		_, err := l.conn.Do(ctx, internalCommand(statement.KindRollback))
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.releaseConn(l, err, false)
+	}()
+}
+
+// forgetTransaction removes the transaction unless its session has another one by now.
+func (g *Group) forgetTransaction(s operation.SessionID, t *transaction) {
+	if g.txs[s] == t {
+		delete(g.txs, s)
+	}
+}
+
+// dropTransaction removes the idle transaction of a lost connection.
+func (g *Group) dropTransaction(l *memberConn) {
+	for s, t := range g.txs {
+		if t.memberConn == l && !t.busy {
+			g.log.Info("transaction lost with its connection", "session", s.Number, "instance", s.Instance, "member", l.member.ID)
+			delete(g.txs, s)
+		}
+	}
+}
+
+// rollBackConn rolls back the transaction on a connection whose statement failed.
+func (g *Group) rollBackConn(l *memberConn) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
+		defer cancel()
+		answers, err := l.conn.Do(ctx, internalCommand(statement.KindRollback))
+		if err == nil && answers[0].State != statement.TxIdle {
+			err = errors.New("the transaction did not end")
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.releaseConn(l, err, false)
+	}()
+}
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -179,7 +179,8 @@
 	// unresolved counts, by member, the orders under the current token that may still take effect: without a result, or with
 	// an unknown one.
 	unresolved map[upstream.MemberID]int
-	// confirmed is true once the platform has accepted an order under this owner's token.
+	// confirmed is true once the platform has accepted an order under this owner's token, so that it refuses those of earlier
+	// owners.
 	confirmed   bool
 	nextConfirm time.Time
 	rejections  int
@@ -207,10 +208,6 @@
 	return m.primary, m.term, m.phase == PhaseLeading
 }
 
-// Confirmed reports whether no order can replace the primary any more: the platform has accepted one under this owner's
-// token and so refuses those of earlier owners, and no order of this owner for another member may still take effect.
-func (m *Machine) Confirmed() bool { return m.confirmed && !m.lateOrderPossible() }
-
 // lateOrderPossible reports whether an order under the current token may still replace the primary.
 func (m *Machine) lateOrderPossible() bool {
 	for id := range m.unresolved {
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -98,6 +98,10 @@
 	return isPrimary && primary == id
 }
 
+// settled reports whether no order can replace the primary any more: neither one of an earlier owner nor an own one for another
+// member.
+func (m *Machine) settled() bool { return m.confirmed && !m.lateOrderPossible() }
+
 func (g *group) probes() int {
 	n := 0
 	for _, p := range g.members {
@@ -111,7 +115,7 @@
 	g := newGroup(t)
 	g.run(5 * time.Second)
 	is.True(g.isPrimary("a"))
-	is.True(g.m.Confirmed())
+	is.True(g.m.settled())
 	is.Equal(g.probes(), 1) // status requests are expensive
 	is.Equal(len(g.orders), 0)
 }
@@ -329,7 +333,7 @@
 	is := is.New(t)
 	g := newGroup(t)
 	g.run(time.Second)
-	is.True(g.m.Confirmed())
+	is.True(g.m.settled())
 	g.accept = func(upstream.MemberID) Result { return ResultUnknown }
 	g.members["a"].fail = FailureRefused
 	g.m.Failed("a", FailureConnectionLost, g.now)
@@ -342,14 +346,14 @@
 	g.members["a"].fail = 0
 	for end := g.now.Add(3 * time.Second); !g.isPrimary("a") && g.now.Before(end); {
 		g.run(10 * time.Millisecond)
-		is.True(!g.m.Confirmed() || !g.isPrimary("a"))
+		is.True(!g.m.settled() || !g.isPrimary("a"))
 	}
 	g.infos = all
 	is.True(g.isPrimary("a"))
 	g.accept = g.promote
 	g.run(2 * time.Second)
 	is.True(g.renewed > 0)
-	is.True(g.m.Confirmed()) // under a token that shuts the order out
+	is.True(g.m.settled()) // under a token that shuts the order out
 }
 
 // Guards against a confirmation whose order has an earlier token: it does not shut out other orders under that token.
@@ -362,11 +366,11 @@
 	is.Equal(g.m.Tick(now), []Action{{Kind: ActionConfirm, Member: "a"}})
 	g.m.TokenRenewed()
 	g.m.PromoteDone("a", ResultAccepted, now)
-	is.True(!g.m.Confirmed())
+	is.True(!g.m.settled())
 	now = now.Add(time.Second)
 	is.Equal(g.m.Tick(now), []Action{{Kind: ActionConfirm, Member: "a"}})
 	g.m.PromoteDone("a", ResultAccepted, now)
-	is.True(g.m.Confirmed())
+	is.True(g.m.settled())
 }
 
 // Guards against a claim written again and again while the platform does not answer: an order for the primary itself is harmless.
@@ -379,5 +383,5 @@
 	is.Equal(g.renewed, 0)
 	g.accept = g.promote
 	g.run(time.Second)
-	is.True(g.m.Confirmed())
+	is.True(g.m.settled())
 }
