Guard reads whose primary was lost after the assignment

Cause: takeConn decided anew whether the member is the primary. When the group learned between the assignment and the sending that it does not lead, a read of a primary route was sent to the former primary without a transaction and without a floor, and missed acknowledged commits. Change: the need of the queued statement decides whether it is guarded.

--- a/internal/owner/execute_test.go
+++ b/internal/owner/execute_test.go
@@ -231,3 +231,19 @@
 		})
 	}
 }
+
+// Guards against a read that was assigned to the primary and sent unguarded, because the group learned between the assignment
+// and the sending that the member does not lead: as a replica it answers from a log that lacks acknowledged commits.
+func TestReadsAssignedToAPrimaryThatWasLostAreGuarded(t *testing.T) {
+	is := is.New(t)
+	g := newServingGroup(&fakeAuthority{})
+	l, _ := newTestConn()
+	g.conns[l.id] = l
+	g.servingPrimary = ""
+	k := testCall(statement.KindRead)
+	g.queueItem(k, g.o.Clock())
+
+	_, primary, refused := g.takeConn(dispatch.Assignment{Conn: l.id, Member: l.member.ID}, k)
+	is.Equal(refused, nil)
+	is.True(primary) // the read runs inside a plain transaction, which a replica refuses
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -37,6 +37,8 @@
 	avoid    upstream.MemberID
 	// primaryOnly is true after a replica could not serve the read.
 	primaryOnly bool
+	// need specifies which members could run the last attempt.
+	need dispatch.Need
 	waited      time.Duration
 	// tx is the mode of the transaction that the last attempt opened or runs in.
 	tx txMode
@@ -209,7 +211,9 @@
 	return g.scheduler.Cancel(t)
 }
 
-// takeConn returns the assigned connection, and whether its member is the primary.
+// takeConn returns the assigned connection, and whether the statement must run as on the primary. That is so for a statement
+// that only the primary can run even when the primary has been lost since the assignment: the member then refuses it, while it
+// would answer an unguarded read on an old log.
 func (g *Group) takeConn(a dispatch.Assignment, c *call) (*memberConn, bool, *operation.Response) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -221,7 +225,7 @@
 	}
 	l.markSent(now)
 	c.claim = g.claim.Revision
-	return l, a.Member == g.servingPrimary, nil
+	return l, c.need == dispatch.NeedPrimary || a.Member == g.servingPrimary, nil
 }
 
 // releaseUnused returns a connection on which nothing was run.
@@ -248,6 +252,7 @@
 		it.Need, it.Floor = dispatch.NeedAny, floor
 		c.floor = floor
 	}
+	c.need = it.Need
 	return it
 }
 
