Back off from the store after the fallback failed

Change: an instance whose fallback call failed waits 0.4 to 1.6 s, with jitter, before the next one; it asks readers meanwhile. Readers themselves do not wait.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -198,10 +198,33 @@
 	route := Route{Readers: []Reader{owner("a", "x", 1), owner("b", "x", 1)}, Reads: true}
 	now := epoch
 	is.True(s.Next(route, now).Store())
-	s.StoreFailed(now)
+	s.StoreFailed(false, now)
 	is.Equal(s.Next(route, now).Reader, route.Readers[0])
 	s.Failed(route.Readers[0], now)
 	s.Failed(route.Readers[1], now)
 	is.Equal(s.Next(route, now), Target{Fallback: true}) // nobody else can be asked
 	is.True(s.Next(route, now.Add(storeRetryDelay)).Store())
 }
+
+// TestTheFallbackBacksOffWhileTheStoreIsDown guards against a fleet whose instances all call a store that is down, several times
+// a second each, because its readers cannot answer either.
+func TestTheFallbackBacksOffWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	s := Selector{Random: func() float64 { return 0.5 }}
+	route := Route{Readers: []Reader{owner("a", "x", 1), owner("b", "x", 1), owner("c", "x", 1)}}
+	storeCalls := 0
+	now := epoch
+	for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		next := s.Next(route, now)
+		now = now.Add(next.Delay)
+		if !next.Store() {
+			s.Failed(next.Reader, now)
+			continue
+		}
+		storeCalls++
+		s.StoreFailed(next.Fallback, now)
+	}
+	is.True(storeCalls <= 1+5) // one a second after the first
+	s.Succeeded(route.Readers[0])
+	is.Equal(s.Next(route, now).Reader, route.Readers[0]) // a reader that answers again ends it
+}
--- a/internal/fanout/selector.go
+++ b/internal/fanout/selector.go
@@ -17,6 +17,11 @@
 	directPeriod = 3 * time.Second
 	// storeRetryDelay is how long a reader that failed to read the store asks other readers before it tries again.
 	storeRetryDelay = time.Second
+	// minStoreBackoff and maxStoreBackoff bound the exponential backoff, before jitter, of an instance that turned to the
+	// store because the readers failed, and found that it does not answer either. Without it all instances together call a
+	// store that is down several times a second each.
+	minStoreBackoff = 400 * time.Millisecond
+	maxStoreBackoff = 1600 * time.Millisecond
 )
 
 // Target is where an instance reads next.
@@ -42,6 +47,9 @@
 	failures      int
 	directUntil   time.Time
 	storeFailedAt time.Time
+	// storeBackoff is the backoff after the last failed call of the fallback, which ends at storeRetryAt.
+	storeBackoff time.Duration
+	storeRetryAt time.Time
 }
 
 // Route is the choice of readers as one instance sees it.
@@ -64,22 +72,33 @@
 	if now.Before(s.directUntil) {
 		return Target{Fallback: true}
 	}
-	if s.failures < maxFailures {
-		for _, r := range ordered {
-			if at, failed := s.failedAt[r]; !failed || now.Sub(at) >= readerRetryDelay {
-				return Target{Reader: r}
-			}
+	if s.failures < maxFailures || now.Before(s.storeRetryAt) {
+		if r, ok := s.available(ordered, now); ok {
+			return Target{Reader: r}
 		}
 	}
 	s.failures = 0
 	if route.Reads {
 		return Target{Fallback: true}
 	}
-	delay := time.Duration(s.Random() * float64(directSpread))
+	delay := s.storeRetryAt.Sub(now)
+	if delay <= 0 {
+		delay = time.Duration(s.Random() * float64(directSpread))
+	}
 	s.directUntil = now.Add(delay + directPeriod)
 	return Target{Delay: delay, Fallback: true}
 }
 
+// available returns the first reader that has not failed recently.
+func (s *Selector) available(ordered []Reader, now time.Time) (Reader, bool) {
+	for _, r := range ordered {
+		if at, failed := s.failedAt[r]; !failed || now.Sub(at) >= readerRetryDelay {
+			return r, true
+		}
+	}
+	return Reader{}, false
+}
+
 // Failed records that a call to a reader failed, was refused or returned content that is too old.
 func (s *Selector) Failed(r Reader, now time.Time) {
 	if s.failedAt == nil {
@@ -94,11 +113,24 @@
 	s.failures++
 }
 
-// StoreFailed records that the store did not answer.
-func (s *Selector) StoreFailed(now time.Time) { s.storeFailedAt = now }
+// StoreFailed records that the store did not answer. An instance that read it only because the readers failed waits before
+// it turns to the store again; a reader does not, because others wait for it.
+func (s *Selector) StoreFailed(fallback bool, now time.Time) {
+	s.storeFailedAt = now
+	if !fallback {
+		return
+	}
+	s.directUntil = time.Time{}
+	s.storeBackoff = min(max(2*s.storeBackoff, minStoreBackoff), maxStoreBackoff)
+	s.storeRetryAt = now.Add(s.storeBackoff/2 + time.Duration(s.Random()*float64(s.storeBackoff)))
+}
+
+// StoreSucceeded records an answer of the store.
+func (s *Selector) StoreSucceeded() { s.storeBackoff, s.storeRetryAt = 0, time.Time{} }
 
 // Succeeded records an answer of a reader.
 func (s *Selector) Succeeded(r Reader) {
 	delete(s.failedAt, r)
 	s.failures = 0
+	s.storeBackoff, s.storeRetryAt = 0, time.Time{}
 }
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -110,9 +110,12 @@
 func (s *Source) read(ctx context.Context, r Request, readStore func(Target) (mirror.Version, error), use func([]mirror.Event)) (mirror.Version, error) {
 	var storeErr error
 	for {
-		t, err := s.next(ctx)
-		if err != nil {
-			return mirror.Version{}, err
+		t := s.next()
+		if storeErr != nil && (t.Store() || t.Delay > 0) {
+			return mirror.Version{}, storeErr
+		}
+		if !ctxtime.Sleep(ctx, t.Delay) {
+			return mirror.Version{}, ctx.Err()
 		}
 		if !t.Store() {
 			events, v, err := s.ask(ctx, t.Reader, r)
@@ -122,27 +125,24 @@
 			}
 			continue
 		}
-		if storeErr != nil {
-			return mirror.Version{}, storeErr
-		}
 		v, err := readStore(t)
 		if err == nil || errors.Is(err, mirror.ErrCompacted) || ctx.Err() != nil {
-			s.recordRevision(r.Prefix, v.Revision)
+			s.recordStoreSuccess(r.Prefix, v.Revision)
 			return v, err
 		}
 		storeErr = err
-		if !s.recordStoreFailure(r.Prefix, err) {
+		if !s.recordStoreFailure(r.Prefix, t, err) {
 			return mirror.Version{}, err
 		}
 	}
 }
 
 // recordStoreFailure records that the store did not answer, and reports whether readers may be asked instead.
-func (s *Source) recordStoreFailure(prefix string, err error) bool {
+func (s *Source) recordStoreFailure(prefix string, t Target, err error) bool {
 	route := s.route()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.selector.StoreFailed(s.clock())
+	s.selector.StoreFailed(t.Fallback && !route.Reads, s.clock())
 	if len(route.Readers) == 0 {
 		return false
 	}
@@ -150,20 +150,17 @@
 	return true
 }
 
-// next returns the target of the next call after its delay.
-func (s *Source) next(ctx context.Context) (Target, error) {
+// next returns the target of the next call, which must wait for its delay.
+func (s *Source) next() Target {
 	route := s.route()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	t := s.selector.Next(route, s.clock())
 	if t.Reader != s.last || !s.started {
 		s.last, s.started = t.Reader, true
 		s.log.Info("reads shared entries", "reader", t.Reader.Instance, "store", t.Store(), "fallback", t.Fallback, "delay", t.Delay, "readers", len(route.Readers), "reads", route.Reads)
 	}
-	s.mu.Unlock()
-	if !ctxtime.Sleep(ctx, t.Delay) {
-		return t, ctx.Err()
-	}
-	return t, nil
+	return t
 }
 
 // ask makes one call to a reader. Any error but mirror.ErrCompacted leaves the reader out for a while.
@@ -233,9 +230,10 @@
 	return events, nil
 }
 
-// recordRevision records a revision that the store returned for a prefix.
-func (s *Source) recordRevision(prefix string, revision uint64) {
+// recordStoreSuccess records the revision that the store returned for a prefix.
+func (s *Source) recordStoreSuccess(prefix string, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.selector.StoreSucceeded()
 	s.revisions[prefix] = max(s.revisions[prefix], revision)
 }
