Compare replicas with replicas when their speed is judged

Cause: the expected cost of a read is a guess at first. Replicas, which alone run most reads, then seemed slower than the primary, and as costs are learned relative to the speed of the member, the guess stayed.

Change: the speed of a replica is judged relative to that of the other replicas; without another to compare with, it counts as normal. Costs are taken from the primary as they are, as nothing else runs its statements. The existing tests of dispatch run with a balancer now, as owners do, and the simulation learns costs as owners do.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -99,6 +99,7 @@
 
 // record holds the observations of one member.
 type record struct {
+	primary               bool
 	logSlowdown, failures float64
 	// answeredAt is the time of the last answer, observedAt that of the last answer or failure.
 	answeredAt, observedAt time.Time
@@ -122,13 +123,12 @@
 	return &Balancer{random: rand.New(rand.NewPCG(seed, 0)), members: make(map[upstream.MemberID]*record)}
 }
 
-// Retain forgets all other members.
-func (b *Balancer) Retain(ids []upstream.MemberID) {
+// SetMembers forgets all members but the given ones. primary is empty if there is none.
+func (b *Balancer) SetMembers(ids []upstream.MemberID, primary upstream.MemberID) {
 	kept := make(map[upstream.MemberID]*record, len(ids))
 	for _, id := range ids {
-		if r := b.members[id]; r != nil {
-			kept[id] = r
-		}
+		kept[id] = b.record(id)
+		kept[id].primary = id == primary
 	}
 	b.members, b.evaluatedAt = kept, time.Time{}
 }
@@ -210,9 +210,8 @@
 func (b *Balancer) evaluate(now time.Time) {
 	for id, r := range b.members {
 		before := r.state
-		speed, failures := b.reference(id, now)
-		slowdown := math.Exp(r.logSpeed(now) - speed)
-		share := max(0, r.failureShare(now)-failures)
+		slowdown := math.Exp(r.logSpeed(now) - b.speedReference(id, now))
+		share := max(0, r.failureShare(now)-b.failureReference(id, now))
 		r.state = State{
 			Slowdown:     1,
 			FailureShare: share,
@@ -233,25 +232,39 @@
 	b.evaluatedAt = now
 }
 
-// reference returns the lowest logarithm of the slowdown, if that is positive, and the lowest share of failures among the
-// other members. What is common to all members is no reason to prefer one: this instance may be short of processor time,
-// or a customer's statements may fail everywhere.
-func (b *Balancer) reference(id upstream.MemberID, now time.Time) (logSlowdown, failures float64) {
-	found := false
+// speedReference returns the logarithm of the slowdown that a member has in common with others, which is no reason to
+// prefer one: this instance may be short of processor time, or the expected cost too low. Replicas run the same statements
+// and are compared with replicas; one that cannot be compared counts as normal.
+func (b *Balancer) speedReference(id upstream.MemberID, now time.Time) float64 {
+	lowest := math.Inf(1)
 	for other, r := range b.members {
-		if other == id || now.Sub(r.observedAt) > referenceAge {
-			continue
-		}
-		speed, share := r.logSpeed(now), r.failureShare(now)
-		if !found || speed < logSlowdown {
-			logSlowdown = speed
+		if other != id && !r.primary && now.Sub(r.answeredAt) <= referenceAge {
+			lowest = min(lowest, r.logSpeed(now))
 		}
-		if !found || share < failures {
-			failures = share
+	}
+	switch own := b.members[id]; {
+	case !math.IsInf(lowest, 1):
+		return max(0, lowest)
+	case own.primary:
+		return 0
+	default:
+		return own.logSpeed(now)
+	}
+}
+
+// failureReference returns the lowest share of failures among the other members: a customer's statements may fail
+// everywhere.
+func (b *Balancer) failureReference(id upstream.MemberID, now time.Time) float64 {
+	lowest := math.Inf(1)
+	for other, r := range b.members {
+		if other != id && now.Sub(r.observedAt) <= referenceAge {
+			lowest = min(lowest, r.failureShare(now))
 		}
-		found = true
 	}
-	return max(0, logSlowdown), failures
+	if math.IsInf(lowest, 1) {
+		return 0
+	}
+	return lowest
 }
 
 // ProbeDue reports whether a statement should test whether a member that is not well has recovered.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -77,6 +77,7 @@
 	p.answers(60_000, "p", "r1", "r2")  // ten minutes
 	is.True(len(p.b.Changes()) <= 2*10) // less than one judgement a minute, and its end
 	q := newPlay(10 * time.Millisecond)
+	q.answers(10, "r2")
 	q.b.Answered("r1", cost, 100*cost, q.now)
 	is.True(q.state("r1").Well()) // one long statement
 }
@@ -94,6 +95,19 @@
 	is.True(p.state("p").Well() && p.state("r1").Well() && p.state("r2").Well())
 }
 
+// Guards against replicas that are judged slow because the expected cost of reads, which only they run, is too low.
+func TestReplicasAreComparedWithReplicas(t *testing.T) {
+	is := is.New(t)
+	p := newPlay(10 * time.Millisecond)
+	p.b.SetMembers([]upstream.MemberID{"p", "r1", "r2"}, "p")
+	p.slowdown["r1"], p.slowdown["r2"] = 5, 5
+	p.answers(100, "p", "r1", "r2")
+	is.True(p.state("r1").Well() && p.state("r2").Well())
+	p.now = p.now.Add(referenceAge + time.Millisecond)
+	p.answers(20, "p", "r1") // no other replica to compare with
+	is.True(p.state("r1").Well())
+}
+
 // Guards against a member that fails 45 % of its statements and keeps its share, and against one failure that is taken
 // for a failing member.
 func TestAFailingMemberIsJudged(t *testing.T) {
@@ -124,8 +138,8 @@
 	p.answers(50, "r1", "r2")
 	p.now = p.now.Add(4 * time.Second)
 	is.Equal(p.state("r1").Slowdown, 1.0)
-	p.b.Retain([]upstream.MemberID{"r2"})
-	is.Equal(p.state("r1").Age, time.Duration(0))
+	p.b.SetMembers([]upstream.MemberID{"r2"}, "")
+	is.Equal(p.state("r1"), State{Slowdown: 1}) // a member that has left
 }
 
 func TestASlowMemberKeepsAStatement(t *testing.T) {
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -23,17 +23,20 @@
 // and the first of those with the same expected time gets the statement.
 func (s *Scheduler) SetBalancer(b *balance.Balancer) { s.balancer = b }
 
-// retainStates forgets the states of members that have left, and notes whether others send statements to those that are
-// there.
-func (s *Scheduler) retainStates() {
+// updateBalancer tells the balancer the members, and notes whether others send statements to them.
+func (s *Scheduler) updateBalancer() {
 	s.shared = false
 	ids := make([]upstream.MemberID, 0, len(s.members))
+	primary := upstream.MemberID("")
 	for _, m := range s.members {
 		s.shared = s.shared || m.Shared
 		ids = append(ids, m.ID)
+		if m.Primary {
+			primary = m.ID
+		}
 	}
 	if s.balancer != nil {
-		s.balancer.Retain(ids)
+		s.balancer.SetMembers(ids, primary)
 	}
 }
 
@@ -145,8 +148,8 @@
 
 func round(x float64) int { return int(math.Round(x)) }
 
-// ObserveAnswer records how long the member of the connection took for a statement, and returns how long a member of
-// normal speed would have taken.
+// ObserveAnswer records how long the member of the connection took for a statement, and returns the time from which its
+// cost is to be learned: that of a replica of normal speed. What only the primary runs has no cost elsewhere.
 func (s *Scheduler) ObserveAnswer(id ConnID, cost, took time.Duration, now time.Time) time.Duration {
 	c := s.conns[id]
 	if c == nil || s.balancer == nil {
@@ -155,6 +158,9 @@
 	m := c.member
 	expected := cost + cost*time.Duration(c.ahead)/time.Duration(max(m.Slots, 1))
 	s.balancer.Answered(m.ID, expected, max(took-m.RoundTrip, took/2), now)
+	if m.Primary {
+		return took
+	}
 	return scale(took, 1/s.balancer.State(m.ID, now).Slowdown)
 }
 
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -24,14 +24,17 @@
 	choosers []*chooser
 	members  []*simMember
 	now      time.Time
+	// cost is the mean service time at a normal member.
+	cost time.Duration
 
 	inTime, late, refused, failed, opens int
 }
 
-// chooser is one scheduler. It learns what answers show after the delay.
+// chooser is one scheduler. It learns what answers show after the delay, the expected cost of a statement as owners do.
 type chooser struct {
 	s     *Scheduler
 	delay time.Duration
+	cost  time.Duration
 	items map[Ticket]Item
 	// cancels holds what closes the connection of a running statement.
 	cancels map[ConnID]func()
@@ -72,7 +75,7 @@
 		})
 	}
 	for i := range choosers {
-		c := &chooser{s: New(DefaultLimits(56)), items: make(map[Ticket]Item), cancels: make(map[ConnID]func())}
+		c := &chooser{s: New(DefaultLimits(56)), cost: 15 * time.Millisecond, items: make(map[Ticket]Item), cancels: make(map[ConnID]func())}
 		c.delay = delay * time.Duration(i) / time.Duration(max(choosers-1, 1))
 		if balanced {
 			c.s.SetBalancer(balance.New(seed + uint64(i)))
@@ -93,7 +96,7 @@
 
 // setUsable makes a member join or leave at a time in milliseconds.
 func (f *fleetSimulation) setUsable(m, ms int, usable bool) {
-	f.after(at(ms), func() {
+	f.after(nil, at(ms), func() {
 		f.members[m].config.Usable = usable
 		for _, c := range f.choosers {
 			f.setMembers(c, f.now)
@@ -103,7 +106,7 @@
 
 // kill makes a member lose all connections and the statements that run on them, and keeps it out until it is alive again.
 func (f *fleetSimulation) kill(m, from, until int) {
-	f.after(at(from), func() {
+	f.after(nil, at(from), func() {
 		for _, c := range f.choosers {
 			for _, lost := range slices.Clone(findMember(c.s.members, f.members[m].config.ID).conns) {
 				if cancel := c.cancels[lost.id]; cancel != nil && lost.state == connBusy {
@@ -117,23 +120,30 @@
 	f.setUsable(m, until, true)
 }
 
-func (f *fleetSimulation) after(t time.Time, do func()) { heap.Push(&f.events, event{t, do}) }
+// after has the chooser, or all if it is nil, act upon an event.
+func (f *fleetSimulation) after(c *chooser, t time.Time, do func()) {
+	heap.Push(&f.events, event{t, func() {
+		do()
+		for _, other := range f.choosers {
+			if c == nil || c == other {
+				f.step(other)
+			}
+		}
+	}})
+}
 
 // run plays until a time in milliseconds. Until then choosers take the regular steps of an owner.
 func (f *fleetSimulation) run(until int) {
 	for ms := 0; ms < until; ms += 40 {
-		f.after(at(ms), func() {})
+		f.after(nil, at(ms), func() {})
 	}
 	for ms := 0; ms < until; ms += 1000 {
-		f.after(at(ms), f.prewarm)
+		f.after(nil, at(ms), f.prewarm)
 	}
 	for f.events.Len() > 0 {
 		e := heap.Pop(&f.events).(event)
 		f.now = e.at
 		e.do()
-		for _, c := range f.choosers {
-			f.step(c)
-		}
 	}
 }
 
@@ -150,7 +160,7 @@
 func (f *fleetSimulation) open(c *chooser, opens []Open) {
 	for _, o := range opens {
 		f.opens++
-		f.after(f.member(o.Member).run(f.now, 12*time.Millisecond), func() { c.s.Opened(o.Conn, f.now) })
+		f.after(c, f.member(o.Member).run(f.now, 12*time.Millisecond), func() { c.s.Opened(o.Conn, f.now) })
 	}
 }
 
@@ -195,18 +205,17 @@
 	c.cancels[a.Conn] = func() { f.lose(c, a, it) }
 	if f.random.Float64() < m.hanging(f.now) {
 		m.lost[second]++
-		f.after(it.Deadline, c.cancels[a.Conn])
+		f.after(c, it.Deadline, c.cancels[a.Conn])
 		return
 	}
-	work := time.Duration(float64(f.serviceTime(it.Cost)) * m.slowdown(f.now))
+	work := time.Duration(float64(f.serviceTime(f.cost)) * m.slowdown(f.now))
 	m.busy[second] += work
 	failed := f.random.Float64() < m.failing(f.now)
-	f.after(m.run(f.now, work), func() {
+	f.after(c, m.run(f.now, work), func() {
 		if c.s.conns[a.Conn] == nil {
 			return
 		}
 		took := f.now.Sub(sent)
-		expected := it.Cost + it.Cost*time.Duration(c.s.conns[a.Conn].ahead)/time.Duration(m.slots)
 		if failed {
 			m.lost[second]++
 			c.s.ObserveFailure(a.Conn, f.now)
@@ -216,11 +225,12 @@
 		}
 		c.s.Done(a.Conn, false, f.now)
 		f.count(it)
-		f.after(f.now.Add(c.delay), func() {
-			if c.s.balancer != nil {
-				c.s.balancer.Answered(a.Member, expected, took, f.now)
-			}
-		})
+		learn := func() { c.cost += (c.s.ObserveAnswer(a.Conn, it.Cost, took, f.now) - c.cost) / 10 }
+		if c.delay > 0 {
+			f.after(c, f.now.Add(c.delay), learn)
+			return
+		}
+		learn()
 	})
 }
 
@@ -268,19 +278,20 @@
 	return fmt.Sprint(int(k))
 }
 
-// arrive sends reads with the targets of billing's second route to each chooser.
+// arrive sends reads with the mean service time and the targets of billing's second route to each chooser.
 func (f *fleetSimulation) arrive(perSecond float64, cost time.Duration, until int) {
+	f.cost = cost
 	for _, c := range f.choosers {
 		var next func()
 		next = func() {
 			now := f.now
-			it := Item{Customer: f.customer(), Need: NeedAny, Due: now.Add(250 * time.Millisecond), Deadline: now.Add(2 * time.Second), Cost: cost}
+			it := Item{Customer: f.customer(), Need: NeedAny, Due: now.Add(250 * time.Millisecond), Deadline: now.Add(2 * time.Second), Cost: c.cost}
 			f.submit(c, it)
 			if t := now.Add(time.Duration(f.arrivals.ExpFloat64() / perSecond * float64(time.Second))); t.Before(at(until)) {
-				f.after(t, next)
+				f.after(c, t, next)
 			}
 		}
-		f.after(epoch, next)
+		f.after(c, epoch, next)
 	}
 }
 
@@ -337,6 +348,7 @@
 func beforeAndAfter(t *testing.T, play func(balanced bool) *fleetSimulation) (before, after *fleetSimulation) {
 	t.Helper()
 	before, after = play(false), play(true)
+	t.Log("utilization: before", before.perMember(0, 25), "after", after.perMember(0, 25))
 	t.Log("before:", before)
 	t.Log("after: ", after)
 	return before, after
@@ -375,7 +387,6 @@
 		return f
 	})
 	t.Logf("worst to mean: before %.2f, after %.2f", before.worst(2, 30, replicas...), after.worst(2, 30, replicas...))
-	t.Log("utilization: before", before.perMember(2, 30), "after", after.perMember(2, 30))
 	is.True(after.worst(2, 30, replicas...) <= worstToMean)
 	for s := 2; s < 30; s += 2 {
 		is.True(after.worst(s, s+2, replicas...) <= 2*worstToMean) // no oscillation
@@ -476,3 +487,19 @@
 	f.run(25_000)
 	return f
 }
+
+// Guards against writes that a slow primary's limit keeps waiting, as no other member can run them, and against
+// refusals that assume its usual speed.
+func TestASlowPrimaryIsOnlyExpectedToTakeLonger(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	slots, _, _ := s.capacity(&queuedItem{Item: write("a", epoch)}, epoch)
+	is.Equal(slots, 3)
+	for range 20 {
+		s.balancer.Answered("p", 10*time.Millisecond, 50*time.Millisecond, epoch)
+	}
+	w := &queuedItem{Item: write("a", epoch)}
+	slots, _, _ = s.capacity(w, epoch)
+	is.Equal(slots, 1)
+	is.Equal(s.balancedLimit(s.members[0], w, epoch), 4)
+}
--- a/internal/dispatch/connections.go
+++ b/internal/dispatch/connections.go
@@ -86,7 +86,7 @@
 		m.MemberConfig = c
 		s.members = append(s.members, m)
 	}
-	s.retainStates()
+	s.updateBalancer()
 	for _, m := range old {
 		if findMember(s.members, m.ID) == nil {
 			m.Usable = false
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/celerystep/celerystep/internal/balance"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -26,6 +27,7 @@
 
 func newScheduler(connections int) *Scheduler {
 	s := New(DefaultLimits(connections))
+	s.SetBalancer(balance.New(1))
 	s.SetMembers(members(), epoch)
 	return s
 }
--- /dev/null
+++ b/internal/owner/balance_test.go
@@ -0,0 +1,97 @@
+package owner
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/celerystep/celerystep/internal/dispatch"
+	"github.com/celerystep/celerystep/internal/statement"
+	"github.com/celerystep/celerystep/internal/upstream"
+)
+
+// newReadingGroup returns a group with two replicas and a read that runs on a connection to one of them.
+func newReadingGroup(log *strings.Builder) (*Group, *memberConn) {
+	g := newServingGroup(&fakeAuthority{})
+	g.log = hclog.New(&hclog.LoggerOptions{Output: log})
+	g.scheduler.SetLimits(dispatch.DefaultLimits(20))
+	g.scheduler.SetMembers([]dispatch.MemberConfig{{ID: "m1", Slots: 4, Usable: true}, {ID: "m2", Slots: 4, Usable: true}}, epoch)
+	it := dispatch.Item{Customer: "mill", Need: dispatch.NeedAny, Due: epoch.Add(time.Second), Deadline: epoch.Add(time.Second), Cost: 10 * time.Millisecond}
+	g.scheduler.Submit(it, epoch)
+	open := g.scheduler.Plan(epoch).Opens[0]
+	g.scheduler.Opened(open.Conn, epoch)
+	g.scheduler.Plan(epoch)
+	l, _ := newTestConn()
+	l.id, l.member.ID = open.Conn, open.Member
+	l.markSent(epoch)
+	g.conns[l.id] = l
+	return g, l
+}
+
+// Guards against reads that wait until their deadline for a replica that hangs a part of its statements.
+func TestAnUnansweredReadIsRunElsewhere(t *testing.T) {
+	is := is.New(t)
+	var log strings.Builder
+	g, l := newReadingGroup(&log)
+	ctx, cancel := l.context(context.Background())
+	defer cancel(nil)
+	for range 2 {
+		g.applyPlan(epoch)
+		is.NoErr(ctx.Err())
+		g.scheduler.ObserveFailure(l.id, epoch) // counts once for a statement
+	}
+	g.applyPlan(epoch.Add(time.Second))
+	is.NoErr(ctx.Err()) // one failure is not enough
+	failOthers(g, l.member.ID)
+	g.applyPlan(epoch.Add(2 * time.Second))
+	is.Equal(context.Cause(ctx), errUnanswered)
+	is.True(strings.Contains(log.String(), "judgement=failing before=well"))
+	c := testCall(statement.KindRead)
+	_, again := g.completeLostAttempt(context.Background(), c, l, errUnanswered)
+	is.True(again)
+	is.Equal(c.avoid, l.member.ID)
+}
+
+// failOthers lets the member fail five other statements.
+func failOthers(g *Group, id upstream.MemberID) {
+	now := epoch.Add(time.Second)
+	for range 5 {
+		g.scheduler.Submit(dispatch.Item{Customer: "other", Need: dispatch.NeedAny, Due: now.Add(time.Second), Deadline: now.Add(time.Second), Cost: time.Millisecond}, now)
+		p := g.scheduler.Plan(now)
+		for _, o := range p.Opens {
+			g.scheduler.Opened(o.Conn, now)
+		}
+		p.Assignments = append(p.Assignments, g.scheduler.Plan(now).Assignments...)
+		for _, a := range p.Assignments {
+			if a.Member == id {
+				g.scheduler.ObserveFailure(a.Conn, now)
+			}
+		}
+	}
+}
+
+// Guards against costs that are learned from a slow replica as if all were slow.
+func TestCostsAreThoseOfANormalReplica(t *testing.T) {
+	is := is.New(t)
+	var log strings.Builder
+	g, l := newReadingGroup(&log)
+	c := testCall(statement.KindRead)
+	other, _ := newTestConn()
+	open := g.scheduler.Prewarm([]string{"other"}, epoch)
+	for _, o := range open {
+		if o.Member != l.member.ID {
+			other.id, other.member.ID = o.Conn, o.Member
+		}
+	}
+	for i := range 200 {
+		now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+		g.observeTime(c, l, 50*time.Millisecond, now)
+		g.observeTime(c, other, 10*time.Millisecond, now)
+	}
+	cost := g.costs.estimate(c.route, c.r.Statement)
+	is.True(cost >= 8*time.Millisecond && cost <= 15*time.Millisecond)
+}
