--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -188,7 +188,7 @@
 				continue
 			}
 			s.ObserveFailure(c.id, now)
-			if c.repeatable && !m.Primary && s.state(m, now).Failing {
+			if c.repeatable && !m.Primary && s.state(m, now).Failing && s.anotherWell(m, now) {
 				c.repeatable = false
 				abandoned = append(abandoned, c.id)
 			}
@@ -197,6 +197,16 @@
 	return abandoned
 }
 
+// anotherWell reports whether another member than m is usable and not failing.
+func (s *Scheduler) anotherWell(m *member, now time.Time) bool {
+	for _, other := range s.members {
+		if other != m && other.Usable && !s.state(other, now).Failing {
+			return true
+		}
+	}
+	return false
+}
+
 // unanswered reports whether the statement on the connection takes so long that it counts as failed.
 func (c *conn) unanswered(state balance.State, now time.Time) bool {
 	if c.state != connBusy && c.state != connHeldBusy {
--- a/internal/owner/balance_test.go
+++ b/internal/owner/balance_test.go
@@ -44,10 +44,12 @@
 		is.NoErr(ctx.Err())
 		g.scheduler.ObserveFailure(l.id, epoch) // counts once for a statement
 	}
-	g.applyPlan(epoch.Add(time.Second))
+	g.applyPlan(epoch.Add(200 * time.Millisecond))
 	is.NoErr(ctx.Err()) // one failure is not enough
 	failOthers(g, l.member.ID)
-	g.applyPlan(epoch.Add(2 * time.Second))
+	g.applyPlan(epoch.Add(250 * time.Millisecond))
+	is.NoErr(ctx.Err()) // it may only be slow
+	g.applyPlan(epoch.Add(300 * time.Millisecond))
 	is.Equal(context.Cause(ctx), errUnanswered)
 	is.True(strings.Contains(log.String(), "judgement=failing before=well"))
 	c := testCall(statement.KindRead)
@@ -56,19 +58,13 @@
 	is.Equal(c.avoid, l.member.ID)
 }
 
-// failOthers lets the member fail five other statements.
+// failOthers lets the member fail four statements of other customers.
 func failOthers(g *Group, id upstream.MemberID) {
-	now := epoch.Add(time.Second)
-	for range 5 {
-		g.scheduler.Submit(dispatch.Item{Customer: "other", Need: dispatch.NeedAny, Due: now.Add(time.Second), Deadline: now.Add(time.Second), Cost: time.Millisecond}, now)
-		p := g.scheduler.Plan(now)
-		for _, o := range p.Opens {
-			g.scheduler.Opened(o.Conn, now)
-		}
-		p.Assignments = append(p.Assignments, g.scheduler.Plan(now).Assignments...)
-		for _, a := range p.Assignments {
-			if a.Member == id {
-				g.scheduler.ObserveFailure(a.Conn, now)
+	for _, customer := range []string{"a", "b", "c", "d"} {
+		for _, o := range g.scheduler.Prewarm([]string{customer}, epoch) {
+			g.scheduler.Opened(o.Conn, epoch)
+			if o.Member == id {
+				g.scheduler.ObserveFailure(o.Conn, epoch)
 			}
 		}
 	}
