Test that slow replicas get no late reads and that opens avoid evictions

Cause: removing either rule from the code failed no test.

Change: a test for each.

Result: each fails without its rule; go test -race passes on dispatch.

--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -522,3 +522,40 @@
 		is.True(slow*2 <= normal)
 	}
 }
+
+// Guards against reads that a slow replica gets although it cannot run them in time.
+func TestASlowReplicaGetsNoReadThatItServesLate(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	for range 20 {
+		s.balancer.Answered("r1", 10*time.Millisecond, 50*time.Millisecond, epoch)
+		s.balancer.Answered("r2", 10*time.Millisecond, 10*time.Millisecond, epoch)
+	}
+	w := &queuedItem{Item: read("a", pos(0), epoch)}
+	w.Due = at(100)
+	is.Equal(s.balancedLimit(s.members[1], w, epoch), 0)
+	w.Due = at(250)
+	is.Equal(s.balancedLimit(s.members[1], w, epoch), 2) // of three slots
+	w.Due = at(-1)
+	is.Equal(s.balancedLimit(s.members[1], w, epoch), 2) // late, but before its deadline
+}
+
+// Guards against connections that evict those of others although another member has room for one.
+func TestConnectionsAreOpenedWhereNoneIsEvicted(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(3) // two connections to a member
+	for range 2 {
+		o, _ := s.open(s.members[1], "a", epoch)
+		s.Opened(o.Conn, epoch)
+	}
+	for range 2 { // r2 is farther away and busier
+		o, _ := s.open(s.members[2], "b", epoch)
+		s.Opened(o.Conn, epoch)
+		s.members[2].running++
+	}
+	s.removeConn(s.members[2].conns[0])
+	submit(t, s, read("c", pos(0), at(100)), at(100))
+	p := s.Plan(at(100))
+	is.Equal(p.Opens[0].Member, upstream.MemberID("r2"))
+	is.Equal(len(p.Closes), 0)
+}
