Judge no member by answers that were not read during a pause

Cause: after a pause of the process of 300 ms or more, all running statements counted as unanswered at once, and the first replica in order was judged failing, and its reads were abandoned, before the others were observed.

Change: a statement counts as unanswered only for the time since the last pause (regular steps more than 200 ms apart). All members are observed before a read is abandoned.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -17,6 +17,9 @@
 	inTimeFactor = 3
 	// unansweredInterval is the time between two searches for statements without an answer.
 	unansweredInterval = 20 * time.Millisecond
+	// maxUnansweredInterval is the longest such time while this process runs: its regular steps are 40 ms apart. After a
+	// longer one, answers that arrived meanwhile may not have been read yet.
+	maxUnansweredInterval = 200 * time.Millisecond
 )
 
 // SetBalancer sets what learns the speed and the failures of the members. Without it all members count as equally good,
@@ -177,23 +180,31 @@
 // observeUnanswered records the statements that members leave unanswered, and returns the connections of those that
 // should be run elsewhere instead: reads on a replica that is judged failing.
 func (s *Scheduler) observeUnanswered(now time.Time) []ConnID {
-	if s.balancer == nil || now.Sub(s.unansweredAt) < unansweredInterval {
+	elapsed := now.Sub(s.unansweredAt)
+	if s.balancer == nil || elapsed < unansweredInterval {
 		return nil
 	}
 	s.unansweredAt = now
-	var abandoned []ConnID
+	if elapsed > maxUnansweredInterval {
+		s.runningSince = now
+	}
+	var unanswered []*conn
 	for _, m := range s.members {
 		for _, c := range m.conns {
-			if !c.unanswered(s.state(m, now), now) {
-				continue
-			}
-			s.ObserveFailure(c.id, now)
-			if c.repeatable && !m.Primary && s.state(m, now).Failing && s.anotherWell(m, now) {
-				c.repeatable = false
-				abandoned = append(abandoned, c.id)
+			if s.unanswered(c, now) {
+				s.ObserveFailure(c.id, now)
+				unanswered = append(unanswered, c)
 			}
 		}
 	}
+	// All members are observed before one is judged, as the cause may be one that they have in common.
+	var abandoned []ConnID
+	for _, c := range unanswered {
+		if c.repeatable && !c.member.Primary && s.state(c.member, now).Failing && s.anotherWell(c.member, now) {
+			c.repeatable = false
+			abandoned = append(abandoned, c.id)
+		}
+	}
 	return abandoned
 }
 
@@ -208,9 +219,13 @@
 }
 
 // unanswered reports whether the statement on the connection takes so long that it counts as failed.
-func (c *conn) unanswered(state balance.State, now time.Time) bool {
+func (s *Scheduler) unanswered(c *conn, now time.Time) bool {
 	if c.state != connBusy && c.state != connHeldBusy {
 		return false
 	}
-	return now.Sub(c.started) >= max(unansweredAfter, scale(unansweredFactor*c.cost, state.Slowdown))
+	since := c.started
+	if s.runningSince.After(since) {
+		since = s.runningSince
+	}
+	return now.Sub(since) >= max(unansweredAfter, scale(unansweredFactor*c.cost, s.state(c.member, now).Slowdown))
 }
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -559,3 +559,45 @@
 	is.Equal(p.Opens[0].Member, upstream.MemberID("r2"))
 	is.Equal(len(p.Closes), 0)
 }
+
+// startReads starts a read of each of n customers on the member.
+func startReads(s *Scheduler, m *member, n int, now time.Time) {
+	for i := range n {
+		w := &queuedItem{Item: read(fmt.Sprint(m.ID, i), pos(0), now)}
+		o, _ := s.open(m, w.Customer, now)
+		s.Opened(o.Conn, now)
+		s.start(s.conns[o.Conn], w, now)
+	}
+}
+
+// planEvery calls Plan in the regular steps of an owner and returns the number of abandoned reads.
+func planEvery(s *Scheduler, from, until int) int {
+	abandoned := 0
+	for ms := from; ms <= until; ms += 40 {
+		abandoned += len(s.Plan(at(ms)).Abandoned)
+	}
+	return abandoned
+}
+
+// Guards against members that are judged failing after a pause of this process, when their answers have not been read yet.
+func TestAPauseOfThisProcessIsNoFailureOfAMember(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	is.Equal(planEvery(s, 0, 40), 0)
+	startReads(s, s.members[1], 4, at(50))
+	is.Equal(planEvery(s, 2000, 2000+280), 0)
+	is.True(s.state(s.members[1], at(2280)).Well())
+	is.Equal(planEvery(s, 2320, 2320), 4) // unanswered for 300 ms since the pause
+}
+
+// Guards against reads that are abandoned at the first of two replicas that both leave all statements unanswered.
+func TestReadsStayWhereAllReplicasLeaveThemUnanswered(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	is.Equal(planEvery(s, 0, 0), 0)
+	for _, m := range s.members[1:] {
+		startReads(s, m, 3, at(0))
+	}
+	is.Equal(planEvery(s, 40, 1000), 0)
+	is.True(s.state(s.members[1], at(1000)).Well())
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -191,6 +191,8 @@
 	shared bool
 	// unansweredAt is the time of the last search for statements without an answer.
 	unansweredAt time.Time
+	// runningSince is the end of the last pause of this process.
+	runningSince time.Time
 	// candidates and options are reused by each choice.
 	candidates []balance.Candidate
 	options    []option
