Limit the preference for idle connections to slow members

Cause: the limit of the expected time at a member with an idle connection also covered the queue of a member of normal speed, with and without a balancer: long reads queued there for 40 ms although a connection to another member takes 15. And two members that are too slow for a read counted as alternatives of each other, so it was left to wait for neither.

Change: only the extra time of a slow member is limited. A member that is too slow for an item is no alternative.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -82,10 +82,13 @@
 	return best
 }
 
-// alternative reports whether a member other than m that is not failing may run the item.
+// alternative reports whether a member other than m may run the item, and is neither failing nor too slow for it.
 func (s *Scheduler) alternative(m *member, w *queuedItem, now time.Time) bool {
 	for _, other := range s.members {
-		if other != m && s.eligible(other, w, now) && !s.state(other, now).Failing {
+		if other == m || !s.eligible(other, w, now) {
+			continue
+		}
+		if state := s.state(other, now); !state.Failing && (state.Slowdown <= 1 || inTimeAt(state, w, now)) {
 			return true
 		}
 	}
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -601,3 +601,39 @@
 	is.Equal(planEvery(s, 40, 1000), 0)
 	is.True(s.state(s.members[1], at(1000)).Well())
 }
+
+// Guards against reads that queue at a busy member of normal speed although opening a connection to another is faster.
+func TestLongReadsAreNotQueuedToAvoidAConnection(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	s.SetMembers(members()[1:], epoch) // two replicas of three slots
+	startReads(s, s.members[0], 3, epoch)
+	o, _ := s.open(s.members[0], "a", epoch)
+	s.Opened(o.Conn, epoch)
+	w := read("a", pos(0), epoch)
+	w.Cost, w.Due, w.Deadline = 120*time.Millisecond, at(1000), at(6000) // 40 ms in the queue, 15 ms for a connection
+	submit(t, s, w, epoch)
+	p := s.Plan(epoch)
+	is.Equal(len(p.Assignments), 0)
+	is.Equal(p.Opens[0].Member, upstream.MemberID("r2"))
+}
+
+// Guards against reads that no member gets, each being left to another one that is too slow as well.
+func TestAReadIsRunWhereAllMembersAreTooSlow(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(21)
+	list := members()
+	list[0].Usable = false // no primary
+	list = append(list, MemberConfig{ID: "r3", Slots: 3, Usable: true})
+	s.SetMembers(list, epoch)
+	for range 20 {
+		s.balancer.Answered("r1", 10*time.Millisecond, 50*time.Millisecond, epoch)
+		s.balancer.Answered("r2", 10*time.Millisecond, 50*time.Millisecond, epoch)
+		s.balancer.Answered("r3", 10*time.Millisecond, 10*time.Millisecond, epoch)
+	}
+	w := &queuedItem{Item: read("a", pos(0), epoch)}
+	w.Due, w.Avoid = at(100), "r3"
+	is.Equal(s.balancedLimit(s.members[1], w, epoch), 4)
+	w.Avoid = ""
+	is.Equal(s.balancedLimit(s.members[1], w, epoch), 0)
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -111,20 +111,25 @@
 // estimate returns the expected time until the member has run the item, beyond the item's cost at a normal member.
 func (s *Scheduler) estimate(m *member, w *queuedItem, connected bool, now time.Time) time.Duration {
 	slowdown := s.state(m, now).Slowdown
-	t := m.RoundTrip + scale(w.Cost, slowdown-1)
+	slower := scale(w.Cost, slowdown-1)
+	if connected {
+		// A member that is slow but in time is preferred to another connection, which costs the members more than the
+		// caller gains.
+		slower = min(slower, s.limits.Handshake*9/10)
+	}
+	t := m.RoundTrip + slower
 	if over := m.running + 1 - m.Slots; over > 0 && m.Slots > 0 {
 		t += scale(w.Cost, slowdown) * time.Duration(over) / time.Duration(m.Slots)
 	}
 	switch {
-	case !connected && s.balancer != nil && len(m.conns) >= s.connLimit(m, now):
+	case connected:
+		return t
+	case s.balancer != nil && len(m.conns) >= s.connLimit(m, now):
 		// The customer whose connection is evicted has to open another.
 		return t + 2*s.limits.Handshake
-	case !connected:
+	default:
 		return t + s.limits.Handshake
 	}
-	// A member that is slow but in time is preferred to another connection, which costs the members more than the caller
-	// gains.
-	return min(t, m.RoundTrip+s.limits.Handshake*9/10)
 }
 
 // idleConn returns the customer's most recently used idle connection, or nil.
