Check that no replica is overloaded by many choosers

Cause: the check for oscillation allowed 2.5 times the mean, which is more than a replica can do at half the load.

Change: no replica's utilization exceeds 1 in any two seconds.

Result: TestManyChoosersOfUnevenMembers passes.

--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -390,6 +390,9 @@
 	is.True(after.worst(2, 30, replicas...) <= worstToMean)
 	for s := 2; s < 30; s += 2 {
 		is.True(after.worst(s, s+2, replicas...) <= 2*worstToMean) // no oscillation
+		for _, m := range replicas {
+			is.True(after.utilization(s, s+2, m) <= 1) // none is overloaded
+		}
 	}
 	is.True(after.opens <= before.opens)
 	is.True(after.lost() <= before.lost())
