Count a failed read against its member only if a later attempt runs it

Cause: a read that fails at every member, for example because of a row that cannot be passed on, is tried at the replicas up to four times. Each attempt counted as a failure of a replica, and as the primary had none, one customer's reads let all replicas be judged failing and moved all customers' reads to the primary.

Change: the members at which a read failed are recorded once a later attempt has run it. The simulation does the same.

Result: the new test fails if failures count at once and passes with the change.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -170,7 +170,14 @@
 	return scale(took, 1/s.balancer.State(m.ID, now).Slowdown)
 }
 
-// ObserveFailure records that the member of the connection failed the statement on it or did not answer.
+// ObserveFailedRead records that the member failed a read which a later attempt has run.
+func (s *Scheduler) ObserveFailedRead(id upstream.MemberID, now time.Time) {
+	if s.balancer != nil && findMember(s.members, id) != nil {
+		s.balancer.Failed(id, now)
+	}
+}
+
+// ObserveFailure records that the member of the connection lost the statement on it or did not answer.
 func (s *Scheduler) ObserveFailure(id ConnID, now time.Time) {
 	c := s.conns[id]
 	if c == nil || s.balancer == nil || c.failureCounted {
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -36,6 +36,8 @@
 	delay time.Duration
 	cost  time.Duration
 	items map[Ticket]Item
+	// failedOn lists the members that failed a queued item before.
+	failedOn map[Ticket][]upstream.MemberID
 	// cancels holds what closes the connection of a running statement.
 	cancels map[ConnID]func()
 }
@@ -75,7 +77,7 @@
 		})
 	}
 	for i := range choosers {
-		c := &chooser{s: New(DefaultLimits(56)), cost: 15 * time.Millisecond, items: make(map[Ticket]Item), cancels: make(map[ConnID]func())}
+		c := &chooser{s: New(DefaultLimits(56)), cost: 15 * time.Millisecond, items: make(map[Ticket]Item), failedOn: make(map[Ticket][]upstream.MemberID), cancels: make(map[ConnID]func())}
 		c.delay = delay * time.Duration(i) / time.Duration(max(choosers-1, 1))
 		if balanced {
 			c.s.SetBalancer(balance.New(seed + uint64(i)))
@@ -168,6 +170,7 @@
 	p := c.s.Plan(f.now)
 	for _, e := range p.Expired {
 		delete(c.items, e.Ticket)
+		delete(c.failedOn, e.Ticket)
 		f.failed++
 	}
 	for _, id := range p.Abandoned {
@@ -176,8 +179,10 @@
 	f.open(c, p.Opens)
 	for _, a := range p.Assignments {
 		it := c.items[a.Ticket]
+		failedOn := c.failedOn[a.Ticket]
 		delete(c.items, a.Ticket)
-		f.start(c, a, it)
+		delete(c.failedOn, a.Ticket)
+		f.start(c, a, it, failedOn)
 	}
 }
 
@@ -199,10 +204,10 @@
 	return time.Duration(t)
 }
 
-func (f *fleetSimulation) start(c *chooser, a Assignment, it Item) {
+func (f *fleetSimulation) start(c *chooser, a Assignment, it Item, failedOn []upstream.MemberID) {
 	m, second, sent := f.member(a.Member), f.now.Unix(), f.now
 	m.began[second]++
-	c.cancels[a.Conn] = func() { f.lose(c, a, it) }
+	c.cancels[a.Conn] = func() { f.lose(c, a, it, failedOn) }
 	if f.random.Float64() < m.hanging(f.now) {
 		m.lost[second]++
 		f.after(c, it.Deadline, c.cancels[a.Conn])
@@ -218,11 +223,13 @@
 		took := f.now.Sub(sent)
 		if failed {
 			m.lost[second]++
-			c.s.ObserveFailure(a.Conn, f.now)
 			c.s.Done(a.Conn, false, f.now)
-			f.repeat(c, it, a.Member)
+			f.repeat(c, it, a.Member, append(failedOn, a.Member))
 			return
 		}
+		for _, id := range failedOn {
+			c.s.ObserveFailedRead(id, f.now)
+		}
 		c.s.Done(a.Conn, false, f.now)
 		f.count(it)
 		learn := func() { c.cost += (c.s.ObserveAnswer(a.Conn, it.Cost, took, f.now) - c.cost) / 10 }
@@ -235,21 +242,21 @@
 }
 
 // lose closes the connection of a statement that has no answer, and repeats the statement.
-func (f *fleetSimulation) lose(c *chooser, a Assignment, it Item) {
+func (f *fleetSimulation) lose(c *chooser, a Assignment, it Item, failedOn []upstream.MemberID) {
 	if c.s.conns[a.Conn] == nil {
 		return
 	}
 	c.s.Closed(a.Conn)
-	f.repeat(c, it, a.Member)
+	f.repeat(c, it, a.Member, failedOn)
 }
 
-func (f *fleetSimulation) repeat(c *chooser, it Item, avoid upstream.MemberID) {
+func (f *fleetSimulation) repeat(c *chooser, it Item, avoid upstream.MemberID, failedOn []upstream.MemberID) {
 	if !f.now.Before(it.Deadline) {
 		f.failed++
 		return
 	}
 	it.Retried, it.Avoid = true, avoid
-	f.submit(c, it)
+	f.submit(c, it, failedOn)
 }
 
 func (f *fleetSimulation) count(it Item) {
@@ -260,13 +267,16 @@
 	}
 }
 
-func (f *fleetSimulation) submit(c *chooser, it Item) {
+func (f *fleetSimulation) submit(c *chooser, it Item, failedOn []upstream.MemberID) {
 	ticket, refusal := c.s.Submit(it, f.now)
 	if refusal != nil {
 		f.refused++
 		return
 	}
 	c.items[ticket] = it
+	if len(failedOn) > 0 {
+		c.failedOn[ticket] = failedOn
+	}
 }
 
 // simCustomers is the number of customers that send statements, a few of which are large.
@@ -286,7 +296,7 @@
 		next = func() {
 			now := f.now
 			it := Item{Customer: f.customer(), Need: NeedAny, Due: now.Add(250 * time.Millisecond), Deadline: now.Add(2 * time.Second), Cost: c.cost}
-			f.submit(c, it)
+			f.submit(c, it, nil)
 			if t := now.Add(time.Duration(f.arrivals.ExpFloat64() / perSecond * float64(time.Second))); t.Before(at(until)) {
 				f.after(c, t, next)
 			}
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -24,6 +25,20 @@
 	g.o.Metrics.Statements.WithLabelValues(g.memberKind(l.member.ID), place).Inc()
 }
 
+// observeOutcome records which members failed a read, once a later attempt has run it: a read that fails everywhere says
+// nothing about them. The group is locked.
+func (g *Group) observeOutcome(c *call, l *memberConn, code statement.Code) {
+	switch {
+	case code == statement.CodeFailed && c.reads():
+		c.failedOn = append(c.failedOn, l.member.ID)
+	case code == statement.CodeOK:
+		for _, id := range c.failedOn {
+			g.scheduler.ObserveFailedRead(id, g.o.Clock())
+		}
+		c.failedOn = nil
+	}
+}
+
 // memberKind returns the value of the metrics' label for the member. The group is locked.
 func (g *Group) memberKind(id upstream.MemberID) string {
 	if id == g.servingPrimary {
--- a/internal/owner/balance_test.go
+++ b/internal/owner/balance_test.go
@@ -91,3 +91,26 @@
 	cost := g.costs.estimate(c.route, c.r.Statement)
 	is.True(cost >= 8*time.Millisecond && cost <= 15*time.Millisecond)
 }
+
+// Guards against a customer whose reads fail at every member and make replicas count as failing for all customers.
+func TestOnlyFailuresThatAnotherAttemptAvoidsCount(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		last    statement.Code
+		failing bool
+	}{{"fails everywhere", statement.CodeFailed, false}, {"runs elsewhere", statement.CodeOK, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var log strings.Builder
+			g, l := newReadingGroup(&log)
+			for range 20 {
+				read := testCall(statement.KindRead)
+				for _, code := range []statement.Code{statement.CodeFailed, c.last} {
+					_, again := g.completeAttempt(context.Background(), read, l, false, statement.Answer{Code: code}, nil)
+					is.Equal(again, code == statement.CodeFailed)
+				}
+			}
+			is.Equal(g.scheduler.States(epoch)[l.member.ID].Failing, c.failing)
+		})
+	}
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -35,6 +35,8 @@
 	due      time.Time
 	attempts int
 	avoid    upstream.MemberID
+	// failedOn lists the members that failed the read in earlier attempts.
+	failedOn []upstream.MemberID
 	// primaryOnly is true after a replica could not serve the read.
 	primaryOnly bool
 	waited      time.Duration
@@ -301,9 +303,7 @@
 	}
 	open := answer.State != statement.TxIdle && answer.Code == statement.CodeOK
 	g.mu.Lock()
-	if answer.Code == statement.CodeFailed && c.reads() {
-		g.scheduler.ObserveFailure(l.id, g.o.Clock())
-	}
+	g.observeOutcome(c, l, answer.Code)
 	if answer.State != statement.TxIdle && !open {
 		// A transaction whose first statement failed is rolled back, not kept.
 		g.mu.Unlock()
