Count no session value that a member refuses as a failure of the member

Cause: such a statement ends with its connection, as if the member had lost it, so one customer's session values could make replicas count as failing for all customers.

Change: these errors have their own kind, which the balancer isn't told of. What else follows from them is unchanged.

Result: the new test, which feeds both kinds of loss, and go test -race on owner pass.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -39,6 +41,14 @@
 	}
 }
 
+// observeLoss records that the member lost a statement, unless the session's values prevented it from running. The group
+// is locked.
+func (g *Group) observeLoss(l *memberConn, err error) {
+	if !errors.Is(err, errSetup) {
+		g.scheduler.ObserveFailure(l.id, g.o.Clock())
+	}
+}
+
 // memberKind returns the value of the metrics' label for the member. The group is locked.
 func (g *Group) memberKind(id upstream.MemberID) string {
 	if id == g.servingPrimary {
--- a/internal/owner/balance_test.go
+++ b/internal/owner/balance_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"github.com/celerystep/celerystep/internal/dispatch"
+	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -70,6 +72,19 @@
 	}
 }
 
+// Guards against a customer whose session values members refuse and who makes replicas count as failing.
+func TestOnlyLostConnectionsCountAsFailures(t *testing.T) {
+	is := is.New(t)
+	var log strings.Builder
+	g, l := newReadingGroup(&log)
+	refused := setupError([]statement.Answer{{Code: statement.CodeFailed}})
+	is.True(errors.Is(refused, member.ErrLost))
+	g.observeLoss(l, refused)
+	is.Equal(g.scheduler.States(epoch)[l.member.ID].FailureShare, 0.0)
+	g.observeLoss(l, member.ErrLost)
+	is.True(g.scheduler.States(epoch)[l.member.ID].FailureShare > 0)
+}
+
 // Guards against costs that are learned from a slow replica as if all were slow.
 func TestCostsAreThoseOfANormalReplica(t *testing.T) {
 	is := is.New(t)
--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -23,6 +23,7 @@
 	errGroupStopped      = errors.New("the group was stopped")
 	errIdleClosed        = errors.New("the idle connection was closed")
 	errUnanswered        = errors.New("a member that is judged failing left the read unanswered")
+	errSetup             = errors.Wrap(member.ErrLost, "the session cannot be set up on the connection")
 	errMemberUnavailable = errors.New("the member does not answer or was replaced")
 )
 
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -111,7 +111,7 @@
 func setupError(answers []statement.Answer) error {
 	for _, a := range answers {
 		if a.Code != statement.CodeOK {
-			return errors.Wrapf(member.ErrLost, "the member refused a session setting: %s %s", a.Code, a.Detail)
+			return errors.Wrapf(errSetup, "the member refused a session setting: %s %s", a.Code, a.Detail)
 		}
 	}
 	return nil
@@ -142,7 +142,7 @@
 	for _, s := range setup {
 		if s.Kind == statement.KindReset {
 			// A reset inside a transaction would discard values that it depends on; values may only be added.
-			return statement.Answer{}, errors.Wrap(member.ErrLost, "the session values changed in a way that needs a reset")
+			return statement.Answer{}, errors.Wrap(errSetup, "the session values changed in a way that needs a reset")
 		}
 	}
 	return g.send(ctx, c, l, setup, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -366,7 +366,7 @@
 	f := member.FailureOf(err)
 	if f == promotion.FailureConnectionLost && !l.memberReplaced(g) {
 		g.machine.Failed(l.member.ID, f, g.o.Clock())
-		g.scheduler.ObserveFailure(l.id, g.o.Clock())
+		g.observeLoss(l, err)
 		g.signal()
 	}
 	g.releaseConn(l, err, false)
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -110,7 +110,7 @@
 		g.forgetTransaction(c.r.Session, t)
 		if f := member.FailureOf(err); f == promotion.FailureConnectionLost && !l.memberReplaced(g) {
 			g.machine.Failed(l.member.ID, f, now)
-			g.scheduler.ObserveFailure(l.id, now)
+			g.observeLoss(l, err)
 			g.signal()
 		}
 		g.releaseConn(l, err, false)
