--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -35,14 +35,14 @@
 	minSlowdown = 1.6
 	// speedNoise is the logarithm of the slowdown that the spread of service times alone may cause.
 	speedNoise = 0.45
-	// slowFrom and slowUntil are the slowdowns at which a member is judged slow and well again.
+	// slowFrom and slowUntil are the slowdowns at which a member is judged slow and normal again.
 	slowFrom  = 2.7
 	slowUntil = minSlowdown
-	// failingFrom and failingUntil are the shares of failures at which a member is judged failing and well again. One
+	// failingFrom and failingUntil are the shares of failures at which a member is judged failing and normal again. One
 	// failure alone is below failingFrom.
 	failingFrom  = 0.3
 	failingUntil = 0.1
-	// probeInterval is the time between two statements that test whether a member that is not well has recovered.
+	// probeInterval is the time between two statements that test whether a member that is slow or failing has recovered.
 	probeInterval = 400 * time.Millisecond
 )
 
@@ -60,8 +60,8 @@
 	Age time.Duration
 }
 
-// Well reports whether the member is neither slow nor failing.
-func (s State) Well() bool { return !s.Slow && !s.Failing }
+// Normal reports whether the member is neither slow nor failing.
+func (s State) Normal() bool { return !s.Slow && !s.Failing }
 
 // Judgement returns the name used in logs.
 func (s State) Judgement() string {
@@ -71,7 +71,7 @@
 	case s.Slow:
 		return "slow"
 	default:
-		return "well"
+		return "normal"
 	}
 }
 
@@ -272,9 +272,9 @@
 	return lowest
 }
 
-// ProbeDue reports whether a statement should test whether a member that is not well has recovered.
+// ProbeDue reports whether a statement should test whether a member that is slow or failing has recovered.
 func (b *Balancer) ProbeDue(id upstream.MemberID, now time.Time) bool {
-	return !b.State(id, now).Well() && now.Sub(b.members[id].probedAt) >= probeInterval
+	return !b.State(id, now).Normal() && now.Sub(b.members[id].probedAt) >= probeInterval
 }
 
 // Probed records that such a statement is sent.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -15,8 +15,8 @@
 
 const cost = 14 * time.Millisecond
 
-// play lets members answer statements, each in turn, at the interval.
-type play struct {
+// simulation lets members answer statements, each in turn, at the interval.
+type simulation struct {
 	b        *Balancer
 	now      time.Time
 	interval time.Duration
@@ -25,121 +25,121 @@
 	failing  map[upstream.MemberID]float64
 }
 
-func newPlay(interval time.Duration) *play {
-	return &play{
+func newSimulation(interval time.Duration) *simulation {
+	return &simulation{
 		b: New(1), now: epoch, interval: interval, random: rand.New(rand.NewPCG(7, 7)),
 		slowdown: make(map[upstream.MemberID]float64), failing: make(map[upstream.MemberID]float64),
 	}
 }
 
 // answers lets each of the members answer n statements, with log-normal times of sigma 0.7 and a tail of 1 % at five times.
-func (p *play) answers(n int, members ...upstream.MemberID) {
+func (s *simulation) answers(n int, members ...upstream.MemberID) {
 	for range n {
 		for _, id := range members {
-			p.now = p.now.Add(p.interval / time.Duration(len(members)))
-			t := max(p.slowdown[id], 1) * math.Exp(0.7*p.random.NormFloat64()-0.7*0.7/2)
-			if p.random.Float64() < 0.01 {
+			s.now = s.now.Add(s.interval / time.Duration(len(members)))
+			t := max(s.slowdown[id], 1) * math.Exp(0.7*s.random.NormFloat64()-0.7*0.7/2)
+			if s.random.Float64() < 0.01 {
 				t *= 5
 			}
-			if p.random.Float64() < p.failing[id] {
-				p.b.Failed(id, p.now)
+			if s.random.Float64() < s.failing[id] {
+				s.b.Failed(id, s.now)
 			} else {
-				p.b.Answered(id, cost, time.Duration(t*float64(cost)), p.now)
+				s.b.Answered(id, cost, time.Duration(t*float64(cost)), s.now)
 			}
-			p.b.State(id, p.now)
+			s.b.State(id, s.now)
 		}
 	}
 }
 
-func (p *play) state(id upstream.MemberID) State { return p.b.State(id, p.now) }
+func (s *simulation) state(id upstream.MemberID) State { return s.b.State(id, s.now) }
 
 // Guards against a slow member that is noticed late, or that gets its share back late.
 func TestASlowMemberIsJudgedWithinAFewAnswers(t *testing.T) {
 	is := is.New(t)
-	p := newPlay(10 * time.Millisecond)
-	p.answers(100, "r1", "r2")
-	p.slowdown["r1"] = 5
-	p.answers(10, "r1", "r2")
-	is.True(p.state("r1").Slow)
-	is.True(p.state("r2").Well())
-	p.answers(100, "r1", "r2")
-	is.True(p.state("r1").Slowdown >= 5/2 && p.state("r1").Slowdown <= 5*2)
-	p.slowdown["r1"] = 1
-	p.interval = probeInterval // only probes test it from now on
-	p.answers(4, "r1", "r2")
-	is.True(p.state("r1").Well()) // within two seconds
+	s := newSimulation(10 * time.Millisecond)
+	s.answers(100, "r1", "r2")
+	s.slowdown["r1"] = 5
+	s.answers(10, "r1", "r2")
+	is.True(s.state("r1").Slow)
+	is.True(s.state("r2").Normal())
+	s.answers(100, "r1", "r2")
+	is.True(s.state("r1").Slowdown >= 5/2 && s.state("r1").Slowdown <= 5*2)
+	s.slowdown["r1"] = 1
+	s.interval = probeInterval // only probes test it from now on
+	s.answers(4, "r1", "r2")
+	is.True(s.state("r1").Normal()) // within two seconds
 }
 
 // Guards against the spread of service times being mistaken for a slow member.
 func TestASpreadOfServiceTimesIsNoSlowMember(t *testing.T) {
 	is := is.New(t)
-	p := newPlay(10 * time.Millisecond)
-	p.answers(60_000, "p", "r1", "r2")  // ten minutes
-	is.True(len(p.b.Changes()) <= 2*10) // less than one judgement a minute, and its end
-	q := newPlay(10 * time.Millisecond)
+	s := newSimulation(10 * time.Millisecond)
+	s.answers(60_000, "p", "r1", "r2")  // ten minutes
+	is.True(len(s.b.Changes()) <= 2*10) // less than one judgement a minute, and its end
+	q := newSimulation(10 * time.Millisecond)
 	q.answers(10, "r2")
 	q.b.Answered("r1", cost, 100*cost, q.now)
-	is.True(q.state("r1").Well()) // one long statement
+	is.True(q.state("r1").Normal()) // one long statement
 }
 
 // Guards against members that are judged because of what they have in common: a short supply of processor time here, or a
 // customer whose statements fail everywhere.
-func TestWhatAllMembersHaveInCommonIsNotHeldAgainstThem(t *testing.T) {
+func TestMembersAreComparedWithEachOther(t *testing.T) {
 	is := is.New(t)
-	p := newPlay(10 * time.Millisecond)
-	p.answers(100, "p", "r1", "r2")
+	s := newSimulation(10 * time.Millisecond)
+	s.answers(100, "p", "r1", "r2")
 	for _, id := range []upstream.MemberID{"p", "r1", "r2"} {
-		p.slowdown[id], p.failing[id] = 5, 0.45
+		s.slowdown[id], s.failing[id] = 5, 0.45
 	}
-	p.answers(100, "p", "r1", "r2")
-	is.True(p.state("p").Well() && p.state("r1").Well() && p.state("r2").Well())
+	s.answers(100, "p", "r1", "r2")
+	is.True(s.state("p").Normal() && s.state("r1").Normal() && s.state("r2").Normal())
 }
 
 // Guards against replicas that are judged slow because the expected cost of reads, which only they run, is too low.
 func TestReplicasAreComparedWithReplicas(t *testing.T) {
 	is := is.New(t)
-	p := newPlay(10 * time.Millisecond)
-	p.b.SetMembers([]upstream.MemberID{"p", "r1", "r2"}, "p")
-	p.slowdown["r1"], p.slowdown["r2"] = 5, 5
-	p.answers(100, "p", "r1", "r2")
-	is.True(p.state("r1").Well() && p.state("r2").Well())
-	p.now = p.now.Add(referenceAge + time.Millisecond)
-	p.answers(20, "p", "r1") // no other replica to compare with
-	is.True(p.state("r1").Well())
+	s := newSimulation(10 * time.Millisecond)
+	s.b.SetMembers([]upstream.MemberID{"p", "r1", "r2"}, "p")
+	s.slowdown["r1"], s.slowdown["r2"] = 5, 5
+	s.answers(100, "p", "r1", "r2")
+	is.True(s.state("r1").Normal() && s.state("r2").Normal())
+	s.now = s.now.Add(referenceAge + time.Millisecond)
+	s.answers(20, "p", "r1") // no other replica to compare with
+	is.True(s.state("r1").Normal())
 }
 
 // Guards against a member that fails 45 % of its statements and keeps its share, and against one failure that is taken
 // for a failing member.
 func TestAFailingMemberIsJudged(t *testing.T) {
 	is := is.New(t)
-	p := newPlay(10 * time.Millisecond)
-	p.answers(50, "r1", "r2")
-	p.b.Failed("r1", p.now)
-	is.True(p.state("r1").Well())
-	p.answers(50, "r1", "r2")
-	p.failing["r1"] = 0.45
-	p.answers(20, "r1", "r2")
-	is.True(p.state("r1").Failing)
-	is.Equal(p.state("r1").Limit(4, 1), 0)
-	is.True(p.b.ProbeDue("r1", p.now))
-	p.b.Probed("r1", p.now)
-	is.True(!p.b.ProbeDue("r1", p.now.Add(probeInterval-1)))
-	p.failing["r1"] = 0
-	p.interval = probeInterval
-	p.answers(8, "r1", "r2")
-	is.True(p.state("r1").Well())
+	s := newSimulation(10 * time.Millisecond)
+	s.answers(50, "r1", "r2")
+	s.b.Failed("r1", s.now)
+	is.True(s.state("r1").Normal())
+	s.answers(50, "r1", "r2")
+	s.failing["r1"] = 0.45
+	s.answers(20, "r1", "r2")
+	is.True(s.state("r1").Failing)
+	is.Equal(s.state("r1").Limit(4, 1), 0)
+	is.True(s.b.ProbeDue("r1", s.now))
+	s.b.Probed("r1", s.now)
+	is.True(!s.b.ProbeDue("r1", s.now.Add(probeInterval-1)))
+	s.failing["r1"] = 0
+	s.interval = probeInterval
+	s.answers(8, "r1", "r2")
+	is.True(s.state("r1").Normal())
 }
 
 // Guards against observations that outlive their cause: without new ones a member counts as normal again.
 func TestOldObservationsDecay(t *testing.T) {
 	is := is.New(t)
-	p := newPlay(10 * time.Millisecond)
-	p.slowdown["r1"] = 5
-	p.answers(50, "r1", "r2")
-	p.now = p.now.Add(4 * time.Second)
-	is.Equal(p.state("r1").Slowdown, 1.0)
-	p.b.SetMembers([]upstream.MemberID{"r2"}, "")
-	is.Equal(p.state("r1"), State{Slowdown: 1}) // a member that has left
+	s := newSimulation(10 * time.Millisecond)
+	s.slowdown["r1"] = 5
+	s.answers(50, "r1", "r2")
+	s.now = s.now.Add(4 * time.Second)
+	is.Equal(s.state("r1").Slowdown, 1.0)
+	s.b.SetMembers([]upstream.MemberID{"r2"}, "")
+	is.Equal(s.state("r1"), State{Slowdown: 1}) // a member that has left
 }
 
 func TestASlowMemberKeepsAStatement(t *testing.T) {
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -120,7 +120,7 @@
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
-// probe returns a member that is not well, with a connection, if the item should test whether it has recovered. Only reads
+// probe returns a member that is slow or failing, with a connection, if the item should test whether it has recovered. Only reads
 // that can be repeated at another member in time do so, and no connection is opened for it.
 func (s *Scheduler) probe(w *queuedItem, now time.Time) (*member, *conn) {
 	if s.balancer == nil || w.Need != NeedAny || w.OpensTransaction || w.Retried || w.Deadline.Sub(now) < 2*unansweredAfter {
@@ -210,7 +210,7 @@
 	// All members are observed before one is judged, as the cause may be one that they have in common.
 	var abandoned []ConnID
 	for _, c := range unanswered {
-		if c.repeatable && !c.member.Primary && s.state(c.member, now).Failing && s.anotherWell(c.member, now) {
+		if c.repeatable && !c.member.Primary && s.state(c.member, now).Failing && s.anotherServes(c.member, now) {
 			c.repeatable = false
 			abandoned = append(abandoned, c.id)
 		}
@@ -218,8 +218,8 @@
 	return abandoned
 }
 
-// anotherWell reports whether another member than m is usable and not failing.
-func (s *Scheduler) anotherWell(m *member, now time.Time) bool {
+// anotherServes reports whether a member other than m is usable and not failing.
+func (s *Scheduler) anotherServes(m *member, now time.Time) bool {
 	for _, other := range s.members {
 		if other != m && other.Usable && !s.state(other, now).Failing {
 			return true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,7 +64,7 @@
 	Usable bool
 	// WarmupRate limits the statements per second to a member that is warming up; 0 means no limit.
 	WarmupRate float64
-	// Shared is true while another instance sends statements to the member as well.
+	// Shared is true while another instance also sends statements to the member.
 	Shared bool
 }
 
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// logJudgements logs which members are judged slow, failing or well from now on. The group is locked.
+// logJudgements logs which members are judged slow, failing or normal from now on. The group is locked.
 func (g *Group) logJudgements() {
 	for _, c := range g.scheduler.Judgements() {
 		g.log.Info("member judged", "member", c.Member, "kind", g.memberKind(c.Member), "judgement", c.After.Judgement(), "before", c.Before.Judgement(),
--- a/internal/owner/balance_test.go
+++ b/internal/owner/balance_test.go
@@ -53,7 +53,8 @@
 	is.NoErr(ctx.Err()) // it may only be slow
 	g.applyPlan(epoch.Add(300 * time.Millisecond))
 	is.Equal(context.Cause(ctx), errUnanswered)
-	is.True(strings.Contains(log.String(), "judgement=failing before=well"))
+	t.Log(log.String())
+	is.True(strings.Contains(log.String(), "judgement=failing before=normal"))
 	c := testCall(statement.KindRead)
 	_, again := g.completeLostAttempt(context.Background(), c, l, errUnanswered)
 	is.True(again)
