--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -35,6 +35,8 @@
 	due      time.Time
 	attempts int
 	avoid    upstream.MemberID
+	// failedOn lists the members that failed the read in earlier attempts.
+	failedOn []upstream.MemberID
 	// primaryOnly is true after a replica could not serve the read.
 	primaryOnly bool
 	// need specifies which members could run the last attempt.
@@ -306,6 +308,7 @@
 	}
 	open := answer.State != statement.TxIdle && answer.Code == statement.CodeOK
 	g.mu.Lock()
+	g.observeOutcome(c, l, answer.Code)
 	if answer.State != statement.TxIdle && !open {
 		// A transaction whose first statement failed is rolled back, not kept.
 		g.mu.Unlock()
@@ -368,6 +371,7 @@
 	f := member.FailureOf(err)
 	if f == promotion.FailureConnectionLost && !l.memberReplaced(g) {
 		g.machine.Failed(l.member.ID, f, g.o.Clock())
+		g.observeLoss(l, err)
 		g.signal()
 	}
 	g.releaseConn(l, err, false)
