Keep readers while few instances own all groups

Cause: with fewer than four owners every instance reads the store itself. Change: with at least four groups two owners suffice as readers. Fleets of three groups are served as before.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -150,6 +150,16 @@
 	is.Equal(len(Order("x", "d", Choose(owners))), 4)
 }
 
+// TestFewOwnersOfManyGroupsAreReaders guards against a large fleet whose instances all read the store themselves because its
+// groups have come together at few owners.
+func TestFewOwnersOfManyGroupsAreReaders(t *testing.T) {
+	is := is.New(t)
+	a, b := owner("a1", "a", 0.8), owner("b1", "b", 0.8)
+	is.Equal(names(Choose([]Reader{a, b, a, b, b})), "a1 b1 ")
+	is.Equal(names(Choose([]Reader{a, a, a, a, a})), "") // the loss of the only one would stop all
+	is.Equal(names(Choose([]Reader{a, b})), "")
+}
+
 // TestInstancesSpreadOverTheReaders guards against one reader that answers most of the fleet.
 func TestInstancesSpreadOverTheReaders(t *testing.T) {
 	is := is.New(t)
--- a/internal/fanout/readers.go
+++ b/internal/fanout/readers.go
@@ -15,6 +15,10 @@
 	// minReaders is the number of owners from which the fleet has readers. With fewer of them, the loss of one or two
 	// would send every instance to the store at once, so each reads the store itself.
 	minReaders = 4
+	// minReadersOfManyGroups replaces minReaders when there are as many groups as minReaders. Such a fleet may be large while
+	// few instances own all groups, for example after others were cut off; if each of its instances read the store, they
+	// would make far more calls than the loss of a reader does.
+	minReadersOfManyGroups = 2
 )
 
 // Reader is an instance that may read the store for others.
@@ -29,8 +33,8 @@
 	Cores float64
 }
 
-// Choose returns the readers among the owners of groups: in each failure domain those with the most CPU time. It returns
-// none when there are too few owners. The order of owners and repetitions do not matter.
+// Choose returns the readers among the owners of groups, one entry for each group: in each failure domain those with the most
+// CPU time. It returns none when there are too few owners. The order of owners does not matter.
 func Choose(owners []Reader) []Reader {
 	byInstance := make(map[instance.ID]Reader, len(owners))
 	for _, o := range owners {
@@ -39,7 +43,11 @@
 			byInstance[o.Instance] = o
 		}
 	}
-	if len(byInstance) < minReaders {
+	required := minReaders
+	if len(owners) >= minReaders {
+		required = minReadersOfManyGroups
+	}
+	if len(byInstance) < required {
 		return nil
 	}
 	byDomain := make(map[instance.FailureDomain][]Reader)
