Run reads at a delegate in the caller's failure domain

Each read crossed failure domains twice: from the caller's instance to the owner, and from the owner to a replica. An owner now lends a share of a replica to an instance of the replica's domain, which runs the reads of callers there. Reads that the delegate cannot serve go to the owner.

--- a/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
@@ -41,6 +41,11 @@
 	FleetServiceEndProcedure = "/celerystep.fleet.v1.FleetService/End"
 	// FleetServiceTakeTokensProcedure is the fully-qualified name of the FleetService's TakeTokens RPC.
 	FleetServiceTakeTokensProcedure = "/celerystep.fleet.v1.FleetService/TakeTokens"
+	// FleetServiceRunReadProcedure is the fully-qualified name of the FleetService's RunRead RPC.
+	FleetServiceRunReadProcedure = "/celerystep.fleet.v1.FleetService/RunRead"
+	// FleetServiceBorrowReplicaProcedure is the fully-qualified name of the FleetService's
+	// BorrowReplica RPC.
+	FleetServiceBorrowReplicaProcedure = "/celerystep.fleet.v1.FleetService/BorrowReplica"
 	// FleetServiceIdentifyProcedure is the fully-qualified name of the FleetService's Identify RPC.
 	FleetServiceIdentifyProcedure = "/celerystep.fleet.v1.FleetService/Identify"
 	// FleetServiceFollowProcedure is the fully-qualified name of the FleetService's Follow RPC.
@@ -55,6 +60,10 @@
 	End(context.Context, *connect.Request[v1.EndRequest]) (*connect.Response[v1.EndResponse], error)
 	// TakeTokens grants tokens of customers whose coordinator the receiver is.
 	TakeTokens(context.Context, *connect.Request[v1.TakeTokensRequest]) (*connect.Response[v1.TakeTokensResponse], error)
+	// RunRead runs a read on a replica that the receiver, the delegate of the group in the caller's failure domain, has borrowed.
+	RunRead(context.Context, *connect.Request[v1.RunReadRequest]) (*connect.Response[v1.RunReadResponse], error)
+	// BorrowReplica lends a share of a replica of a group that the receiver owns.
+	BorrowReplica(context.Context, *connect.Request[v1.BorrowReplicaRequest]) (*connect.Response[v1.BorrowReplicaResponse], error)
 	// Identify tells which process answers.
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
 	// Follow returns changes of the shared entries of the store, if the receiver reads the store itself.
@@ -90,6 +99,18 @@
 			connect.WithSchema(fleetServiceMethods.ByName("TakeTokens")),
 			connect.WithClientOptions(opts...),
 		),
+		runRead: connect.NewClient[v1.RunReadRequest, v1.RunReadResponse](
+			httpClient,
+			baseURL+FleetServiceRunReadProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("RunRead")),
+			connect.WithClientOptions(opts...),
+		),
+		borrowReplica: connect.NewClient[v1.BorrowReplicaRequest, v1.BorrowReplicaResponse](
+			httpClient,
+			baseURL+FleetServiceBorrowReplicaProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("BorrowReplica")),
+			connect.WithClientOptions(opts...),
+		),
 		identify: connect.NewClient[v1.IdentifyRequest, v1.IdentifyResponse](
 			httpClient,
 			baseURL+FleetServiceIdentifyProcedure,
@@ -107,11 +128,13 @@
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	run        *connect.Client[v1.RunRequest, v1.RunResponse]
-	end        *connect.Client[v1.EndRequest, v1.EndResponse]
-	takeTokens *connect.Client[v1.TakeTokensRequest, v1.TakeTokensResponse]
-	identify   *connect.Client[v1.IdentifyRequest, v1.IdentifyResponse]
-	follow     *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	run           *connect.Client[v1.RunRequest, v1.RunResponse]
+	end           *connect.Client[v1.EndRequest, v1.EndResponse]
+	takeTokens    *connect.Client[v1.TakeTokensRequest, v1.TakeTokensResponse]
+	runRead       *connect.Client[v1.RunReadRequest, v1.RunReadResponse]
+	borrowReplica *connect.Client[v1.BorrowReplicaRequest, v1.BorrowReplicaResponse]
+	identify      *connect.Client[v1.IdentifyRequest, v1.IdentifyResponse]
+	follow        *connect.Client[v1.FollowRequest, v1.FollowResponse]
 }
 
 // Run calls celerystep.fleet.v1.FleetService.Run.
@@ -129,6 +152,16 @@
 	return c.takeTokens.CallUnary(ctx, req)
 }
 
+// RunRead calls celerystep.fleet.v1.FleetService.RunRead.
+func (c *fleetServiceClient) RunRead(ctx context.Context, req *connect.Request[v1.RunReadRequest]) (*connect.Response[v1.RunReadResponse], error) {
+	return c.runRead.CallUnary(ctx, req)
+}
+
+// BorrowReplica calls celerystep.fleet.v1.FleetService.BorrowReplica.
+func (c *fleetServiceClient) BorrowReplica(ctx context.Context, req *connect.Request[v1.BorrowReplicaRequest]) (*connect.Response[v1.BorrowReplicaResponse], error) {
+	return c.borrowReplica.CallUnary(ctx, req)
+}
+
 // Identify calls celerystep.fleet.v1.FleetService.Identify.
 func (c *fleetServiceClient) Identify(ctx context.Context, req *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
 	return c.identify.CallUnary(ctx, req)
@@ -147,6 +180,10 @@
 	End(context.Context, *connect.Request[v1.EndRequest]) (*connect.Response[v1.EndResponse], error)
 	// TakeTokens grants tokens of customers whose coordinator the receiver is.
 	TakeTokens(context.Context, *connect.Request[v1.TakeTokensRequest]) (*connect.Response[v1.TakeTokensResponse], error)
+	// RunRead runs a read on a replica that the receiver, the delegate of the group in the caller's failure domain, has borrowed.
+	RunRead(context.Context, *connect.Request[v1.RunReadRequest]) (*connect.Response[v1.RunReadResponse], error)
+	// BorrowReplica lends a share of a replica of a group that the receiver owns.
+	BorrowReplica(context.Context, *connect.Request[v1.BorrowReplicaRequest]) (*connect.Response[v1.BorrowReplicaResponse], error)
 	// Identify tells which process answers.
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
 	// Follow returns changes of the shared entries of the store, if the receiver reads the store itself.
@@ -178,6 +215,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("TakeTokens")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceRunReadHandler := connect.NewUnaryHandler(
+		FleetServiceRunReadProcedure,
+		svc.RunRead,
+		connect.WithSchema(fleetServiceMethods.ByName("RunRead")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServiceBorrowReplicaHandler := connect.NewUnaryHandler(
+		FleetServiceBorrowReplicaProcedure,
+		svc.BorrowReplica,
+		connect.WithSchema(fleetServiceMethods.ByName("BorrowReplica")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceIdentifyHandler := connect.NewUnaryHandler(
 		FleetServiceIdentifyProcedure,
 		svc.Identify,
@@ -198,6 +247,10 @@
 			fleetServiceEndHandler.ServeHTTP(w, r)
 		case FleetServiceTakeTokensProcedure:
 			fleetServiceTakeTokensHandler.ServeHTTP(w, r)
+		case FleetServiceRunReadProcedure:
+			fleetServiceRunReadHandler.ServeHTTP(w, r)
+		case FleetServiceBorrowReplicaProcedure:
+			fleetServiceBorrowReplicaHandler.ServeHTTP(w, r)
 		case FleetServiceIdentifyProcedure:
 			fleetServiceIdentifyHandler.ServeHTTP(w, r)
 		case FleetServiceFollowProcedure:
@@ -223,6 +276,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.TakeTokens is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) RunRead(context.Context, *connect.Request[v1.RunReadRequest]) (*connect.Response[v1.RunReadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.RunRead is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) BorrowReplica(context.Context, *connect.Request[v1.BorrowReplicaRequest]) (*connect.Response[v1.BorrowReplicaResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.BorrowReplica is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.Identify is not implemented"))
 }
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -14,6 +14,8 @@
 	Rejected  *prometheus.CounterVec
 	Answers   *prometheus.CounterVec
 	Durations *prometheus.HistogramVec
+	// DelegateReads counts reads that were sent to a delegate, by outcome: served, or the cause of a decline.
+	DelegateReads *prometheus.CounterVec
 	// Panics counts sessions that were ended by a panic.
 	Panics prometheus.Counter
 }
@@ -32,9 +34,12 @@
 			Name: "celerystep_caller_seconds", Help: "Time from a statement's arrival to its answer.",
 			Buckets: []float64{.002, .005, .01, .02, .05, .1, .15, .25, .5, 1, 2.5},
 		}, []string{"kind"}),
+		DelegateReads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "celerystep_caller_delegate_reads_total", Help: "Reads sent to the delegate of their group, by outcome.",
+		}, []string{"outcome"}),
 		Panics: prometheus.NewCounter(prometheus.CounterOpts{Name: "celerystep_caller_panics_total", Help: "Sessions that were ended by a panic."}),
 	}
-	r.MustRegister(m.Sessions, m.Rejected, m.Answers, m.Durations, m.Panics)
+	r.MustRegister(m.Sessions, m.Rejected, m.Answers, m.Durations, m.DelegateReads, m.Panics)
 	return m
 }
 
--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -50,7 +51,14 @@
 	Clock   boottime.Clock
 	Log     hclog.Logger
 
+	// Delegates is nil unless reads may run at delegates. LocalReads runs those of which this instance is the delegate.
+	Delegates  Delegates
+	LocalReads operation.ReadRunner
+	Metrics    *Metrics
+
 	overRate overRate
+	// paths maps upstream.GroupID to *delegatePath.
+	paths sync.Map
 }
 
 // Run implements operation.Runner.
@@ -62,7 +70,10 @@
 	if remaining := r.overRate.remaining(customer, q.Group, r.Clock()); remaining > 0 {
 		return operation.Refuse(statement.CodeBusy, operation.DetailOverRate, remaining)
 	}
-	resp := r.route(ctx, q)
+	resp, served := r.readAtDelegate(ctx, q)
+	if !served {
+		resp = r.route(ctx, q)
+	}
 	if resp.OverRate || resp.Code == statement.CodeOK {
 		r.overRate.record(customer, q.Group, resp.OverRate, r.Clock())
 	}
@@ -87,9 +98,7 @@
 		claim, mine, changed := r.Claims.Current(q.Group)
 		resp, err := r.call(ctx, q, claim, mine)
 		if err == nil && !resp.NotOwner {
-			if resp.CatalogRevision > r.Catalog().Revision {
-				go r.CatchUp(context.WithoutCancel(ctx), resp.CatalogRevision)
-			}
+			r.learnRevision(ctx, &resp)
 			return resp
 		}
 		if err != nil && !notExecuted(err) {
@@ -113,6 +122,13 @@
 	}
 }
 
+// learnRevision requests the configuration that the response shows to be newer than the one in force here.
+func (r *Router) learnRevision(ctx context.Context, resp *operation.Response) {
+	if resp.CatalogRevision > r.Catalog().Revision {
+		go r.CatchUp(context.WithoutCancel(ctx), resp.CatalogRevision)
+	}
+}
+
 // call sends the request to the claim's owner.
 func (r *Router) call(ctx context.Context, q *operation.Request, claim ownership.Claim, mine bool) (operation.Response, error) {
 	if mine {
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/fleetlink"
 	"github.com/celerystep/celerystep/internal/operation"
@@ -123,6 +124,14 @@
 	return nil, false
 }
 
+func (l *leavingOwner) RunRead(context.Context, *operation.Request) operation.ReadResult {
+	return operation.ReadResult{Decline: delegation.DeclineNoGrant}
+}
+
+func (l *leavingOwner) Lend(upstream.GroupID, owner.BorrowRequest) (delegation.Offer, delegation.Refusal) {
+	return delegation.Offer{}, delegation.RefusalNotOwner
+}
+
 func (l *leavingOwner) Follow(context.Context, fanout.Request) (fanout.Answer, error) {
 	return fanout.Answer{}, fanout.ErrNotReader
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -119,6 +119,9 @@
 // Customer returns the customer with the name, or nil.
 func (c *Catalog) Customer(name string) *Customer { return c.byName[name] }
 
+// CustomerCount returns the number of customers.
+func (c *Catalog) CustomerCount() int { return len(c.byName) }
+
 // Customers calls f for each customer, in no particular order.
 func (c *Catalog) Customers(f func(*Customer)) {
 	for _, v := range c.byName {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -90,7 +90,7 @@
 	if m.running >= limit || !m.withinWarmupRate(now) {
 		return false
 	}
-	return !w.OpensTransaction || m.heldConns*100 < s.limits.Connections*s.limits.TransactionPercent
+	return !w.OpensTransaction || m.heldConns*100 < s.allowance(m)*s.limits.TransactionPercent
 }
 
 // estimate returns the expected time until the member has run the item.
--- a/internal/dispatch/connections.go
+++ b/internal/dispatch/connections.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		for _, customer := range customers {
-			if len(m.conns) >= s.limits.Connections/2 || m.hasConn(customer) {
+			if len(m.conns) >= min(s.limits.Connections/2, s.allowance(m)) || m.hasConn(customer) {
 				continue
 			}
 			if o, ok := s.open(m, customer, now); ok {
@@ -205,11 +205,39 @@
 // connLimit returns how many connections to the member may be open.
 func (s *Scheduler) connLimit(m *member, now time.Time) int {
 	if now.Before(m.connLimitUntil) {
-		return min(s.limits.Connections, m.connLimit)
+		return min(s.allowance(m), m.connLimit)
 	}
-	return s.limits.Connections
+	return s.allowance(m)
 }
 
+// allowance returns how many connections to the member this scheduler may hold.
+func (s *Scheduler) allowance(m *member) int { return max(0, s.limits.Connections-m.LentConnections) }
+
+// ConnsInUse returns the number of connections to the member that are not idle.
+func (s *Scheduler) ConnsInUse(id upstream.MemberID) int {
+	n := 0
+	if m := findMember(s.members, id); m != nil {
+		for _, c := range m.conns {
+			if c.state != connIdle {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Running returns the number of statements that run in slots of the members.
+func (s *Scheduler) Running() int {
+	n := 0
+	for _, m := range s.members {
+		n += m.running
+	}
+	return n
+}
+
+// Conns returns the number of connections.
+func (s *Scheduler) Conns() int { return len(s.conns) }
+
 // Closed records that a connection has been closed, whatever its state.
 func (s *Scheduler) Closed(id ConnID) {
 	if c := s.conns[id]; c != nil {
@@ -298,7 +326,7 @@
 // connections in use.
 func (s *Scheduler) TrimToLimit() {
 	for _, m := range s.members {
-		for len(m.conns) > s.limits.Connections {
+		for len(m.conns) > s.allowance(m) {
 			c := m.oldestIdle()
 			if c == nil {
 				break
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -55,6 +55,8 @@
 	ID upstream.MemberID
 	// Slots is the number of statements that the member runs concurrently.
 	Slots int
+	// LentConnections is the number of connections to the member that another instance uses at present.
+	LentConnections int
 	// RoundTrip is the expected network round-trip time to the member.
 	RoundTrip time.Duration
 	// Primary is true for the primary.
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -13,6 +13,7 @@
 	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
 	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
 	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/netopt"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
@@ -153,6 +154,32 @@
 	return fromTokens(resp.Msg.GetGrants()), nil
 }
 
+// RunRead runs a read at the peer, which is the delegate of the group in the caller's failure domain.
+func (p *Peer) RunRead(ctx context.Context, r *operation.Request) (operation.ReadResult, error) {
+	ctx, done, err := p.health.startCall(ctx)
+	if err != nil {
+		return operation.ReadResult{}, errors.Wrapf(err, "peer %s", p.address)
+	}
+	defer done()
+	started := time.Now()
+	resp, err := p.client.RunRead(ctx, connect.NewRequest(&fleetv1.RunReadRequest{Request: toRequest(r)}))
+	if err != nil {
+		return operation.ReadResult{}, p.classifyError(err, started)
+	}
+	return fromReadResponse(resp.Msg), nil
+}
+
+// BorrowReplica requests a share of a replica from the peer, which must own the group.
+func (p *Peer) BorrowReplica(ctx context.Context, g upstream.GroupID, r owner.BorrowRequest) (delegation.Offer, delegation.Refusal, error) {
+	started := time.Now()
+	resp, err := p.client.BorrowReplica(ctx, connect.NewRequest(toBorrowRequest(g, r)))
+	if err != nil {
+		return delegation.Offer{}, delegation.RefusalUnreachable, p.classifyError(err, started)
+	}
+	offer, refusal := fromOffer(resp.Msg)
+	return offer, refusal, nil
+}
+
 // classifyError wraps an error of a call that began at the given time. It maps errors that guarantee that the call was not
 // executed to ErrConnectionRefused and ErrUnreachable.
 func (p *Peer) classifyError(err error, started time.Time) error {
--- a/internal/fleetlink/convert.go
+++ b/internal/fleetlink/convert.go
@@ -50,6 +50,7 @@
 		Floor:         toPosition(r.Floor),
 		ElapsedMs:     uint32(r.Elapsed.Milliseconds()),
 		Customer:      r.Customer,
+		Charged:       r.Charged,
 	}
 }
 
@@ -71,6 +72,7 @@
 		Floor:         fromPosition(r.GetFloor()),
 		Elapsed:       time.Duration(r.GetElapsedMs()) * time.Millisecond,
 		Customer:      r.GetCustomer(),
+		Charged:       r.GetCharged(),
 	}
 }
 
--- a/internal/fleetlink/convert_test.go
+++ b/internal/fleetlink/convert_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
+	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
@@ -57,6 +58,15 @@
 	return nil, false
 }
 
+func (n *noOwner) RunRead(context.Context, *operation.Request) operation.ReadResult {
+	n.runs++
+	return operation.ReadResult{Decline: delegation.DeclineNoGrant}
+}
+
+func (*noOwner) Lend(upstream.GroupID, owner.BorrowRequest) (delegation.Offer, delegation.Refusal) {
+	return delegation.Offer{}, delegation.RefusalNotOwner
+}
+
 func (*noOwner) Follow(context.Context, fanout.Request) (fanout.Answer, error) {
 	return fanout.Answer{}, fanout.ErrNotReader
 }
@@ -89,6 +99,7 @@
 		run, end, tokens, follow := &fleetv1.RunRequest{}, &fleetv1.EndRequest{}, &fleetv1.TakeTokensRequest{}, &fleetv1.FollowRequest{}
 		if proto.Unmarshal(b, run) == nil {
 			_, _ = h.Run(ctx, connect.NewRequest(run))
+			_, _ = h.RunRead(ctx, connect.NewRequest(&fleetv1.RunReadRequest{Request: run}))
 		}
 		if proto.Unmarshal(b, end) == nil {
 			_, _ = h.End(ctx, connect.NewRequest(end))
--- a/internal/fleetlink/server.go
+++ b/internal/fleetlink/server.go
@@ -12,6 +12,7 @@
 
 	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
 	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
+	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/operation"
@@ -34,6 +35,9 @@
 	operation.Runner
 	// Grant returns the tokens granted for the requests, or false if this instance does not own the group.
 	Grant(g upstream.GroupID, requests []owner.TokenRequest) ([]owner.TokenRequest, bool)
+	operation.ReadRunner
+	// Lend lends a share of a replica of a group that this instance owns.
+	Lend(g upstream.GroupID, r owner.BorrowRequest) (delegation.Offer, delegation.Refusal)
 }
 
 // Reader passes on the shared entries of the store.
@@ -88,6 +92,21 @@
 	return connect.NewResponse(&fleetv1.TakeTokensResponse{NotOwner: !ok, Grants: toTokens(grants)}), nil
 }
 
+// RunRead implements fleetv1connect.FleetServiceHandler.
+func (h *handler) RunRead(ctx context.Context, r *connect.Request[fleetv1.RunReadRequest]) (*connect.Response[fleetv1.RunReadResponse], error) {
+	q := fromRequest(r.Msg.GetRequest())
+	if !q.Valid() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errInvalidRequest)
+	}
+	return connect.NewResponse(toReadResponse(h.local.RunRead(ctx, q))), nil
+}
+
+// BorrowReplica implements fleetv1connect.FleetServiceHandler.
+func (h *handler) BorrowReplica(_ context.Context, r *connect.Request[fleetv1.BorrowReplicaRequest]) (*connect.Response[fleetv1.BorrowReplicaResponse], error) {
+	offer, refusal := h.local.Lend(upstream.GroupID(r.Msg.GetGroup()), fromBorrowRequest(r.Msg))
+	return connect.NewResponse(toOffer(offer, refusal)), nil
+}
+
 // Identify implements fleetv1connect.FleetServiceHandler.
 func (h *handler) Identify(context.Context, *connect.Request[fleetv1.IdentifyRequest]) (*connect.Response[fleetv1.IdentifyResponse], error) {
 	return connect.NewResponse(&fleetv1.IdentifyResponse{Instance: string(h.self), Process: h.process}), nil
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -73,6 +73,10 @@
 	return l.samples[len(l.samples)-1].p
 }
 
+// Known returns the newest position and a time: every commit that was acknowledged before that time is at or below the
+// position. Observed by another History, the pair keeps its floors valid.
+func (l *History) Known() (position.Position, time.Time) { return l.Latest(), l.lastSent }
+
 // FloorAt returns a position that covers every commit acknowledged before t. It returns false if no request sent to the
 // primary at or after t has been answered yet; then only the primary itself is certain to cover them.
 func (l *History) FloorAt(t time.Time) (position.Position, bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,13 +233,14 @@
 
 		coordinatorLost: make(map[upstream.GroupID]bool),
 	}
-	n.claims.Store(&claimTable{changed: make(chan struct{})})
+	n.claims.Store(&claimTable{changed: make(chan struct{}), delegates: newDelegateTable(nil)})
 	n.catalog.Store(catalog.New(0, 0))
 	n.domainsOut.Store(&map[instance.FailureDomain]bool{})
 	n.readers.Store(&fanout.Route{})
 	n.shared = fanout.NewSource(opts.Store, n.Peers, func() fanout.Route { return *n.readers.Load() }, opts.Clock, opts.Log.Named("fanout"), rand.Float64)
 	opts.Owner.Authority = n
 	opts.Owner.Tokens = n
+	opts.Owner.Lender = n
 	opts.Owner.Catalog = n.Catalog
 	opts.Owner.CatchUp = n.CatchUp
 	opts.Owner.RenewClaim = n.renewClaim
@@ -356,7 +357,8 @@
 	// last holds the most recent claim of each group, including removed ones.
 	last map[upstream.GroupID]ownership.Claim
 	// changed is closed when the table is replaced.
-	changed chan struct{}
+	changed   chan struct{}
+	delegates *delegateTable
 }
 
 func (t *claimTable) get(g upstream.GroupID) ownership.Claim { return t.claims[g] }
@@ -369,6 +371,7 @@
 	}
 	n.claimsDirty = false
 	next := &claimTable{claims: n.planner.Claims(), last: n.planner.LastClaims(), changed: make(chan struct{})}
+	next.delegates = newDelegateTable(next.claims)
 	close(n.claims.Swap(next).changed)
 	n.chooseReaders(next)
 	n.triggerPlanner()
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/position"
@@ -42,6 +43,8 @@
 	Floor position.Position
 	// Elapsed is the time since the caller's statement arrived.
 	Elapsed time.Duration
+	// Charged is true if a delegate has taken the customer's token for this statement already.
+	Charged bool
 }
 
 // Valid reports whether the statement is one that runs on a member and no part of the request contains a line break, which
@@ -91,6 +94,19 @@
 	End(ctx context.Context, g upstream.GroupID, s SessionID)
 }
 
+// ReadResult is a delegate's answer to a read. A read that was declined must be sent to the owner of the group.
+type ReadResult struct {
+	Response Response
+	Decline  delegation.Decline
+	// Charged is true if a declined read has used up the customer's token.
+	Charged bool
+}
+
+// ReadRunner runs reads of groups that other instances own.
+type ReadRunner interface {
+	RunRead(ctx context.Context, r *Request) ReadResult
+}
+
 // DetailOverRate is the detail of responses with OverRate set.
 const DetailOverRate = "the customer is above its rate"
 
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -8,8 +8,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/freshness"
+	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/ownership"
@@ -65,7 +67,12 @@
 	servingPrimary upstream.MemberID
 	limits         dispatch.Limits
 	// tokenRequests holds, by customer, a channel that is closed when the pending request for tokens has been answered.
-	tokenRequests    map[string]chan struct{}
+	tokenRequests map[string]chan struct{}
+	// lent records what delegates may use of the members. refusals holds the cause of the last refusal by failure domain.
+	lent     delegation.Ledger
+	refusals map[instance.FailureDomain]delegation.Refusal
+	// delegated is true for the group of a Delegate: this instance does not own it.
+	delegated        bool
 	lastHousekeeping time.Time
 	lastPrewarm      time.Time
 }
@@ -87,6 +94,7 @@
 		waiters:       make(map[dispatch.Ticket]chan queueResult),
 		txs:           make(map[operation.SessionID]*transaction),
 		tokenRequests: make(map[string]chan struct{}),
+		refusals:      make(map[instance.FailureDomain]delegation.Refusal),
 	}
 }
 
@@ -206,6 +214,7 @@
 	for _, e := range g.machine.Explanations() {
 		g.log.Info("primary", "token", g.claim.Revision, "decision", e)
 	}
+	g.expireLoans(now)
 	g.applyMembers(now)
 	if now.Sub(g.lastHousekeeping) >= housekeepingInterval {
 		g.lastHousekeeping = now
@@ -279,6 +288,8 @@
 			// A primary that is being replaced must get no new statements.
 			c.Usable = false
 		}
+		lent := g.lent.Lent(m.ID, now)
+		c.Slots, c.LentConnections = max(c.Slots-lent.Slots, 1), lent.Connections
 		if now.Before(m.WarmUntil) {
 			c.WarmupRate = warmRate
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,7 @@
 
 	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/operation"
@@ -45,6 +46,20 @@
 	Tokens   int
 }
 
+// Lender requests loans of replicas from the owners of groups.
+type Lender interface {
+	// BorrowReplica requests a loan from the owner of the group. The caller's instance and process are added to the request.
+	BorrowReplica(ctx context.Context, g upstream.GroupID, r BorrowRequest) (delegation.Offer, delegation.Refusal)
+}
+
+// BorrowRequest is a delegate's request for a share of a replica in its failure domain.
+type BorrowRequest struct {
+	Holder ownership.Process
+	Domain instance.FailureDomain
+	// Running, Queued and Connections are the delegate's demand.
+	Running, Queued, Connections int
+}
+
 // Options configures a Manager.
 type Options struct {
 	Domain    instance.FailureDomain
@@ -63,6 +78,9 @@
 	Metrics    *Metrics
 	// CrossDomainRTT is the expected network round-trip time to a member in another failure domain.
 	CrossDomainRTT time.Duration
+	// DelegateReads enables reads at delegates; Lender is used only then.
+	DelegateReads bool
+	Lender        Lender
 }
 
 // Manager holds the groups that the instance owns.
@@ -73,6 +91,8 @@
 	members map[upstream.GroupID][]member.Member
 	// draining holds released groups that still have open transactions.
 	draining map[upstream.GroupID]*Group
+	// delegates holds the groups of which this instance has run reads for their owners.
+	delegates map[upstream.GroupID]*Delegate
 }
 
 // NewManager returns a manager that owns no groups.
@@ -82,6 +102,8 @@
 		groups:   make(map[upstream.GroupID]*Group),
 		members:  make(map[upstream.GroupID][]member.Member),
 		draining: make(map[upstream.GroupID]*Group),
+
+		delegates: make(map[upstream.GroupID]*Delegate),
 	}
 }
 
@@ -127,6 +149,9 @@
 			g.setMembers(list)
 		}
 	}
+	if d := m.delegates[id]; d != nil {
+		d.setMembers(list)
+	}
 }
 
 // Members returns the known members of a group.
@@ -159,6 +184,10 @@
 			delete(set, id)
 		}
 	}
+	for id, d := range m.delegates {
+		d.g.stop()
+		delete(m.delegates, id)
+	}
 }
 
 func (m *Manager) group(id upstream.GroupID) (owned, draining *Group) {
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -129,7 +129,7 @@
 		if retry && c.attempts < maxAttempts && ctx.Err() == nil {
 			continue
 		}
-		if resp.Code.NotRun() {
+		if resp.Code.NotRun() && !r.Charged {
 			g.returnToken(c)
 		}
 		resp.CatalogRevision = c.catalog.Revision
--- a/internal/owner/tokens.go
+++ b/internal/owner/tokens.go
@@ -22,7 +22,7 @@
 // takeToken takes a token of the customer, requesting more from the coordinator when there is none. When it gets no
 // token, it returns how long the caller should wait before a retry.
 func (g *Group) takeToken(ctx context.Context, c *call) (ok bool, after time.Duration) {
-	if c.customer == nil || c.customer.Rate <= 0 {
+	if c.r.Charged || c.customer == nil || c.customer.Rate <= 0 {
 		return true, 0
 	}
 	g.mu.Lock()
