--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -66,6 +66,9 @@
 
 // Peers holds the clients of other instances by address. It is safe for concurrent use.
 type Peers struct {
+	// Traffic counts the messages unless it is nil. It must be set before the first call.
+	Traffic *Traffic
+
 	clock boottime.Clock
 	mu    sync.Mutex
 	peers map[string]*Peer
@@ -83,14 +86,14 @@
 	if known := p.peers[address]; known != nil {
 		return known
 	}
-	peer := &Peer{clock: p.clock, address: address, client: newClient(address), probe: newClient(address), bulk: newClient(address)}
+	peer := &Peer{clock: p.clock, address: address, client: p.newClient(address), probe: p.newClient(address), bulk: p.newClient(address)}
 	peer.health = newHealth(peer.identify)
 	p.peers[address] = peer
 	return peer
 }
 
 // newClient returns a client with its own HTTP/2 connection.
-func newClient(address string) fleetv1connect.FleetServiceClient {
+func (p *Peers) newClient(address string) fleetv1connect.FleetServiceClient {
 	t := &http.Transport{
 		Protocols:          new(http.Protocols),
 		DialContext:        netopt.Dialer(dialTimeout).DialContext,
@@ -100,7 +103,11 @@
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
 	// Messages are a few hundred bytes; compression would cost more time than it saves.
-	return fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
+	options := []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil)}
+	if p.Traffic != nil {
+		options = append(options, connect.WithInterceptors(p.Traffic.interceptor(address)))
+	}
+	return fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address, options...)
 }
 
 // identify sends a health probe to the peer.
--- a/internal/node/delegates.go
+++ b/internal/node/delegates.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/celerystep/celerystep/internal/delegation"
+	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/owner"
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/upstream"
@@ -13,12 +14,35 @@
 // delegateTable caches the delegates that follow from one claim table. Its methods are safe for concurrent use.
 type delegateTable struct {
 	owners func() delegation.Owners
+	// domains holds the failure domains of owners by address.
+	domains func() map[string]instance.FailureDomain
 	// byGroup maps upstream.GroupID to ownership.Claim; the zero Claim means that there is none.
 	byGroup sync.Map
 }
 
 func newDelegateTable(claims map[upstream.GroupID]ownership.Claim) *delegateTable {
-	return &delegateTable{owners: sync.OnceValue(func() delegation.Owners { return delegation.OwnersOf(claims) })}
+	return &delegateTable{
+		owners: sync.OnceValue(func() delegation.Owners { return delegation.OwnersOf(claims) }),
+		domains: sync.OnceValue(func() map[string]instance.FailureDomain {
+			domains := make(map[string]instance.FailureDomain)
+			for _, c := range claims {
+				domains[c.Address] = c.Domain
+			}
+			return domains
+		}),
+	}
+}
+
+// domainLabel returns the label in metrics for the failure domain of a peer, which is known of owners.
+func (n *Node) domainLabel(address string) string {
+	switch n.claims.Load().delegates.domains()[address] {
+	case "":
+		return "unknown"
+	case n.opts.Settings.Domain:
+		return "same"
+	default:
+		return "other"
+	}
 }
 
 // Delegate implements caller.Delegates.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -8,13 +8,17 @@
 type Metrics struct {
 	// StoreCalls counts calls to the store by kind and result.
 	StoreCalls *prometheus.CounterVec
+	// PeerBytes counts the bytes of calls to other instances by call and failure domain: same, other or unknown.
+	PeerBytes *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{StoreCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "celerystep_store_calls_total", Help: "Calls to the key-value service by kind and result.",
-	}, []string{"kind", "result"})}
-	r.MustRegister(m.StoreCalls)
+	}, []string{"kind", "result"}), PeerBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "celerystep_peer_bytes_total", Help: "Bytes of the messages of calls to other instances, in both directions, by call and failure domain.",
+	}, []string{"call", "domain"})}
+	r.MustRegister(m.StoreCalls, m.PeerBytes)
 	return m
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,6 +233,9 @@
 
 		coordinatorLost: make(map[upstream.GroupID]bool),
 	}
+	if opts.Metrics != nil {
+		n.Peers.Traffic = &fleetlink.Traffic{Bytes: opts.Metrics.PeerBytes, DomainLabel: n.domainLabel}
+	}
 	n.claims.Store(&claimTable{changed: make(chan struct{}), delegates: newDelegateTable(nil)})
 	n.catalog.Store(catalog.New(0, 0))
 	n.domainsOut.Store(&map[instance.FailureDomain]bool{})
