--- a/internal/node/delegates.go
+++ b/internal/node/delegates.go
@@ -54,7 +54,8 @@
 	if known, found := t.delegates.byGroup.Load(g); found {
 		c = known.(ownership.Claim)
 	} else {
-		c, _ = t.delegates.owners().Choose(g, t.get(g), n.opts.Settings.Domain)
+		// While the group has no owner, a loan of the last one may still be in use.
+		c, _ = t.delegates.owners().Choose(g, t.last[g], n.opts.Settings.Domain)
 		t.delegates.byGroup.Store(g, c)
 	}
 	return c, n.ownsClaim(c), c.Owner != ""
--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -275,7 +275,7 @@
 		return operation.ReadResult{Decline: delegation.DeclineOverRate}
 	}
 	result := d.attempt(ctx, c)
-	if result.Decline != delegation.DeclineNone && !result.Charged {
+	if !result.Charged && (result.Decline != delegation.DeclineNone || result.Response.Code.NotRun()) {
 		tokens.returnToken(c)
 	}
 	result.Response.CatalogRevision = c.catalog.Revision
