Give up the loan of a replica whose reads fail

A delegate has one replica, so a replica that leaves part of its statements unanswered cost each read 70% of its target before the owner ran it elsewhere. When the moving average of failed reads reaches a quarter, the delegate uses no loan for two seconds.

--- a/internal/delegation/borrower.go
+++ b/internal/delegation/borrower.go
@@ -12,6 +12,13 @@
 	renewInterval = 150 * time.Millisecond
 	// refusedPause is the time after which a delegate that was refused a loan asks again.
 	refusedPause = 400 * time.Millisecond
+	// failingPause is the time for which a delegate uses no loan after too many of its reads have failed. The owner can choose
+	// another replica, the delegate cannot.
+	failingPause = 2 * time.Second
+	// failureWeight is the weight of one read in the moving average of failures, maxFailures the average from which a loan is
+	// given up.
+	failureWeight = 0.1
+	maxFailures   = 0.25
 )
 
 // Offer is an owner's response to a request for a loan.
@@ -41,11 +48,15 @@
 	grant  Grant
 	asking bool
 	askAt  time.Time
+	// droppedUntil is the time until which no loan is used.
+	droppedUntil time.Time
+	// failures is the moving average of the share of reads that failed.
+	failures float64
 }
 
 // Ask reports whether a request for a loan is due, and marks it as in progress. Granted or Refused must be called.
 func (b *Borrower) Ask(now time.Time) bool {
-	if b.asking || now.Before(b.askAt) {
+	if b.asking || now.Before(b.askAt) || now.Before(b.droppedUntil) {
 		return false
 	}
 	b.asking, b.askAt = true, now.Add(renewInterval)
@@ -53,11 +64,11 @@
 }
 
 // Granted records the response to a request that was sent at the given time. It returns false for an offer that has lapsed on
-// its way, or that comes from an earlier owner than the loan in use.
+// its way, that comes from an earlier owner than the loan in use, or that arrives too soon after a loan was given up.
 func (b *Borrower) Granted(o Offer, sent, now time.Time) bool {
 	b.asking = false
 	g := Grant{Offer: o, Until: sent.Add(min(o.TTL, TTL))}
-	if current, ok := b.Grant(now); !now.Before(g.Until) || ok && o.Revision < current.Revision {
+	if current, ok := b.Grant(now); !now.Before(g.Until) || now.Before(b.droppedUntil) || ok && o.Revision < current.Revision {
 		return false
 	}
 	b.grant = g
@@ -67,8 +78,23 @@
 // Refused records that a request got no loan. The current loan stays in use until it lapses.
 func (b *Borrower) Refused(now time.Time) { b.asking, b.askAt = false, now.Add(refusedPause) }
 
-// Drop gives the current loan up, for example because its member does not answer.
-func (b *Borrower) Drop(now time.Time) { b.grant, b.askAt = Grant{}, now.Add(refusedPause) }
+// Drop gives the current loan up because its member does not answer.
+func (b *Borrower) Drop(now time.Time) {
+	b.grant, b.droppedUntil, b.failures = Grant{}, now.Add(failingPause), 0
+}
+
+// Record records whether a read on the borrowed replica failed. It returns true when that gives the loan up.
+func (b *Borrower) Record(failed bool, now time.Time) bool {
+	b.failures *= 1 - failureWeight
+	if failed {
+		b.failures += failureWeight
+	}
+	if b.failures < maxFailures {
+		return false
+	}
+	b.Drop(now)
+	return true
+}
 
 // Grant returns the loan in use, or false if there is none.
 func (b *Borrower) Grant(now time.Time) (Grant, bool) { return b.grant, now.Before(b.grant.Until) }
--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -295,14 +295,14 @@
 }
 
 // attempt queues the read and runs it once.
-func (d *Delegate) attempt(ctx context.Context, c *call) operation.ReadResult {
+func (d *Delegate) attempt(caller context.Context, c *call) operation.ReadResult {
 	g := d.g
 	target := c.due.Sub(c.arrived)
 	c.due = c.arrived.Add(target * delegateWaitPercent / 100)
 	left := c.arrived.Sub(g.o.Clock())
-	ctx, cancel := context.WithTimeout(ctx, left+target*delegateRunPercent/100)
+	run, cancel := context.WithTimeout(caller, left+target*delegateRunPercent/100)
 	defer cancel()
-	queue, leave := context.WithTimeout(ctx, left+target*delegateWaitPercent/100)
+	queue, leave := context.WithTimeout(run, left+target*delegateWaitPercent/100)
 	defer leave()
 	l, _, refused := g.acquire(queue, c)
 	if refused != nil {
@@ -313,14 +313,27 @@
 		return operation.ReadResult{Decline: decline}
 	}
 	c.attempts++
-	answer, err := g.execute(ctx, c, l, false)
-	resp, again := g.completeAttempt(ctx, c, l, false, answer, err)
+	answer, err := g.execute(run, c, l, false)
+	if caller.Err() == nil {
+		d.recordOutcome(l, err != nil || answer.Code == statement.CodeFailed)
+	}
+	resp, again := g.completeAttempt(run, c, l, false, answer, err)
 	if again || resp.Code == statement.CodeTimeout {
 		return operation.ReadResult{Decline: delegation.DeclineFailed, Charged: !resp.Code.NotRun()}
 	}
 	return operation.ReadResult{Response: resp}
 }
 
+// recordOutcome records whether the read on the replica failed, which may give the loan up.
+func (d *Delegate) recordOutcome(l *memberConn, failed bool) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.borrower.Record(failed, d.g.o.Clock()) {
+		d.g.log.Info("too many reads on the borrowed replica fail", "member", l.member.ID)
+		d.g.signal()
+	}
+}
+
 // recheck repeats, right before the read is sent, the checks whose result may have changed since: the process may have been
 // frozen, or the read was queued.
 func (d *Delegate) recheck(c *call, l *memberConn) delegation.Decline {
