--- a/internal/owner/delegate_test.go
+++ b/internal/owner/delegate_test.go
@@ -34,8 +34,9 @@
 	offer   delegation.Offer
 	refusal delegation.Refusal
 	tokens  int
-	// onDial runs while a connection is opened, answer is the replica's answer or its error.
-	onDial  func()
+	// onBorrow runs while a loan is requested, onDial while a connection is opened; answer is the replica's answer or its error.
+	onBorrow, onDial func()
+
 	answer  statement.Answer
 	failure error
 	sent    []member.Command
@@ -98,6 +99,9 @@
 }
 
 func (w *delegateWorld) BorrowReplica(context.Context, upstream.GroupID, BorrowRequest) (o delegation.Offer, r delegation.Refusal) {
+	if w.onBorrow != nil {
+		w.onBorrow()
+	}
 	w.locked(func() { o, r = w.offer, w.refusal })
 	return o, r
 }
@@ -219,24 +223,47 @@
 	}
 }
 
-// Guards against a read that is sent although the loan has lapsed while the process was frozen or the read was queued.
+// Guards against a read that is sent although the loan has lapsed, or the key was withdrawn, while the process was frozen or the
+// read was queued.
 func TestAFrozenDelegateSendsNothing(t *testing.T) {
+	for name, change := range map[string]func(w *delegateWorld){
+		"the loan lapses":      func(w *delegateWorld) { w.advance(delegation.TTL) },
+		"the key is withdrawn": func(w *delegateWorld) { w.locked(func() { w.catalog = delegatedCatalog(6, "k2") }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newDelegateWorld(t)
+			w.borrow(t)
+			_, d := w.m.delegate("g")
+			w.locked(func() { w.refusal = delegation.RefusalHeld })
+			d.g.mu.Lock()
+			for id := range d.g.conns { // the next read opens a connection
+				d.g.scheduler.Closed(id)
+				delete(d.g.conns, id)
+			}
+			w.onDial = func() { change(w) }
+			d.g.mu.Unlock()
+			result := w.read()
+			is.True(result.Decline != delegation.DeclineNone)
+			is.True(!result.Charged)
+			is.Equal(w.statements(), 0)
+		})
+	}
+}
+
+// Guards against a position that counts as known for a later time than it is, when the owner's response takes long.
+func TestThePositionOfALoanCountsFromItsRequest(t *testing.T) {
 	is := is.New(t)
 	w := newDelegateWorld(t)
+	w.offer.Age = 20 * time.Millisecond
+	w.onBorrow = func() { w.advance(300 * time.Millisecond) }
 	w.borrow(t)
 	_, d := w.m.delegate("g")
-	w.locked(func() { w.refusal = delegation.RefusalHeld })
 	d.g.mu.Lock()
-	for id := range d.g.conns { // the next read opens a connection
-		d.g.scheduler.Closed(id)
-		delete(d.g.conns, id)
-	}
-	w.onDial = func() { w.advance(delegation.TTL) }
-	d.g.mu.Unlock()
-	result := w.read()
-	is.True(result.Decline != delegation.DeclineNone)
-	is.True(!result.Charged)
-	is.Equal(w.statements(), 0)
+	defer d.g.mu.Unlock()
+	_, known := d.g.history.Known()
+	grant, _ := d.borrower.Grant(w.clock())
+	is.Equal(known, grant.Until.Add(-delegation.TTL-20*time.Millisecond))
 }
 
 // Guards against operations that are charged twice, or not at all, when a read falls back to the owner.
@@ -270,13 +297,20 @@
 	t.Run("the owner does not charge again", func(t *testing.T) {
 		is := is.New(t)
 		w := newDelegateWorld(t)
-		w.locked(func() { w.tokens = 0 })
+		w.locked(func() { w.tokens = 1 })
 		g := newGroup(w.m.o, ownership.Claim{Group: "g"}, false)
 		r := &operation.Request{Group: "g", Database: "views", Key: "k1", CatalogRevision: 5, Statement: statement.Statement{Kind: statement.KindRead}}
-		is.True(g.runFirst(context.Background(), r).OverRate)
-		r.Charged = true
-		resp := g.runFirst(context.Background(), r)
-		is.True(!resp.OverRate && resp.Code.NotRun())
-		is.True(!g.limiter.Take(w.catalog.Customer("mill"), 2, w.clock())) // and returns no token that it did not take
+		for _, charged := range []bool{false, true} { // the group has no member
+			r.Charged = charged
+			resp := g.runFirst(context.Background(), r)
+			is.True(!resp.OverRate && resp.Code.NotRun())
+		}
+		customer := w.catalog.Customer("mill")
+		is.True(g.limiter.Take(customer, 2, w.clock()))
+		is.True(!g.limiter.Take(customer, 2, w.clock())) // it returns no token that it did not take
+		is.True(g.runFirst(context.Background(), &operation.Request{
+			Group: "g", Database: "views", Key: "k1", CatalogRevision: 5, Statement: r.Statement,
+		}).OverRate)
+		is.True(!g.runFirst(context.Background(), r).OverRate)
 	})
 }
--- a/internal/owner/lend_test.go
+++ b/internal/owner/lend_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/celerystep/celerystep/internal/delegation"
+	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/ownership"
@@ -101,6 +102,24 @@
 	_, refusal = g.lend(borrower)
 	is.Equal(refusal, delegation.RefusalNone)
 	is.Equal(g.scheduler.Conns(), 56/2+56-37) // idle connections beyond the rest are closed at once
+	for i := range customers {
+		item := dispatch.Item{Customer: fmt.Sprint(i), Need: dispatch.NeedAny, Due: w.clock().Add(time.Hour), Deadline: w.clock().Add(time.Hour)}
+		_, refused := g.scheduler.Submit(item, w.clock())
+		is.Equal(refused, nil)
+	}
+	running := 0 // statements, and connections being opened, which take a slot too
+	plan := g.scheduler.Plan(w.clock())
+	for _, a := range plan.Assignments {
+		if a.Member == "m2" {
+			running++
+		}
+	}
+	for _, o := range plan.Opens {
+		if o.Member == "m2" {
+			running++
+		}
+	}
+	is.Equal(running, 5-3+g.limits.ExtraInFlight)
 }
 
 // Guards against a loan for each of two delegates that different views of the claims name.
