Compute the floor of a delegated read again before it is sent

A configuration that arrived while a read was queued at a delegate could make its route one of the primary, or permit less staleness. The read was then sent with the floor of the former route. The delegate now computes the floor once more with the other checks, and declines the read when there is none, so no delegated read is sent without a floor.

Two new cases of TestAFrozenDelegateSendsNothing fail without the change and pass with it.

--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -346,5 +346,11 @@
 	if !ok || m.ID != l.member.ID || m.Born != l.member.Born || m.Address != l.member.Address {
 		return delegation.DeclineNoGrant
 	}
+	// The route may have changed, and positions of a new term may be known. Without a floor the replica would answer on any log.
+	floor, ok := d.g.floor(c)
+	if !ok {
+		return delegation.DeclineFloorUnknown
+	}
+	c.floor = floor
 	return delegation.DeclineNone
 }
--- a/internal/owner/delegate_test.go
+++ b/internal/owner/delegate_test.go
@@ -223,12 +223,26 @@
 	}
 }
 
-// Guards against a read that is sent although the loan has lapsed, or the key was withdrawn, while the process was frozen or the
-// read was queued.
+// changeRoute puts a configuration into force in which the route differs.
+func (w *delegateWorld) changeRoute(change func(r *catalog.Route)) {
+	w.locked(func() {
+		w.catalog = delegatedCatalog(6, "k1")
+		change(w.catalog.Routes["views"])
+	})
+}
+
+// Guards against a read that is sent although the loan has lapsed, the key was withdrawn, or the route has come to need commits
+// that the floor does not cover, while the process was frozen or the read was queued.
 func TestAFrozenDelegateSendsNothing(t *testing.T) {
 	for name, change := range map[string]func(w *delegateWorld){
 		"the loan lapses":      func(w *delegateWorld) { w.advance(delegation.TTL) },
 		"the key is withdrawn": func(w *delegateWorld) { w.locked(func() { w.catalog = delegatedCatalog(6, "k2") }) },
+		"the route reads at the primary": func(w *delegateWorld) {
+			w.changeRoute(func(r *catalog.Route) { r.Consistency = catalog.Primary })
+		},
+		"the route permits less staleness": func(w *delegateWorld) {
+			w.changeRoute(func(r *catalog.Route) { r.MaxStaleness = stalenessMargin / 2 })
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
