Test that no replica that is the primary, warms up or is out of service is lent

The comment of TestWhatAnOwnerDoesNotLend named the primary, but no case covered it; the warm-up of a replica and a failure domain out of service had none either, also at the delegate. The new cases pass with the code as it is.

--- a/internal/owner/admit_test.go
+++ b/internal/owner/admit_test.go
@@ -17,11 +17,11 @@
 var epoch = time.Unix(1000, 0)
 
 // fakeAuthority grants everything except what its fields deny.
-type fakeAuthority struct{ keysStale, unleased bool }
+type fakeAuthority struct{ keysStale, unleased, domainOut bool }
 
 func (a *fakeAuthority) Leased(ownership.Claim) bool           { return !a.unleased }
 func (a *fakeAuthority) KeysFresh() bool                       { return !a.keysStale }
-func (a *fakeAuthority) DomainOut(instance.FailureDomain) bool { return false }
+func (a *fakeAuthority) DomainOut(instance.FailureDomain) bool { return a.domainOut }
 
 // newCatalog returns a configuration with one route and one customer.
 func newCatalog(revision uint64, database, customer, key string) *catalog.Catalog {
--- a/internal/owner/delegate_test.go
+++ b/internal/owner/delegate_test.go
@@ -200,6 +200,7 @@
 			m.Leaving = true
 			w.m.SetMembers("g", []member.Member{m})
 		}, delegation.DeclineNoGrant},
+		{"the domain is out of service", func(w *delegateWorld) { w.domainOut = true }, delegation.DeclineNoGrant},
 		{"the member has a new process", func(w *delegateWorld) {
 			m := replica
 			m.Born++
--- a/internal/owner/lend_test.go
+++ b/internal/owner/lend_test.go
@@ -53,6 +53,16 @@
 		{"replica leaves", func(g *Group, _ *BorrowRequest) {
 			g.members["m2"] = member.Member{ID: "m2", Domain: "near", Leaving: true}
 		}, delegation.RefusalNoReplica},
+		{"replica is the primary", func(g *Group, _ *BorrowRequest) {
+			g.machine.ReportedNotPrimary("m1", epoch)
+			g.machine.StatusDone("m2", promotion.Status{Role: upstream.RolePrimary, Term: 2}, epoch)
+		}, delegation.RefusalNoReplica},
+		{"replica warms up", func(g *Group, _ *BorrowRequest) {
+			m := replica
+			m.WarmUntil = epoch.Add(time.Second)
+			g.members["m2"] = m
+		}, delegation.RefusalNoReplica},
+		{"domain out of service", func(*Group, *BorrowRequest) { authority.domainOut = true }, delegation.RefusalNoReplica},
 		{"replica fails", func(g *Group, _ *BorrowRequest) {
 			g.machine.Failed("m2", promotion.FailureRefused, epoch)
 		}, delegation.RefusalNoReplica},
