Ignore a borrowed position that is too old instead of shortening its age

The age of a position in an owner's response was cut to one hour. A position known for longer then seemed to be known for a later time than it was, so that a floor on a route with hours of staleness could have lacked commits. Such a position is now ignored.

The new check in TestDelegationMessages fails without the change and passes with it.

--- a/internal/fleetlink/convert_delegation.go
+++ b/internal/fleetlink/convert_delegation.go
@@ -55,13 +55,17 @@
 	if r.GetRefusal() != 0 {
 		return delegation.Offer{}, delegation.RefusalFromWire(r.GetRefusal())
 	}
-	return delegation.Offer{
+	o := delegation.Offer{
 		Member: upstream.MemberID(r.GetMember()), Address: r.GetAddress(), Born: r.GetBorn(),
 		Share: delegation.Share{Connections: int(r.GetConnections()), Slots: int(r.GetSlots())},
 		TTL:   time.Duration(r.GetTtlMs()) * time.Millisecond, Revision: r.GetRevision(),
-		Position: fromPosition(r.GetPosition()), Age: time.Duration(min(r.GetAgeUs(), maxAgeUs)) * time.Microsecond,
-	}, delegation.RefusalNone
+	}
+	if age := r.GetAgeUs(); age <= maxAgeUs {
+		o.Position, o.Age = fromPosition(r.GetPosition()), time.Duration(age)*time.Microsecond
+	}
+	return o, delegation.RefusalNone
 }
 
-// maxAgeUs bounds the age of a position in microseconds, so that its conversion does not overflow.
+// maxAgeUs is the age in microseconds from which a position is ignored. A shortened age would make it seem known for a later
+// time than it is.
 const maxAgeUs = 3_600_000_000
--- a/internal/fleetlink/delegation_test.go
+++ b/internal/fleetlink/delegation_test.go
@@ -27,6 +27,9 @@
 	is.Equal(got.Age, 1501*time.Microsecond)
 	got.Age = offer.Age
 	is.Equal(got, offer)
+	offer.Age = 2 * time.Hour
+	got, _ = fromOffer(toOffer(offer, delegation.RefusalNone))
+	is.True(got.Position.IsZero() || got.Age >= offer.Age)
 	_, refusal = fromOffer(toOffer(delegation.Offer{}, delegation.RefusalHeld))
 	is.Equal(refusal, delegation.RefusalHeld)
 
