Keep no state of a delegate in the router for groups that have none

Each read on a route with permitted staleness took a mutex of its group, also where no reads are delegated. The router now creates that state when a group has its first delegate. TestRequestsOfGroupsWithoutADelegateLeaveNoState covers it.

--- a/internal/caller/delegate.go
+++ b/internal/caller/delegate.go
@@ -53,6 +53,9 @@
 		return operation.Response{}, false
 	}
 	claim, mine, ok := r.Delegates.Delegate(q.Group)
+	if _, known := r.paths.Load(q.Group); !ok && !known {
+		return operation.Response{}, false
+	}
 	started := r.Clock()
 	if !r.mayTry(q.Group, claim, ok, started) {
 		return operation.Response{}, false
--- a/internal/caller/delegate_test.go
+++ b/internal/caller/delegate_test.go
@@ -137,3 +137,17 @@
 	is.Equal(o.calls, 1)
 	is.True(last.Elapsed < time.Second) // the target of the route
 }
+
+// Guards against state and a lock on the path of requests where no reads are delegated.
+func TestRequestsOfGroupsWithoutADelegateLeaveNoState(t *testing.T) {
+	is := is.New(t)
+	r, d, o, _, _ := newDelegatingRouter()
+	d.claim = ownership.Claim{}
+	is.Equal(r.Run(context.Background(), request("k1")).Code, statement.CodeOK)
+	is.Equal(d.calls, 0)
+	is.Equal(o.calls, 1)
+	r.paths.Range(func(group, _ any) bool {
+		t.Errorf("the router keeps state of group %v", group)
+		return false
+	})
+}
