Close the connections of a lapsed loan also while reads run on them

After a loan had lapsed, a read that was running kept its connection and slot for up to 70% of its target, while the owner counted them as its own again. The delegate now closes all connections when the loan lapses; reads that were running go to the owner, and do not count as failures of the replica.

TestALapsedLoanEndsItsReads fails without the change and passes with it, also under the race detector.

--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/celerystep/celerystep/internal/catalog"
 	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/dispatch"
@@ -25,6 +27,9 @@
 	delegateRunPercent  = 70
 )
 
+// errLoanLapsed is the cause for which a delegate closes the connections of a loan that was not renewed in time.
+var errLoanLapsed = errors.New("the loan of the replica has lapsed")
+
 // Delegate runs reads of a group that another instance owns, on the share of a replica that the owner lends. It uses the
 // queue, the connections and the checks of a Group that holds this replica only.
 type Delegate struct {
@@ -181,6 +186,10 @@
 		ok = false
 	}
 	if !ok {
+		if !grant.Until.IsZero() && !now.Before(grant.Until) {
+			// The owner may use these connections now, also those on which reads still run.
+			d.closeConns(errLoanLapsed)
+		}
 		if d.active {
 			d.active = false
 			g.log.Info("borrowed replica returned", "member", grant.Member, "claim", grant.Revision, "expired", now.Sub(grant.Until))
@@ -198,9 +207,7 @@
 // adopt starts to use the loan, which is not a renewal of the one in use. The group is locked.
 func (d *Delegate) adopt(grant delegation.Grant, m member.Member, now time.Time) {
 	g := d.g
-	for id := range g.members {
-		g.closeConnsTo(id, errMemberUnavailable)
-	}
+	d.closeConns(errMemberUnavailable)
 	g.members = map[upstream.MemberID]member.Member{m.ID: m}
 	g.machine = promotion.New(promotion.DefaultTiming(), now)
 	g.machine.SetMembers([]promotion.Info{{ID: m.ID, Local: true}}, now)
@@ -209,6 +216,13 @@
 		"position", grant.Position, "age", grant.Age, "valid", grant.Until.Sub(now))
 }
 
+// closeConns closes all connections. The group is locked.
+func (d *Delegate) closeConns(cause error) {
+	for id := range d.g.members {
+		d.g.closeConnsTo(id, cause)
+	}
+}
+
 // borrow requests a loan from the group's owner.
 func (d *Delegate) borrow(r BorrowRequest) {
 	g := d.g
@@ -314,7 +328,7 @@
 	}
 	c.attempts++
 	answer, err := g.execute(run, c, l, false)
-	if caller.Err() == nil {
+	if caller.Err() == nil && !errors.Is(err, errLoanLapsed) {
 		d.recordOutcome(l, err != nil || answer.Code == statement.CodeFailed)
 	}
 	resp, again := g.completeAttempt(run, c, l, false, answer, err)
--- a/internal/owner/delegate_test.go
+++ b/internal/owner/delegate_test.go
@@ -34,8 +34,10 @@
 	offer   delegation.Offer
 	refusal delegation.Refusal
 	tokens  int
-	// onBorrow runs while a loan is requested, onDial while a connection is opened; answer is the replica's answer or its error.
+	// onBorrow runs while a loan is requested, onDial while a connection is opened, onSend when statements have been sent; answer
+	// is the replica's answer or failure its error.
 	onBorrow, onDial func()
+	onSend           func(ctx context.Context)
 
 	answer  statement.Answer
 	failure error
@@ -124,7 +126,10 @@
 	return w, nil
 }
 
-func (w *delegateWorld) Do(_ context.Context, commands ...member.Command) ([]statement.Answer, error) {
+func (w *delegateWorld) Do(ctx context.Context, commands ...member.Command) ([]statement.Answer, error) {
+	if w.onSend != nil {
+		w.onSend(ctx)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sent = append(w.sent, commands...)
@@ -266,6 +271,37 @@
 	}
 }
 
+// Guards against a connection on which a read runs after the loan has lapsed, when the owner may use it, and against a pause of
+// the next loan because of that.
+func TestALapsedLoanEndsItsReads(t *testing.T) {
+	is := is.New(t)
+	w := newDelegateWorld(t)
+	w.borrow(t)
+	w.changeRoute(func(r *catalog.Route) { r.Timeout, r.TargetLatency = time.Hour, time.Hour })
+	_, d := w.m.delegate("g")
+	var cause error
+	w.onSend = func(ctx context.Context) {
+		w.locked(func() { w.refusal, w.failure = delegation.RefusalHeld, member.ErrLost })
+		w.advance(delegation.TTL)
+		d.step()
+		select {
+		case <-ctx.Done():
+		case <-time.After(10 * time.Second):
+		}
+		cause = context.Cause(ctx)
+	}
+	result := w.read()
+	is.Equal(cause, errLoanLapsed)
+	is.Equal(result.Decline, delegation.DeclineFailed)
+	is.True(result.Charged)
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	is.Equal(len(d.g.conns), 0)
+	// Three failures in succession give a loan up; the read that ended with its loan is not one of them.
+	is.True(!d.borrower.Record(true, w.clock()))
+	is.True(!d.borrower.Record(true, w.clock()))
+}
+
 // Guards against a position that counts as known for a later time than it is, when the owner's response takes long.
 func TestThePositionOfALoanCountsFromItsRequest(t *testing.T) {
 	is := is.New(t)
