--- /dev/null
+++ b/internal/owner/delegate_read.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/delegation"
+	"github.com/celerystep/celerystep/internal/operation"
+	"github.com/celerystep/celerystep/internal/statement"
+)
+
+const (
+	// delegateWaitPercent and delegateRunPercent are the percentages of a route's target latency by which a read must have a
+	// connection, and its answer. Later it falls back to the owner.
+	delegateWaitPercent = 50
+	delegateRunPercent  = 70
+)
+
+// runRead runs a read if the loan, the customer's rate and the known positions permit it. It takes tokens from the rate limiter
+// of an owned group.
+func (d *Delegate) runRead(ctx context.Context, r *operation.Request, tokens *Group) operation.ReadResult {
+	if !d.borrowed() {
+		return operation.ReadResult{Decline: delegation.DeclineNoGrant}
+	}
+	c, refused := d.g.admit(r)
+	if refused != nil || !c.delegable() {
+		return operation.ReadResult{Decline: delegation.DeclineNotAdmitted}
+	}
+	if !d.knowsFloor(c) {
+		return operation.ReadResult{Decline: delegation.DeclineFloorUnknown}
+	}
+	if ok, _ := tokens.takeToken(ctx, c); !ok {
+		return operation.ReadResult{Decline: delegation.DeclineOverRate}
+	}
+	result := d.attempt(ctx, c)
+	if !result.Charged && (result.Decline != delegation.DeclineNone || result.Response.Code.NotRun()) {
+		tokens.returnToken(c)
+	}
+	result.Response.CatalogRevision = c.catalog.Revision
+	return result
+}
+
+// delegable reports whether a delegate may run the call.
+func (c *call) delegable() bool {
+	return c.reads() && c.r.Begin == statement.KindInvalid && !c.r.InTransaction && c.route.Consistency != catalog.Primary
+}
+
+func (d *Delegate) knowsFloor(c *call) bool {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	_, ok := d.g.floor(c)
+	return ok
+}
+
+// attempt queues the read and runs it once.
+func (d *Delegate) attempt(caller context.Context, c *call) operation.ReadResult {
+	g := d.g
+	target := c.due.Sub(c.arrived)
+	c.due = c.arrived.Add(target * delegateWaitPercent / 100)
+	left := c.arrived.Sub(g.o.Clock())
+	run, cancel := context.WithTimeout(caller, left+target*delegateRunPercent/100)
+	defer cancel()
+	queue, leave := context.WithTimeout(run, left+target*delegateWaitPercent/100)
+	defer leave()
+	l, _, refused := g.acquire(queue, c)
+	if refused != nil {
+		return operation.ReadResult{Decline: delegation.DeclineBusy}
+	}
+	if decline := d.recheck(c, l); decline != delegation.DeclineNone {
+		g.releaseUnused(l)
+		return operation.ReadResult{Decline: decline}
+	}
+	c.attempts++
+	answer, err := g.execute(run, c, l, false)
+	if caller.Err() == nil && !errors.Is(err, errLoanLapsed) {
+		d.recordOutcome(l, err != nil || answer.Code == statement.CodeFailed)
+	}
+	resp, again := g.completeAttempt(run, c, l, false, answer, err)
+	if again || resp.Code == statement.CodeTimeout {
+		return operation.ReadResult{Decline: delegation.DeclineFailed, Charged: !resp.Code.NotRun()}
+	}
+	return operation.ReadResult{Response: resp}
+}
+
+// recordOutcome records whether the read on the replica failed, which may give the loan up.
+func (d *Delegate) recordOutcome(l *memberConn, failed bool) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.borrower.Record(failed, d.g.o.Clock()) {
+		d.g.log.Info("too many reads on the borrowed replica fail", "member", l.member.ID)
+		d.g.signal()
+	}
+}
+
+// recheck repeats, right before the read is sent, the checks whose result may have changed since: the process may have been
+// frozen, or the read was queued.
+func (d *Delegate) recheck(c *call, l *memberConn) delegation.Decline {
+	if d.g.revalidate(c) != nil {
+		return delegation.DeclineNotAdmitted
+	}
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	_, m, ok := d.loan(d.g.o.Clock())
+	if !ok || m.ID != l.member.ID || m.Born != l.member.Born || m.Address != l.member.Address {
+		return delegation.DeclineNoGrant
+	}
+	// The route may have changed, and positions of a new term may be known. Without a floor the replica would answer on any log.
+	floor, ok := d.g.floor(c)
+	if !ok {
+		return delegation.DeclineFloorUnknown
+	}
+	c.floor = floor
+	return delegation.DeclineNone
+}
