--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -13,6 +13,7 @@
 	fleetv1 "github.com/celerystep/celerystep/gen/celerystep/fleet/v1"
 	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
 	"github.com/celerystep/celerystep/internal/boottime"
+	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/netopt"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
@@ -65,6 +66,9 @@
 
 // Peers holds the clients of other instances by address. It is safe for concurrent use.
 type Peers struct {
+	// Traffic counts the messages unless it is nil. It must be set before the first call.
+	Traffic *Traffic
+
 	clock boottime.Clock
 	mu    sync.Mutex
 	peers map[string]*Peer
@@ -82,14 +86,14 @@
 	if known := p.peers[address]; known != nil {
 		return known
 	}
-	peer := &Peer{clock: p.clock, address: address, client: newClient(address), probe: newClient(address), bulk: newClient(address)}
+	peer := &Peer{clock: p.clock, address: address, client: p.newClient(address), probe: p.newClient(address), bulk: p.newClient(address)}
 	peer.health = newHealth(peer.identify)
 	p.peers[address] = peer
 	return peer
 }
 
 // newClient returns a client with its own HTTP/2 connection.
-func newClient(address string) fleetv1connect.FleetServiceClient {
+func (p *Peers) newClient(address string) fleetv1connect.FleetServiceClient {
 	t := &http.Transport{
 		Protocols:          new(http.Protocols),
 		DialContext:        netopt.Dialer(dialTimeout).DialContext,
@@ -99,7 +103,11 @@
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
 	// Messages are a few hundred bytes; compression would cost more time than it saves.
-	return fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
+	options := []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil)}
+	if p.Traffic != nil {
+		options = append(options, connect.WithInterceptors(p.Traffic.interceptor(address)))
+	}
+	return fleetv1connect.NewFleetServiceClient(&http.Client{Transport: t}, "http://"+address, options...)
 }
 
 // identify sends a health probe to the peer.
@@ -153,6 +161,32 @@
 	return fromTokens(resp.Msg.GetGrants()), nil
 }
 
+// RunRead runs a read at the peer, which is the delegate of the group in the caller's failure domain.
+func (p *Peer) RunRead(ctx context.Context, r *operation.Request) (operation.ReadResult, error) {
+	ctx, done, err := p.health.startCall(ctx)
+	if err != nil {
+		return operation.ReadResult{}, errors.Wrapf(err, "peer %s", p.address)
+	}
+	defer done()
+	started := time.Now()
+	resp, err := p.client.RunRead(ctx, connect.NewRequest(&fleetv1.RunReadRequest{Request: toRequest(r)}))
+	if err != nil {
+		return operation.ReadResult{}, p.classifyError(err, started)
+	}
+	return fromReadResponse(resp.Msg), nil
+}
+
+// BorrowReplica requests a share of a replica from the peer, which must own the group.
+func (p *Peer) BorrowReplica(ctx context.Context, g upstream.GroupID, r owner.BorrowRequest) (delegation.Offer, delegation.Refusal, error) {
+	started := time.Now()
+	resp, err := p.client.BorrowReplica(ctx, connect.NewRequest(toBorrowRequest(g, r)))
+	if err != nil {
+		return delegation.Offer{}, delegation.RefusalUnreachable, p.classifyError(err, started)
+	}
+	offer, refusal := fromOffer(resp.Msg)
+	return offer, refusal, nil
+}
+
 // classifyError wraps an error of a call that began at the given time. It maps errors that guarantee that the call was not
 // executed to ErrConnectionRefused and ErrUnreachable.
 func (p *Peer) classifyError(err error, started time.Time) error {
