Count attempts that an owner lost before it handed the group over

Cause: a response that names another owner was dropped with its count, although a read may have been begun before.

Change: the router adds the counts of all owners that it asked.

--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -93,8 +93,11 @@
 }
 
 // route runs the statement at the owner of the group, waiting for a new owner if there is none.
-func (r *Router) route(ctx context.Context, q *operation.Request) operation.Response {
+func (r *Router) route(ctx context.Context, q *operation.Request) (final operation.Response) {
 	started := r.Clock()
+	// An owner that hands the group over may have begun the statement before the last attempt.
+	var begun uint32
+	defer func() { final.Began += begun }()
 	route := r.Catalog().Routes[q.Database]
 	ownerWait := ownerRetryAfter
 	timeout := 2 * time.Second
@@ -115,6 +118,7 @@
 			}
 			return resp
 		}
+		begun += resp.Began
 		if err != nil && !notExecuted(err) {
 			return r.refuseLost(ctx, q, claim, err)
 		}
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -116,7 +116,7 @@
 }
 
 func (l *leavingOwner) Run(context.Context, *operation.Request) operation.Response {
-	return operation.Response{Answer: statement.Answer{Code: statement.CodeBusy}, NotOwner: true, Owner: l.next}
+	return operation.Response{Answer: statement.Answer{Code: statement.CodeBusy}, NotOwner: true, Owner: l.next, Began: 1}
 }
 
 func (l *leavingOwner) Grant(upstream.GroupID, []owner.TokenRequest) ([]owner.TokenRequest, bool) {
@@ -141,7 +141,9 @@
 	self := &fakeOwner{run: func(*operation.Request) operation.Response { return operation.Response{} }}
 	r := newRouter(self, time.Now)
 	r.Claims, r.Peers = claims, fleetlink.NewPeers(boottime.Now)
-	is.Equal(r.Run(context.Background(), request("k1")).Code, statement.CodeOK)
+	resp := r.Run(context.Background(), request("k1"))
+	is.Equal(resp.Code, statement.CodeOK)
+	is.Equal(resp.Began, uint32(1)) // a read whose first attempt the previous owner lost
 	is.Equal(self.calls, 1)
 	is.Equal(claims.claim.Group, upstream.GroupID("g"))
 	is.True(!claims.doubted) // no call to the store
