Report windows that were never attempted first

Cause: with a service whose answers are lost, each call lasts until its timeout, and a new window waited for the repeated reports of all earlier ones.

--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -27,6 +28,8 @@
 	state   Progress
 	// reported holds windows of state.Fixed whose reports were accepted since the state was stored.
 	reported map[WindowID]bool
+	// attempts is the number of reports of the windows of state.Fixed that were sent.
+	attempts map[WindowID]int
 	// changes is the number of changes that a checkpoint would save.
 	changes uint64
 }
@@ -56,7 +59,10 @@
 
 // NewLedger returns a ledger without counts.
 func NewLedger(s Settings) *Ledger {
-	return &Ledger{settings: s, cells: make(map[WindowID]map[Source]Counts), through: make(map[Source]time.Time), reported: make(map[WindowID]bool)}
+	return &Ledger{
+		settings: s, cells: make(map[WindowID]map[Source]Counts), through: make(map[Source]time.Time),
+		reported: make(map[WindowID]bool), attempts: make(map[WindowID]int),
+	}
 }
 
 // Add adds cumulative counts of a process that are complete until the given time. It returns the number of statements that are
@@ -228,9 +234,8 @@
 		}
 		l.state = s.Progress
 	}
-	maps.DeleteFunc(l.reported, func(id WindowID, _ bool) bool {
-		return !slices.ContainsFunc(l.state.Fixed, func(w Window) bool { return w.ID == id })
-	})
+	maps.DeleteFunc(l.reported, func(id WindowID, _ bool) bool { return !l.isFixed(id) })
+	maps.DeleteFunc(l.attempts, func(id WindowID, _ int) bool { return !l.isFixed(id) })
 	for _, source := range s.Sources {
 		if source.Through.After(l.through[source.Source]) {
 			l.through[source.Source] = source.Through
@@ -245,6 +250,11 @@
 	return late
 }
 
+// isFixed reports whether the window is in state.Fixed.
+func (l *Ledger) isFixed(id WindowID) bool {
+	return slices.ContainsFunc(l.state.Fixed, func(w Window) bool { return w.ID == id })
+}
+
 // excess returns the number of known statements that the window lacks.
 func (l *Ledger) excess(w Window) (n uint64) {
 	for customer, known := range l.sum(w.ID) {
@@ -253,20 +263,18 @@
 	return n
 }
 
-// NextReport returns a window that is fixed and not known to be reported: the first one after the given window, or else the first.
-// So a window whose report gets no answer does not delay the others.
-func (l *Ledger) NextReport(after WindowID) (Window, bool) {
+// NextReport returns the window that is fixed, not known to be reported, and was attempted the fewest times. So a window whose report
+// gets no answer does not delay the others.
+func (l *Ledger) NextReport() (Window, bool) {
 	fixed := l.Progress().Fixed
 	if len(fixed) == 0 {
 		return Window{}, false
 	}
-	for _, w := range fixed {
-		if w.ID > after {
-			return w, true
-		}
-	}
-	return fixed[0], true
+	return slices.MinFunc(fixed, func(a, b Window) int { return cmp.Compare(l.attempts[a.ID], l.attempts[b.ID]) }), true
 }
 
+// Attempted records that the report of a window is sent.
+func (l *Ledger) Attempted(id WindowID) { l.attempts[id]++ }
+
 // Reported records that the report of a window was accepted.
 func (l *Ledger) Reported(id WindowID) { l.reported[id] = true }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -186,3 +186,15 @@
 	defer r.mu.Unlock()
 	return r.delivery
 }
+
+// Close delivers the last counts of this process and, at the holder, stores them.
+func (r *Reporter) Close(ctx context.Context) {
+	r.Deliver(ctx)
+	r.mu.Lock()
+	h, _ := r.currentHolding()
+	if h != nil {
+		h.savedAt = time.Time{}
+	}
+	r.mu.Unlock()
+	r.updateLedger(ctx)
+}
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -201,6 +201,25 @@
 	f.check(0)
 }
 
+// Guards against a new window that waits for the repeated reports of earlier ones.
+func TestNewWindowsAreReportedFirst(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger(terms)
+	var order []WindowID
+	for id := WindowID(1); id <= 3; id++ {
+		l.Merge(State{Progress: Progress{FixedThrough: id, Fixed: append(l.Progress().Fixed, Window{ID: id})}})
+		for range 2 {
+			w, _ := l.NextReport()
+			l.Attempted(w.ID)
+			order = append(order, w.ID)
+		}
+	}
+	is.Equal(order, []WindowID{1, 1, 2, 2, 3, 3})
+	l.Reported(2)
+	w, _ := l.NextReport()
+	is.Equal(w.ID, WindowID(1))
+}
+
 // Guards against deliveries that were delayed, by a pause of the holder or of the sender: they must not move a clock.
 func TestOldDeliveriesDoNotMoveTheClock(t *testing.T) {
 	is := is.New(t)
