Count a transaction as one operation of its customer

Each read, write, execute and commit within a transaction counted.

countsAsUsage in the router decides it: a statement counts outside a transaction, or as the first of one. The owner's response still says for every statement whether a member began it.

--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -49,24 +49,24 @@
 	CatchUp func(ctx context.Context, revision uint64)
 	Clock   boottime.Clock
 	Log     hclog.Logger
-	// Usage counts the statements that members began to run; nil if they are not counted.
+	// Usage counts the operations that members began to run; nil if they are not counted.
 	Usage UsageCounter
 
 	overRate overRate
 }
 
-// UsageCounter counts statements by customer. Times are on the boot clock.
+// UsageCounter counts operations by customer. Times are on the boot clock.
 type UsageCounter interface {
-	// Arrived records that a statement has arrived, which members may begin to run.
+	// Arrived records that a statement has arrived, with which members may begin to run an operation.
 	Arrived(at time.Time)
-	// Answered records the end of a statement: a member began n times to run it, the last time after its arrival by the given
+	// Answered records the end of that statement: members began n times to run it, the last time after its arrival by the given
 	// time.
 	Answered(arrived time.Time, customer string, n uint32, after time.Duration)
 }
 
 // Run implements operation.Runner.
 func (r *Router) Run(ctx context.Context, q *operation.Request) operation.Response {
-	if r.Usage == nil || q.Customer == "" {
+	if r.Usage == nil || !countsAsUsage(q) {
 		return r.run(ctx, q)
 	}
 	arrived := r.Clock().Add(-q.Elapsed)
@@ -77,6 +77,12 @@
 	return resp
 }
 
+// countsAsUsage reports whether the attempts at the request count as usage of its customer. An operation is a single statement or a
+// transaction, so of a transaction only the first statement counts. Callers without a key belong to no customer.
+func countsAsUsage(q *operation.Request) bool {
+	return q.Customer != "" && !q.InTransaction
+}
+
 func (r *Router) run(ctx context.Context, q *operation.Request) operation.Response {
 	customer := r.Catalog().CustomerByKey(q.Key)
 	if customer == nil || q.InTransaction {
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -205,3 +205,28 @@
 	is.Equal(u.counted["mill"], uint32(3))
 	is.Equal(u.inFlight, 0)
 }
+
+// Guards against usage that counts the statements of a transaction: it counts once for each attempt at its first statement, and
+// neither its other statements nor the loss of their answers count. Statements without a customer count nothing.
+func TestATransactionCountsOnce(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUsage{counted: make(map[string]uint32)}
+	local := &fakeOwner{run: func(*operation.Request) operation.Response { return operation.Response{Began: 1} }}
+	r := newRouter(local, time.Now)
+	r.Peers, r.Usage = fleetlink.NewPeers(boottime.Now), u
+	run := func(customer string, begin statement.Kind, inTransaction bool) {
+		q := request("k1")
+		q.Customer, q.Begin, q.InTransaction = customer, begin, inTransaction
+		r.Run(context.Background(), q)
+	}
+	run("mill", statement.KindBegin, false)
+	is.Equal(u.counted["mill"], uint32(1))
+	run("mill", statement.KindInvalid, true)
+	run("mill", statement.KindInvalid, true)
+	is.Equal(u.counted["mill"], uint32(1))
+	run("mill", statement.KindInvalid, false)
+	is.Equal(u.counted["mill"], uint32(2))
+	run("", statement.KindInvalid, false)
+	is.Equal(len(u.counted), 1)
+	is.Equal(u.inFlight, 0)
+}
--- a/internal/owner/begun_test.go
+++ b/internal/owner/begun_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Guards against usage that omits statements within a transaction.
+// Guards against responses within a transaction that do not say whether a member began the statement.
 func TestStatementsOfATransactionAreCounted(t *testing.T) {
 	is := is.New(t)
 	g := newServingGroup(&fakeAuthority{})
--- a/internal/usage/metrics.go
+++ b/internal/usage/metrics.go
@@ -19,7 +19,7 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		Statements: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "celerystep_usage_statements_total", Help: "Statements of this instance's callers that members began to run.",
+			Name: "celerystep_usage_statements_total", Help: "Operations (single statements or transactions) of this instance's callers that members began to run.",
 		}),
 		Deliveries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "celerystep_usage_deliveries_total", Help: "Deliveries of counts to the holder by result.",
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -1,4 +1,4 @@
-// Package usage counts how many statements of each customer members begin to run, and reports the counts of the whole fleet once for
+// Package usage counts how many operations of each customer members begin to run, and reports the counts of the whole fleet once for
 // each window of time. Counter keeps the counts of one process, Ledger those of the fleet, and Clock the time by which windows are
 // numbered; they start no goroutines, open no sockets and read no clock. Reporter connects them with the store, the other instances
 // and the service that takes the reports.
