Keep rejected tokens and lease waits when the duty moves quickly

Cause: the highest rejected token and the wait for the lease belonged to the state of one tenure. A holder that seemed to lose the duty and got it back called again with a rejected token, and reported within the lease of another holder's report. A claim that was replaced twice between two looks at it kept the tenure, so that the name of the other holder in the store was not noticed. A new process of an instance did not wait if the store named its instance.

Change: both values belong to the process. A holder writes its name to the store before its first report under each token. It waits for the lease whenever the store names another process.

--- a/internal/usage/checkpoint.go
+++ b/internal/usage/checkpoint.go
@@ -106,15 +106,15 @@
 func (r *Reporter) takeOver(h *holding, state State, revision uint64) {
 	h.revision = revision
 	r.countLate(h.ledger.Merge(state), state.Holder)
-	h.established = state.Holder == r.o.Self
+	h.established = false
 	previous := state.Holder.Instance
-	if previous != "" && previous != r.o.Self.Instance {
-		// An earlier process of this instance may have reported until this one started.
+	if previous != "" && state.Holder != r.o.Self {
+		// An earlier process of this instance may have reported until this one started, and another holder before that.
 		last := r.started
 		if r.lastReport.After(last) {
 			last = r.lastReport
 		}
-		h.reportAt = last.Add(r.o.Settings.Lease)
+		r.turnAt = last.Add(r.o.Settings.Lease)
 	}
 	p := h.ledger.Progress()
 	r.o.Metrics.Unreported.Set(float64(len(p.Fixed)))
@@ -130,7 +130,8 @@
 	conflict := (*ConflictError)(nil)
 	switch {
 	case err == nil:
-		h.revision, h.established, h.saved, h.savedAt, h.retryDelay = c.stored, true, c.changes, now, 0
+		h.revision, h.saved, h.savedAt, h.retryDelay = c.stored, c.changes, now, 0
+		h.established = c.token == h.token
 		r.countLate(h.ledger.Merge(State{Holder: r.o.Self, Progress: c.progress}), r.o.Self)
 		r.o.Metrics.CheckpointLen.Set(float64(len(c.value)))
 		r.logFixed(h, c.fix, c.stored)
--- a/internal/usage/holding.go
+++ b/internal/usage/holding.go
@@ -21,7 +21,10 @@
 	clocks int
 	// skewedSince is the time since which the clocks of the fleet differ from this process's; zero if they agree.
 	skewedSince time.Time
-	// loaded is true once the stored state has been merged, established once this process has stored that it holds the duty.
+	// token is the present fencing token.
+	token uint64
+	// loaded is true once the stored state has been merged, established once this process has stored under the present token that it
+	// holds the duty.
 	loaded      bool
 	established bool
 	revision    uint64
@@ -33,11 +36,8 @@
 	retryDelay time.Duration
 	// claimLost is the token of a claim that the store no longer holds.
 	claimLost uint64
-	// reportAt is the earliest time of the next report.
+	// reportAt is the earliest time of the next report after one without an answer.
 	reportAt time.Time
-	// rejected is the highest token with which a report was rejected.
-	rejected uint64
-	renewAt  time.Time
 }
 
 // currentHolding returns the state of the duty if this process holds it, and the present token. The caller holds r.mu.
@@ -59,6 +59,10 @@
 		r.o.Metrics.Holder.Set(1)
 		r.o.Log.Info("holds the duty to report usage", "claim", holder.Token)
 	}
+	if h := r.holding; h.token != holder.Token {
+		// Another process may have held the duty since the last call.
+		h.token, h.established = holder.Token, false
+	}
 	return r.holding, holder.Token
 }
 
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -19,7 +19,7 @@
 	r.mu.Lock()
 	h, token := r.currentHolding()
 	now := r.o.Boot()
-	if h == nil || !h.established || now.Before(h.reportAt) {
+	if h == nil || !h.established || now.Before(h.reportAt) || now.Before(r.turnAt) {
 		r.mu.Unlock()
 		return
 	}
@@ -28,8 +28,8 @@
 		r.mu.Unlock()
 		return
 	}
-	if token <= h.rejected {
-		r.renewToken(h, now)
+	if token <= r.rejected {
+		r.renewToken(now)
 		r.mu.Unlock()
 		return
 	}
@@ -43,11 +43,11 @@
 }
 
 // renewToken requests a higher token after a report was rejected. The caller holds r.mu.
-func (r *Reporter) renewToken(h *holding, now time.Time) {
-	if now.Before(h.renewAt) {
+func (r *Reporter) renewToken(now time.Time) {
+	if now.Before(r.renewAt) {
 		return
 	}
-	h.renewAt = now.Add(renewDelay)
+	r.renewAt = now.Add(renewDelay)
 	r.o.Duty.Renew()
 }
 
@@ -65,7 +65,7 @@
 		h.ledger.Reported(w.ID)
 		r.o.Metrics.Unreported.Set(float64(len(h.ledger.Progress().Fixed)))
 	case ResultRejected:
-		h.rejected = max(h.rejected, token)
+		r.rejected = max(r.rejected, token)
 	default:
 		h.reportAt = now.Add(reportRetryDelay)
 	}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -108,6 +108,11 @@
 	holding *holding
 	// lastReport is when this process last called the service; zero if it never has.
 	lastReport time.Time
+	// turnAt is the earliest time of the next report after another holder may have acted.
+	turnAt time.Time
+	// rejected is the highest token with which a report was rejected, renewAt the earliest time of the next request for a higher one.
+	rejected uint64
+	renewAt  time.Time
 
 	delivery deliveryState
 	// wallStepped is true while the wall clock differs from the clock. It is used by one goroutine.
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -61,6 +61,59 @@
 	is.True(len(f.reports) >= 10)
 }
 
+// Guards against holders that act in turns within the lease, or that call again with a rejected token, when the duty moves at any time:
+// to its present holder, back before the other one has stored anything, or without a holder that notices it. Lost answers leave reports
+// to repeat.
+func TestTheDutyMovesAtRandom(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 0))
+			f := newSimulation(t, 4)
+			f.run(16 * time.Second)
+			for f.now < 60*time.Second {
+				f.serviceLoses = r.IntN(2) == 0
+				f.claim(r.IntN(2))
+				if r.IntN(4) == 0 {
+					f.highest = f.token + 1
+					f.clock = f.highest
+				}
+				if n := f.nodes[r.IntN(2)]; r.IntN(8) == 0 {
+					n.start()
+				}
+				f.run(f.now + time.Duration(1+r.IntN(30))*50*time.Millisecond)
+			}
+			f.serviceLoses = false
+			f.run(100 * time.Second)
+			f.checkTurns()
+			for id := range f.truth {
+				_, reported := f.reports[id]
+				if !reported && terms.End(id).Add(terms.Late).Before(fleetStart.Add(f.now)) {
+					t.Errorf("window %d was not reported", id)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a second call under a rejected token by a holder that seemed to lose the duty meanwhile.
+func TestARejectedTokenStaysRejected(t *testing.T) {
+	f := newSimulation(t, 3)
+	f.run(17 * time.Second)
+	f.serviceDown = true // a window remains unreported
+	f.run(20 * time.Second)
+	f.serviceDown = false
+	f.highest = f.token + 1000
+	own := f.token
+	f.each = func() { f.holder, f.token = 0, own } // the renewal does not succeed
+	for f.now < 24*time.Second {
+		f.run(f.now + 400*time.Millisecond)
+		f.holder = 1
+		f.nodes[0].report(context.Background())
+		f.holder = 0
+	}
+	is.New(t).True(f.rejected[own])
+}
+
 // Guards against counts that are lost or counted twice when instances, also the holder, restart.
 func TestInstancesRestart(t *testing.T) {
 	f := newSimulation(t, 4)
