Bound the usage state in long outages of the store and the service

Cause: while the store was down the holder kept the counts of every window by process. While the service was down the fixed windows in the store's value grew by one every window, up to the store's limit of 1 MiB; after that no window could have been fixed any more.

Change: the holder keeps the counts of at most 128 windows, and at most 120 windows that are fixed and not reported, fewer if the state would be too large. A log line names those that are dropped; they are not reported again, so that no window gets two reports.

--- a/internal/usage/checkpoint.go
+++ b/internal/usage/checkpoint.go
@@ -66,16 +66,31 @@
 // newCheckpoint encodes the state. The caller holds r.mu.
 func (r *Reporter) newCheckpoint(h *holding, fix []Window, token uint64) (checkpoint, error) {
 	state := h.ledger.Snapshot(r.o.Self, fix)
-	c := checkpoint{fix: fix, progress: state.Progress, changes: h.ledger.Changes(), revision: h.revision, token: token}
+	c := checkpoint{fix: fix, changes: h.ledger.Changes(), revision: h.revision, token: token}
 	var err error
 	c.value, err = EncodeState(state)
 	if err == nil && len(c.value) > maxStateBytes {
 		r.o.Log.Error("the usage state is too large; counts of open windows are not stored", "bytes", len(c.value), "sources", len(state.Sources))
-		c.value, err = EncodeState(State{Holder: state.Holder, Progress: state.Progress})
+		state.Sources = nil
+		c.value, err = EncodeState(state)
 	}
+	for err == nil && len(c.value) > maxStateBytes && len(state.Fixed) > 0 {
+		state.Fixed = state.Fixed[(len(state.Fixed)+1)/2:]
+		c.value, err = EncodeState(state)
+	}
+	c.progress = state.Progress
+	r.logDropped(h, fix, len(state.Fixed))
 	return c, err
 }
 
+// logDropped logs the oldest windows that are fixed and not reported if the checkpoint keeps only the given number of windows.
+func (r *Reporter) logDropped(h *holding, fix []Window, kept int) {
+	fixed := append(h.ledger.Progress().Fixed, fix...)
+	if dropped := fixed[:len(fixed)-kept]; len(dropped) > 0 {
+		r.o.Log.Error("windows are too old to be reported", "first", dropped[0].ID, "last", dropped[len(dropped)-1].ID)
+	}
+}
+
 // logSkipped logs windows that are too old to be reported.
 func (r *Reporter) logSkipped(h *holding, fix []Window) {
 	if before := h.ledger.Progress().FixedThrough; len(fix) > 0 && before > 0 && fix[0].ID != before+1 {
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -10,10 +10,13 @@
 )
 
 const (
-	// maxBacklog bounds the windows that are reported after an outage of the whole fleet.
+	// maxBacklog bounds the windows that are reported after an outage of the whole fleet, the store or the service.
 	maxBacklog = 120
 	// keptFixed is the number of fixed windows for which late counts are recognised.
 	keptFixed = 4
+	// maxCells bounds the windows whose counts are kept while none can be fixed. It leaves room for windows in the future, from an
+	// instance whose clock is ahead until it is corrected.
+	maxCells = maxBacklog + 2*keptFixed
 	// sourceLifetime is the number of windows after which a process that delivers nothing is not waited for.
 	sourceLifetime = 3
 )
@@ -92,6 +95,9 @@
 	if sources == nil {
 		sources = make(map[Source]Counts)
 		l.cells[w.ID] = sources
+		if len(l.cells) > maxCells {
+			delete(l.cells, slices.Min(slices.Collect(maps.Keys(l.cells))))
+		}
 	}
 	known := sources[from]
 	if known == nil {
@@ -197,11 +203,13 @@
 	return total
 }
 
-// Snapshot returns the state to store in order to fix the windows, which Due returned. The ledger does not change until the
+// Snapshot returns the state to store in order to fix the windows, which Due returned. Of the windows that are not reported it keeps
+// the last maxBacklog. The ledger does not change until the
 // progress is merged. The sources are valid until the ledger changes.
 func (l *Ledger) Snapshot(holder Source, fix []Window) State {
 	s := State{Holder: holder, Progress: l.Progress()}
 	s.Fixed = append(s.Fixed, fix...)
+	s.Fixed = s.Fixed[max(0, len(s.Fixed)-maxBacklog):]
 	if n := len(fix); n > 0 {
 		s.FixedThrough = fix[n-1].ID
 	}
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -300,6 +300,68 @@
 	f.check(0)
 }
 
+// Guards against memory that grows without bound during a long outage of the store, and against wrong reports after it.
+func TestTheStoreIsDownForLong(t *testing.T) {
+	is := is.New(t)
+	f := newSimulation(t, 2)
+	f.run(21 * time.Second)
+	f.storeDown = true
+	f.run(15 * time.Minute)
+	is.True(len(f.nodes[0].holding.ledger.cells) <= maxCells)
+	f.storeDown = false
+	f.run(16 * time.Minute)
+	for id, counts := range f.reports {
+		is.Equal(counts, f.truth[id])
+	}
+	is.True(len(f.reports) >= maxBacklog)
+}
+
+// Guards against a state that grows until the store refuses it during a long outage of the service.
+func TestTheServiceIsDownForLong(t *testing.T) {
+	is := is.New(t)
+	f := newSimulation(t, 2)
+	f.run(21 * time.Second)
+	f.serviceDown = true
+	f.run(15 * time.Minute)
+	state, err := DecodeState(f.value)
+	is.NoErr(err)
+	is.Equal(len(state.Fixed), maxBacklog)
+	is.Equal(state.Fixed[maxBacklog-1].ID, state.FixedThrough)
+	f.serviceDown = false
+	f.run(16 * time.Minute)
+	for id, counts := range f.reports {
+		is.Equal(counts, f.truth[id])
+	}
+	is.Equal(len(f.nodes[0].holding.ledger.Progress().Fixed), 0)
+}
+
+// Guards against a state above the limit of the store: the newest windows are kept.
+func TestALargeStateIsCut(t *testing.T) {
+	is := is.New(t)
+	f := newSimulation(t, 1)
+	n := f.nodes[0]
+	f.run(time.Second)
+	counts := make(Counts)
+	for i := range 1000 {
+		counts[fmt.Sprintf("customer-with-a-long-name-%d", i)] = 1
+	}
+	var progress Progress
+	for id := WindowID(1); id <= 100; id++ {
+		progress.FixedThrough = id
+		progress.Fixed = append(progress.Fixed, Window{id, counts})
+	}
+	n.holding.ledger.Merge(State{Progress: progress})
+	c, err := n.newCheckpoint(n.holding, nil, 1)
+	is.NoErr(err)
+	is.True(len(c.value) <= maxStateBytes)
+	state, err := DecodeState(c.value)
+	is.NoErr(err)
+	is.Equal(state.Progress, c.progress)
+	is.Equal(state.FixedThrough, WindowID(100))
+	is.True(len(state.Fixed) > 10)
+	is.Equal(state.Fixed[len(state.Fixed)-1].ID, WindowID(100))
+}
+
 // Guards against thousands of reports after an outage of the whole fleet, and against none at all.
 func TestTheFleetWasDown(t *testing.T) {
 	is := is.New(t)
