Name the counts of the usage reports operations

Cause: logs, metrics and messages said statements for counts of operations. Change: log key operations, metrics celerystep_usage_operations_total and celerystep_usage_late_operations_total, the fields of the messages, comments. Result: go vet and go test -race of usage and fleetlink pass.

--- a/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
@@ -62,7 +62,7 @@
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
 	// Follow returns changes of the shared entries of the store, if the receiver reads the store itself.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
-	// ReportUsage delivers counts of statements to the instance that reports the fleet's usage.
+	// ReportUsage delivers counts of operations to the instance that reports the fleet's usage.
 	ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error)
 }
 
@@ -168,7 +168,7 @@
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
 	// Follow returns changes of the shared entries of the store, if the receiver reads the store itself.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.Response[v1.FollowResponse], error)
-	// ReportUsage delivers counts of statements to the instance that reports the fleet's usage.
+	// ReportUsage delivers counts of operations to the instance that reports the fleet's usage.
 	ReportUsage(context.Context, *connect.Request[v1.ReportUsageRequest]) (*connect.Response[v1.ReportUsageResponse], error)
 }
 
--- a/internal/usage/checkpoint.go
+++ b/internal/usage/checkpoint.go
@@ -186,7 +186,7 @@
 	now := r.clock.Time(r.o.Boot())
 	for _, w := range fix {
 		r.o.Metrics.Fixed.Inc()
-		r.o.Log.Info("fixed the usage of a window", "window", w.ID, "customers", len(w.Counts), "statements", w.Total(),
+		r.o.Log.Info("fixed the usage of a window", "window", w.ID, "customers", len(w.Counts), "operations", w.Total(),
 			"sources", h.ledger.Sources(), "incomplete", len(h.ledger.Missing(w.ID)), "after_end", now.Sub(r.o.Settings.End(w.ID)), "revision", revision)
 	}
 }
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -26,7 +26,7 @@
 
 // tally is the count of one customer in one window.
 type tally struct {
-	statements uint64
+	operations uint64
 	// changed is the counter's sequence after the last change.
 	changed uint64
 }
@@ -36,7 +36,7 @@
 	return &Counter{settings: s, windows: make(map[WindowID]map[string]tally), pending: make(map[int64]int)}
 }
 
-// Began counts n statements of the customer that members began to run at the given true time.
+// Began counts n operations of the customer that members began to run at the given true time.
 func (c *Counter) Began(customer string, n uint64, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -48,7 +48,7 @@
 		c.windows[id] = w
 		c.forgetBefore(id)
 	}
-	w[customer] = tally{w[customer].statements + n, c.sequence}
+	w[customer] = tally{w[customer].operations + n, c.sequence}
 }
 
 // forgetBefore drops the windows that are too old to be kept beside the given one.
@@ -65,7 +65,7 @@
 		counts := make(Counts)
 		for customer, t := range w {
 			if t.changed > sequence {
-				counts[customer] = t.statements
+				counts[customer] = t.operations
 			}
 		}
 		if len(counts) > 0 {
@@ -124,7 +124,7 @@
 			moved[to] = make(map[string]tally)
 		}
 		for customer, t := range w {
-			moved[to][customer] = tally{moved[to][customer].statements + t.statements, c.sequence}
+			moved[to][customer] = tally{moved[to][customer].operations + t.operations, c.sequence}
 		}
 	}
 	c.windows = moved
--- a/internal/usage/encode.go
+++ b/internal/usage/encode.go
@@ -34,7 +34,7 @@
 			list := &fleetv1.UsageSourceWindow{Id: uint64(w.ID)}
 			for customer, n := range w.Counts {
 				list.Customers = append(list.Customers, index(customer))
-				list.Statements = append(list.Statements, n)
+				list.Operations = append(list.Operations, n)
 			}
 			encoded.Windows = append(encoded.Windows, list)
 		}
@@ -67,14 +67,14 @@
 
 func decodeWindow(list *fleetv1.UsageSourceWindow, customers []string) (Window, error) {
 	w := Window{WindowID(list.GetId()), make(Counts, len(list.GetCustomers()))}
-	if len(list.GetCustomers()) != len(list.GetStatements()) {
-		return w, errors.Errorf("decode the stored usage: window %d has %d customers and %d counts", w.ID, len(list.GetCustomers()), len(list.GetStatements()))
+	if len(list.GetCustomers()) != len(list.GetOperations()) {
+		return w, errors.Errorf("decode the stored usage: window %d has %d customers and %d counts", w.ID, len(list.GetCustomers()), len(list.GetOperations()))
 	}
 	for i, c := range list.GetCustomers() {
 		if int(c) >= len(customers) {
 			return w, errors.Errorf("decode the stored usage: window %d refers to customer %d of %d", w.ID, c, len(customers))
 		}
-		w.Counts[customers[c]] = list.GetStatements()[i]
+		w.Counts[customers[c]] = list.GetOperations()[i]
 	}
 	return w, nil
 }
@@ -85,7 +85,7 @@
 	for i, w := range list {
 		out[i] = &fleetv1.UsageWindow{Id: uint64(w.ID)}
 		for customer, n := range w.Counts {
-			out[i].Counts = append(out[i].Counts, &fleetv1.UsageCount{Customer: customer, Statements: n})
+			out[i].Counts = append(out[i].Counts, &fleetv1.UsageCount{Customer: customer, Operations: n})
 		}
 	}
 	return out
@@ -97,7 +97,7 @@
 	for i, w := range list {
 		out[i] = Window{WindowID(w.GetId()), make(Counts, len(w.GetCounts()))}
 		for _, c := range w.GetCounts() {
-			out[i].Counts[c.GetCustomer()] = c.GetStatements()
+			out[i].Counts[c.GetCustomer()] = c.GetOperations()
 		}
 	}
 	return out
--- a/internal/usage/holding.go
+++ b/internal/usage/holding.go
@@ -92,13 +92,13 @@
 	return receipt
 }
 
-// countLate records statements that are in no report.
+// countLate records operations that are in no report.
 func (r *Reporter) countLate(n uint64, from Source) {
 	if n == 0 {
 		return
 	}
 	r.o.Metrics.Late.Add(float64(n))
-	r.o.Log.Warn("usage counts came after their window was fixed", "statements", n, "instance", from.Instance, "process", from.Process)
+	r.o.Log.Warn("usage counts came after their window was fixed", "operations", n, "instance", from.Instance, "process", from.Process)
 }
 
 // fixDelay is the time after which all instances have delivered their counts to a new holder.
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// Add adds cumulative counts of a process that are complete until the given time. It returns the number of statements that are
+// Add adds cumulative counts of a process that are complete until the given time. It returns the number of operations that are
 // in none of the reports, because the counts of their windows were fixed before.
 func (l *Ledger) Add(from Source, through time.Time, windows []Window) (late uint64) {
 	if through.After(l.through[from]) {
@@ -231,7 +231,7 @@
 	return s
 }
 
-// Merge adds a state that is in the store. What it says of fixed windows is final. It returns the number of known statements that
+// Merge adds a state that is in the store. What it says of fixed windows is final. It returns the number of known operations that
 // the windows fixed by it lack.
 func (l *Ledger) Merge(s State) (late uint64) {
 	if s.FixedThrough >= l.state.FixedThrough {
@@ -263,7 +263,7 @@
 	return slices.ContainsFunc(l.state.Fixed, func(w Window) bool { return w.ID == id })
 }
 
-// excess returns the number of known statements that the window lacks.
+// excess returns the number of known operations that the window lacks.
 func (l *Ledger) excess(w Window) (n uint64) {
 	for customer, known := range l.sum(w.ID) {
 		n += known - min(known, w.Counts[customer])
--- a/internal/usage/metrics.go
+++ b/internal/usage/metrics.go
@@ -4,7 +4,7 @@
 
 // Metrics are the metrics of usage reports.
 type Metrics struct {
-	Statements    prometheus.Counter
+	Operations    prometheus.Counter
 	Deliveries    *prometheus.CounterVec
 	Fixed         prometheus.Counter
 	Reports       *prometheus.CounterVec
@@ -18,8 +18,8 @@
 // NewMetrics creates and registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		Statements: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "celerystep_usage_statements_total", Help: "Operations (single statements or transactions) of this instance's callers that members began to run.",
+		Operations: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "celerystep_usage_operations_total", Help: "Operations (single statements or transactions) of this instance's callers that members began to run.",
 		}),
 		Deliveries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "celerystep_usage_deliveries_total", Help: "Deliveries of counts to the holder by result.",
@@ -31,7 +31,7 @@
 			Name: "celerystep_usage_reports_total", Help: "Calls that report a window by result.",
 		}, []string{"result"}),
 		Late: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "celerystep_usage_late_statements_total", Help: "Statements that were delivered after the counts of their window were fixed.",
+			Name: "celerystep_usage_late_operations_total", Help: "Operations that were delivered after the counts of their window were fixed.",
 		}),
 		Unreported: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "celerystep_usage_unreported_windows", Help: "Windows that are fixed and not reported, at the holder.",
@@ -46,6 +46,6 @@
 			Name: "celerystep_usage_wall_clock_step_seconds", Help: "How far the wall clock is ahead of the clock that numbers the windows.",
 		}),
 	}
-	r.MustRegister(m.Statements, m.Deliveries, m.Fixed, m.Reports, m.Late, m.Unreported, m.Holder, m.CheckpointLen, m.WallStep)
+	r.MustRegister(m.Operations, m.Deliveries, m.Fixed, m.Reports, m.Late, m.Unreported, m.Holder, m.CheckpointLen, m.WallStep)
 	return m
 }
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -58,7 +58,7 @@
 	now := r.o.Boot()
 	r.lastReport = now
 	r.o.Metrics.Reports.WithLabelValues(result.String()).Inc()
-	r.o.Log.Info("reported the usage of a window", "window", w.ID, "customers", len(w.Counts), "statements", w.Total(), "token", token,
+	r.o.Log.Info("reported the usage of a window", "window", w.ID, "customers", len(w.Counts), "operations", w.Total(), "token", token,
 		"result", result, "after_end", r.clock.Time(now).Sub(r.o.Settings.End(w.ID)), "error", err)
 	switch result {
 	case ResultAccepted:
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -95,7 +95,7 @@
 	Metrics *Metrics
 }
 
-// Reporter counts the statements of this process, delivers the counts to the holder of the duty, and reports the windows of the fleet
+// Reporter counts the operations of this process, delivers the counts to the holder of the duty, and reports the windows of the fleet
 // while this process is the holder.
 type Reporter struct {
 	o       Options
@@ -155,7 +155,7 @@
 func (r *Reporter) Answered(arrived time.Time, customer string, n uint32, after time.Duration) {
 	if n > 0 {
 		r.counter.Began(customer, uint64(n), r.clock.Time(arrived.Add(after)))
-		r.o.Metrics.Statements.Add(float64(n))
+		r.o.Metrics.Operations.Add(float64(n))
 	}
 	r.counter.Answered(arrived)
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -13,7 +13,7 @@
 // WindowID is the number of a window: the time since the Unix epoch divided by the length of a window.
 type WindowID uint64
 
-// Counts holds numbers of statements by customer.
+// Counts holds numbers of operations by customer.
 type Counts map[string]uint64
 
 // Window holds counts of one window.
@@ -22,7 +22,7 @@
 	Counts Counts
 }
 
-// Total returns the number of statements of all customers.
+// Total returns the number of operations of all customers.
 func (w Window) Total() uint64 {
 	var n uint64
 	for _, v := range w.Counts {
@@ -31,7 +31,7 @@
 	return n
 }
 
-// Source is a process that counts statements.
+// Source is a process that counts operations.
 type Source struct {
 	Instance instance.ID
 	Process  string
