--- a/internal/caller/delegate.go
+++ b/internal/caller/delegate.go
@@ -46,7 +46,7 @@
 }
 
 // readAtDelegate runs a read at the delegate of its group. It returns false when there is none or it did not serve the read,
-// which must then be sent to the owner.
+// which must then be sent to the owner; the response only tells then how often a member began to run it.
 func (r *Router) readAtDelegate(ctx context.Context, q *operation.Request) (operation.Response, bool) {
 	route := r.Catalog().Routes[q.Database]
 	if r.Delegates == nil || !delegable(q, route) {
@@ -66,12 +66,20 @@
 	if result.Decline != delegation.DeclineNone {
 		q.Elapsed += now.Sub(started)
 		q.Charged = result.Charged
-		return operation.Response{}, false
+		return operation.Response{Began: attemptsOf(result, err)}, false
 	}
 	r.learnRevision(ctx, &result.Response)
 	return result.Response, true
 }
 
+// attemptsOf returns how often a member began to run a read that the delegate did not serve. A lost answer counts as one.
+func attemptsOf(result operation.ReadResult, err error) uint32 {
+	if result.Charged || err != nil && !notExecuted(err) {
+		return 1
+	}
+	return 0
+}
+
 // delegable reports whether a delegate may serve the request.
 func delegable(q *operation.Request, route *catalog.Route) bool {
 	reads := q.Statement.Kind == statement.KindRead || q.Statement.Kind == statement.KindExecute && !q.Statement.Writes()
--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -50,6 +50,8 @@
 	CatchUp func(ctx context.Context, revision uint64)
 	Clock   boottime.Clock
 	Log     hclog.Logger
+	// Usage counts the operations that members began to run; nil if they are not counted.
+	Usage UsageCounter
 
 	// Delegates is nil unless reads may run at delegates. LocalReads runs those of which this instance is the delegate.
 	Delegates  Delegates
@@ -61,8 +63,35 @@
 	paths sync.Map
 }
 
+// UsageCounter counts operations by customer. Times are on the boot clock.
+type UsageCounter interface {
+	// Arrived records that a statement has arrived, with which members may begin to run an operation.
+	Arrived(at time.Time)
+	// Answered records the end of that statement: members began n times to run it, the last time after its arrival by the given
+	// time.
+	Answered(arrived time.Time, customer string, n uint32, after time.Duration)
+}
+
 // Run implements operation.Runner.
 func (r *Router) Run(ctx context.Context, q *operation.Request) operation.Response {
+	if r.Usage == nil || !countsAsUsage(q) {
+		return r.run(ctx, q)
+	}
+	arrived := r.Clock().Add(-q.Elapsed)
+	r.Usage.Arrived(arrived)
+	var resp operation.Response
+	defer func() { r.Usage.Answered(arrived, q.Customer, resp.Began, resp.BeganAfter) }()
+	resp = r.run(ctx, q)
+	return resp
+}
+
+// countsAsUsage reports whether the attempts at the request count as usage of its customer. An operation is a single statement or a
+// transaction, so of a transaction only the first statement counts. Callers without a key belong to no customer.
+func countsAsUsage(q *operation.Request) bool {
+	return q.Customer != "" && !q.InTransaction
+}
+
+func (r *Router) run(ctx context.Context, q *operation.Request) operation.Response {
 	customer := r.Catalog().CustomerByKey(q.Key)
 	if customer == nil || q.InTransaction {
 		return r.route(ctx, q)
@@ -72,7 +101,9 @@
 	}
 	resp, served := r.readAtDelegate(ctx, q)
 	if !served {
+		began := resp.Began
 		resp = r.route(ctx, q)
+		resp.Began += began
 	}
 	if resp.OverRate || resp.Code == statement.CodeOK {
 		r.overRate.record(customer, q.Group, resp.OverRate, r.Clock())
@@ -81,8 +112,11 @@
 }
 
 // route runs the statement at the owner of the group, waiting for a new owner if there is none.
-func (r *Router) route(ctx context.Context, q *operation.Request) operation.Response {
+func (r *Router) route(ctx context.Context, q *operation.Request) (final operation.Response) {
 	started := r.Clock()
+	// An owner that hands the group over may have begun the statement before the last attempt.
+	var begun uint32
+	defer func() { final.Began += begun }()
 	route := r.Catalog().Routes[q.Database]
 	ownerWait := ownerRetryAfter
 	timeout := 2 * time.Second
@@ -101,6 +135,7 @@
 			r.learnRevision(ctx, &resp)
 			return resp
 		}
+		begun += resp.Began
 		if err != nil && !notExecuted(err) {
 			return r.refuseLost(ctx, q, claim, err)
 		}
@@ -152,8 +187,14 @@
 		errors.Is(err, fleetlink.ErrUnresponsive)
 }
 
-// refuseLost answers a request that the owner may have executed.
+// refuseLost answers a request that the owner may have executed. It counts as one that a member began.
 func (r *Router) refuseLost(ctx context.Context, q *operation.Request, claim ownership.Claim, err error) operation.Response {
+	resp := r.lostResponse(ctx, q, claim, err)
+	resp.Began = 1
+	return resp
+}
+
+func (r *Router) lostResponse(ctx context.Context, q *operation.Request, claim ownership.Claim, err error) operation.Response {
 	commits := q.Statement.Kind == statement.KindCommit
 	inTransaction := q.InTransaction || q.Begin != statement.KindInvalid
 	switch {
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -117,7 +117,7 @@
 }
 
 func (l *leavingOwner) Run(context.Context, *operation.Request) operation.Response {
-	return operation.Response{Answer: statement.Answer{Code: statement.CodeBusy}, NotOwner: true, Owner: l.next}
+	return operation.Response{Answer: statement.Answer{Code: statement.CodeBusy}, NotOwner: true, Owner: l.next, Began: 1}
 }
 
 func (l *leavingOwner) Grant(upstream.GroupID, []owner.TokenRequest) ([]owner.TokenRequest, bool) {
@@ -143,14 +143,16 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	previous := &leavingOwner{next: ownership.Claim{Owner: "self", Revision: 8}}
-	server := fleetlink.NewServer(previous, previous, "previous", "p")
+	server := fleetlink.NewServer(previous, previous, nil, "previous", "p")
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	claims := &movingClaims{claim: ownership.Claim{Group: "g", Owner: "previous", Address: l.Addr().String(), Revision: 7}}
 	self := &fakeOwner{run: func(*operation.Request) operation.Response { return operation.Response{} }}
 	r := newRouter(self, time.Now)
 	r.Claims, r.Peers = claims, fleetlink.NewPeers(boottime.Now)
-	is.Equal(r.Run(context.Background(), request("k1")).Code, statement.CodeOK)
+	resp := r.Run(context.Background(), request("k1"))
+	is.Equal(resp.Code, statement.CodeOK)
+	is.Equal(resp.Began, uint32(1)) // a read whose first attempt the previous owner lost
 	is.Equal(self.calls, 1)
 	is.Equal(claims.claim.Group, upstream.GroupID("g"))
 	is.True(!claims.doubted) // no call to the store
@@ -159,3 +161,81 @@
 	is.Equal(r.Run(context.Background(), request("k1")).Code, statement.CodeBusy)
 	is.True(claims.doubted)
 }
+
+// fakeUsage records the counted statements.
+type fakeUsage struct {
+	inFlight int
+	counted  map[string]uint32
+	at       time.Time
+}
+
+func (u *fakeUsage) Arrived(time.Time) { u.inFlight++ }
+
+func (u *fakeUsage) Answered(arrived time.Time, customer string, n uint32, after time.Duration) {
+	u.inFlight--
+	u.counted[customer] += n
+	u.at = arrived.Add(after)
+}
+
+// Guards against usage that depends on the owner's survival: an answer that is lost with it counts as one statement, a connection
+// that it refuses as none.
+func TestStatementsOfALostOwnerAreCounted(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		// Ends each connection with the first bytes of a call.
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.Close()
+		}
+	}()
+	now := time.Unix(1000, 0)
+	u := &fakeUsage{counted: make(map[string]uint32)}
+	local := &fakeOwner{run: func(*operation.Request) operation.Response {
+		return operation.Response{Began: 2, BeganAfter: time.Second}
+	}}
+	r := newRouter(local, func() time.Time { return now })
+	r.Peers, r.Usage = fleetlink.NewPeers(boottime.Now), u
+	run := func(claims Claims) {
+		r.Claims = claims
+		q := request("k1")
+		q.Customer, q.Elapsed = "mill", 100*time.Millisecond
+		r.Run(context.Background(), q)
+	}
+	run(selfClaims{})
+	is.Equal(u.counted["mill"], uint32(2))
+	is.Equal(u.at, now.Add(900*time.Millisecond))
+	run(&movingClaims{claim: ownership.Claim{Group: "g", Owner: "lost", Address: l.Addr().String(), Revision: 7}})
+	is.Equal(u.counted["mill"], uint32(3))
+	_ = l.Close()
+	r.Peers = fleetlink.NewPeers(boottime.Now)
+	run(&movingClaims{claim: ownership.Claim{Group: "g", Owner: "dead", Address: l.Addr().String(), Revision: 8}})
+	is.Equal(u.counted["mill"], uint32(3))
+	is.Equal(u.inFlight, 0)
+}
+
+// Guards against usage that counts the statements of a transaction: it counts once for each attempt at its first statement, and
+// neither its other statements nor the loss of their answers count. Statements without a customer count nothing.
+func TestATransactionCountsOnce(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUsage{counted: make(map[string]uint32)}
+	local := &fakeOwner{run: func(*operation.Request) operation.Response { return operation.Response{Began: 1} }}
+	r := newRouter(local, time.Now)
+	r.Peers, r.Usage = fleetlink.NewPeers(boottime.Now), u
+	run := func(customer string, begin statement.Kind, inTransaction bool) {
+		q := request("k1")
+		q.Customer, q.Begin, q.InTransaction = customer, begin, inTransaction
+		r.Run(context.Background(), q)
+	}
+	run("mill", statement.KindBegin, false)
+	is.Equal(u.counted["mill"], uint32(1))
+	run("mill", statement.KindInvalid, true)
+	run("mill", statement.KindInvalid, true)
+	is.Equal(u.counted["mill"], uint32(1))
+	run("mill", statement.KindInvalid, false)
+	is.Equal(u.counted["mill"], uint32(2))
+	run("", statement.KindInvalid, false)
+	is.Equal(len(u.counted), 1)
+	is.Equal(u.inFlight, 0)
+}
--- a/internal/owner/delegate_read.go
+++ b/internal/owner/delegate_read.go
@@ -77,7 +77,9 @@
 	if caller.Err() == nil && !errors.Is(err, errLoanLapsed) {
 		d.recordOutcome(l, err != nil || answer.Code == statement.CodeFailed)
 	}
+	c.begun.finish(answer.Code, err)
 	resp, again := g.completeAttempt(run, c, l, false, answer, err)
+	c.begun.record(&resp, c.arrived)
 	if again || resp.Code == statement.CodeTimeout {
 		return operation.ReadResult{Decline: delegation.DeclineFailed, Charged: !resp.Code.NotRun()}
 	}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -40,14 +40,16 @@
 	// primaryOnly is true after a replica could not serve the read.
 	primaryOnly bool
 	// need specifies which members could run the last attempt.
-	need dispatch.Need
-	waited      time.Duration
+	need   dispatch.Need
+	waited time.Duration
 	// tx is the mode of the transaction that the last attempt opened or runs in.
 	tx txMode
 	// floor is the position that a replica's log had to reach in the last attempt, claim the revision of the claim under which
 	// it was made.
 	floor position.Position
 	claim uint64
+	// begun counts the attempts that a member began.
+	begun begun
 }
 
 // reads reports whether neither the statement nor its transaction can change data.
@@ -137,6 +139,7 @@
 			g.returnToken(c)
 		}
 		resp.CatalogRevision = c.catalog.Revision
+		c.begun.record(&resp, c.arrived)
 		return resp
 	}
 }
@@ -155,6 +158,7 @@
 	}
 	c.attempts++
 	answer, err := g.execute(ctx, c, l, primary)
+	c.begun.finish(answer.Code, err)
 	return g.completeAttempt(ctx, c, l, primary, answer, err)
 }
 
