Keep the holder's clock when half of the clocks differ from it

Cause: with an even number of clocks the higher of the two in the middle was taken for that of the fleet. So two instances of four that started while their wall clocks were 5 s ahead moved the holder's clock, and with it the others'.

Change: of the two in the middle the one closer to the holder's clock counts.

Result: TestOnlyAMajorityOutvotesTheHolder failed before (half ahead: 5 s in place of 0) and passes; go test -race ./internal/usage and staticcheck pass.

--- a/internal/usage/clock.go
+++ b/internal/usage/clock.go
@@ -78,5 +78,9 @@
 		return 0, len(list)
 	}
 	slices.Sort(list)
-	return list[len(list)/2], len(list)
+	low, high := list[(len(list)-1)/2], list[len(list)/2]
+	if low.Abs() < high.Abs() {
+		return low, len(list) // half of the clocks do not outvote the holder's
+	}
+	return high, len(list)
 }
