Schedule by priority where the routes of a group differ

Cause: the priority of routes was never used. A statement was refused when all work with an earlier due time exceeded three quarters of the time to its target, so the most urgent route was refused first, because of less urgent work; each refusal brought the caller back with a target that had begun anew.

Change: where the priorities of a group's routes differ, statements that can still meet their target go by priority, late ones follow while capacity is left, and a statement is refused only when it cannot start before its deadline. Less urgent statements keep a tenth of the slots. Customers share the slots by the rate of their contracts (weighted fair queueing); what a customer sends beyond its share goes last. A slot of the primary and some connections are kept from less urgent statements, and retries are spread over the capacity. With equal priorities the code of before runs.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -136,6 +136,21 @@
 	return ids
 }
 
+// PriorityRange returns the highest and the lowest priority of the group's routes, or zeros if it has none.
+func (c *Catalog) PriorityRange(g upstream.GroupID) (highest, lowest int) {
+	found := false
+	for _, r := range c.Routes {
+		switch {
+		case r.Group != g:
+		case !found:
+			found, highest, lowest = true, r.Priority, r.Priority
+		default:
+			highest, lowest = min(highest, r.Priority), max(lowest, r.Priority)
+		}
+	}
+	return highest, lowest
+}
+
 // CustomerNamesByRate returns the names of all customers, those with the highest rate first.
 func (c *Catalog) CustomerNamesByRate() []string {
 	list := make([]*Customer, 0, len(c.byName))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,7 +4,8 @@
 //
 // A connection belongs to one member and one customer. Few statements are in flight at each member, so the order of the
 // rest is determined here: by due time, with statements that can still be in time first. Statements of customers with
-// much queued work go behind those of customers with little.
+// much queued work go behind those of customers with little. Where the priorities of the routes differ, statements of a higher
+// priority go first within these limits; see Priorities.
 package dispatch
 
 import (
@@ -48,6 +49,12 @@
 	Avoid upstream.MemberID
 	// Retried is true for a statement that was attempted before; it is not refused because of the length of the queue.
 	Retried bool
+	// Priority is the priority of the statement's route; 0 is the highest.
+	Priority int
+	// CustomerPriority is the priority of the customer's contract; 0 is the highest.
+	CustomerPriority int
+	// Weight is the customer's share of the slots relative to other customers; at least 1.
+	Weight float64
 }
 
 // MemberConfig describes a member to the scheduler.
@@ -80,6 +87,8 @@
 	Handshake time.Duration
 	// TransactionPercent is the percentage of a member's connections that open transactions may hold.
 	TransactionPercent int
+	// Priorities is the range of the priorities of the group's routes.
+	Priorities Priorities
 }
 
 // DefaultLimits returns limits for a group whose members accept the given number of connections from the whole fleet.
@@ -109,11 +118,13 @@
 	ReasonNoMember
 	// ReasonDeadline: the item waited until its deadline.
 	ReasonDeadline
+	// ReasonShed: more urgent items leave no time for the queued item.
+	ReasonShed
 )
 
 // String returns the name used in logs.
 func (r Reason) String() string {
-	return [...]string{"none", "queue_too_long", "queue_full", "no_member", "deadline"}[r]
+	return [...]string{"none", "queue_too_long", "queue_full", "no_member", "deadline", "shed"}[r]
 }
 
 // Refusal gives the reason why a statement is not run and when to retry.
@@ -165,6 +176,12 @@
 	opening ConnID
 	// effectiveDue is the due time, deferred by the customer's other queued work.
 	effectiveDue time.Time
+	// latestStart is when the item must start to meet its target.
+	latestStart time.Time
+	// surplus is true for an item beyond its customer's share.
+	surplus bool
+	// delayed is true for an item that more urgent ones have delayed beyond the minimum share.
+	delayed bool
 }
 
 // Scheduler schedules the statements of one group.
@@ -172,22 +189,37 @@
 	limits  Limits
 	members []*member
 	conns   map[ConnID]*conn
-	// queue is sorted by effectiveDue.
+	// queue is sorted by goesBefore.
 	queue      []*queuedItem
 	lastTicket Ticket
 	lastConn   ConnID
 	closes     []ConnID
 	// primaryExpected is when a primary is expected, while there is none.
 	primaryExpected time.Time
+
+	shares  [2]shares
+	retries [2]retrySchedule
+	// displaced holds the items that a more urgent one has displaced since the last plan.
+	displaced []Expired
+	// delaying is, by need, the work that was assigned while less urgent items were waiting.
+	delaying [2]time.Duration
 }
 
 // New returns a scheduler that knows no members.
 func New(l Limits) *Scheduler {
-	return &Scheduler{limits: l, conns: make(map[ConnID]*conn)}
+	return &Scheduler{
+		limits: l, conns: make(map[ConnID]*conn), retries: [2]retrySchedule{make(retrySchedule), make(retrySchedule)},
+	}
 }
 
 // SetLimits replaces the limits.
-func (s *Scheduler) SetLimits(l Limits) { s.limits = l }
+func (s *Scheduler) SetLimits(l Limits) {
+	before := s.limits.Priorities
+	s.limits = l
+	if l.Priorities != before {
+		s.reorder()
+	}
+}
 
 // SetPrimaryExpected sets when a primary is expected. The zero time means that no estimate is available.
 func (s *Scheduler) SetPrimaryExpected(t time.Time) { s.primaryExpected = t }
@@ -197,24 +229,27 @@
 
 // Submit queues an item, or refuses it immediately when it could not be served in time.
 func (s *Scheduler) Submit(it Item, now time.Time) (Ticket, *Refusal) {
-	w := &queuedItem{Item: it, since: now, effectiveDue: it.Due}
-	alone, fairnessDelay := s.fairShare(w, now)
-	w.effectiveDue = w.effectiveDue.Add(fairnessDelay)
-	if r := s.refuse(w, alone+fairnessDelay, now); r != nil {
+	w := &queuedItem{Item: it, since: now, effectiveDue: it.Due, latestStart: latestStart(it.Due, it.Cost, now)}
+	submit := s.submitByDue
+	if s.limits.Priorities.differ() {
+		submit = s.submitPrioritized
+	}
+	if r := submit(w, now); r != nil {
 		return 0, r
 	}
 	s.lastTicket++
 	w.ticket = s.lastTicket
-	i := len(s.queue)
-	for i > 0 && s.queue[i-1].effectiveDue.After(w.effectiveDue) {
-		i--
-	}
-	s.queue = append(s.queue, nil)
-	copy(s.queue[i+1:], s.queue[i:])
-	s.queue[i] = w
+	s.insert(w)
 	return w.ticket, nil
 }
 
+// submitByDue determines the item's place where all priorities are equal, or refuses it.
+func (s *Scheduler) submitByDue(w *queuedItem, now time.Time) *Refusal {
+	alone, fairnessDelay := s.fairShare(w, now)
+	w.effectiveDue = w.effectiveDue.Add(fairnessDelay)
+	return s.refuse(w, alone+fairnessDelay, now)
+}
+
 // Cancel removes an item from the queue. It returns false when the item is not queued any more.
 func (s *Scheduler) Cancel(t Ticket) bool {
 	for i, w := range s.queue {
@@ -236,8 +271,11 @@
 func (s *Scheduler) Plan(now time.Time) Plan {
 	var p Plan
 	s.expire(now, &p)
-	s.assign(now, &p, true)
-	s.assign(now, &p, false)
+	s.shed(now, &p)
+	s.assignMinimumShare(now, &p)
+	for c := range numClasses {
+		s.assign(now, &p, c)
+	}
 	p.Closes, s.closes = s.closes, nil
 	return p
 }
@@ -274,31 +312,36 @@
 	return &Refusal{Reason: ReasonNoMember, After: s.memberRetryAfter(now), ExpectedWait: now.Sub(w.since), QueueLength: len(s.queue)}
 }
 
-// assign assigns connections to the items that can still be in time, or to those that cannot.
-func (s *Scheduler) assign(now time.Time, p *Plan, inTime bool) {
-	for i := 0; i < len(s.queue); {
-		w := s.queue[i]
-		if w.Due.After(now) != inTime {
+// assign assigns connections to the items of a class.
+func (s *Scheduler) assign(now time.Time, p *Plan, c class) {
+	for i := 0; i < len(s.queue) && !s.saturated(); {
+		if s.class(s.queue[i], now) != c || !s.assignItem(i, now, p) {
 			i++
-			continue
 		}
-		m, c := s.choose(w, now)
-		switch {
-		case c != nil:
-			s.remove(i)
-			s.start(c, now)
-			if m.lastPosition.Less(w.Floor) {
-				// Only one statement at a time tests whether a replica has caught up.
-				m.lastPositionAt = now
-			}
-			p.Assignments = append(p.Assignments, Assignment{Ticket: w.ticket, Conn: c.id, Member: m.ID, Waited: now.Sub(w.since)})
-			continue
-		case m != nil && !s.isOpening(w.opening):
+	}
+}
+
+// assignItem assigns a connection to the queued item with the index and removes it from the queue. It returns false, and
+// requests a connection if one should be opened, when there is none.
+func (s *Scheduler) assignItem(i int, now time.Time, p *Plan) bool {
+	w := s.queue[i]
+	m, c := s.choose(w, now)
+	if c == nil {
+		if m != nil && !s.isOpening(w.opening) && s.mayOpen(m, w) {
 			if o, ok := s.open(m, w.Customer, now); ok {
 				w.opening = o.Conn
 				p.Opens = append(p.Opens, o)
 			}
 		}
-		i++
+		return false
+	}
+	s.remove(i)
+	s.countDelay(w)
+	s.start(c, now)
+	if m.lastPosition.Less(w.Floor) {
+		// Only one statement at a time tests whether a replica has caught up.
+		m.lastPositionAt = now
 	}
+	p.Assignments = append(p.Assignments, Assignment{Ticket: w.ticket, Conn: c.id, Member: m.ID, Waited: now.Sub(w.since)})
+	return true
 }
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -27,6 +27,13 @@
 	// connectedTo holds the member of each open connection; rejected counts the connections that members rejected.
 	connectedTo map[ConnID]*server
 	rejected    int
+
+	// routes, customers, costs and service belong to the simulation of operations. service draws what depends on the order of
+	// service, so that the operations of a seed are the same under all rules.
+	service   *rand.Rand
+	routes    []*loadRoute
+	customers []string
+	costs     map[string]time.Duration
 }
 
 // server simulates a member: statements run in slots, excess ones in order of arrival.
@@ -35,11 +42,14 @@
 	slots int
 	// connections counts the open ones. Unless limit is 0, the member rejects those beyond it.
 	connections, limit int
+	// slowdown multiplies the execution time of statements; 0 means 1.
+	slowdown int
 }
 
 type caller struct {
-	it      Item
-	arrived time.Time
+	it        Item
+	arrived   time.Time
+	operation *loadOperation
 }
 
 type event struct {
@@ -64,7 +74,7 @@
 	l := &loadSimulation{
 		s: newScheduler(21), random: rand.New(rand.NewPCG(seed, 1)),
 		members: make(map[upstream.MemberID]*server), callers: make(map[Ticket]*caller), perCustomer: make(map[string]int),
-		connectedTo: make(map[ConnID]*server),
+		connectedTo: make(map[ConnID]*server), costs: make(map[string]time.Duration),
 	}
 	for _, m := range members() {
 		l.members[m.ID] = &server{slots: m.Slots, free: make([]time.Time, m.Slots)}
@@ -88,6 +98,9 @@
 func (l *loadSimulation) step(now time.Time) {
 	p := l.s.Plan(now)
 	for _, e := range p.Expired {
+		if o := l.callers[e.Ticket].operation; o != nil {
+			l.retry(o, now)
+		}
 		delete(l.callers, e.Ticket)
 		l.expired++
 	}
@@ -123,6 +136,10 @@
 func (l *loadSimulation) start(a Assignment, now time.Time) {
 	c := l.callers[a.Ticket]
 	delete(l.callers, a.Ticket)
+	if c.operation != nil {
+		l.runStatement(c.operation, a, now)
+		return
+	}
 	work := time.Duration(float64(c.it.Cost) * (0.3 + 1.4*l.random.Float64()))
 	done := l.members[a.Member].run(now, work)
 	l.after(done, func() {
@@ -148,7 +165,7 @@
 	if s.free[first].After(begin) {
 		begin = s.free[first]
 	}
-	s.free[first] = begin.Add(work)
+	s.free[first] = begin.Add(work * time.Duration(max(s.slowdown, 1)))
 	return s.free[first]
 }
 
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -64,6 +64,9 @@
 	// servingPrimary is the member that the scheduler uses as primary.
 	servingPrimary upstream.MemberID
 	limits         dispatch.Limits
+	// priorities is the range of the priorities of the group's routes in prioritiesFrom.
+	priorities     dispatch.Priorities
+	prioritiesFrom *catalog.Catalog
 	// tokenRequests holds, by customer, a channel that is closed when the pending request for tokens has been answered.
 	tokenRequests    map[string]chan struct{}
 	lastHousekeeping time.Time
@@ -223,6 +226,7 @@
 	}
 	g.machine.SetSyncReplicas(declared.SyncReplicas)
 	l := dispatch.DefaultLimits(declared.MaxConnections)
+	l.Priorities = g.routePriorities(c)
 	switch {
 	case !g.o.Authority.KeysFresh():
 		// Nothing can be served, and another instance may need all connections.
@@ -231,13 +235,23 @@
 		l.Connections = max(1, l.Connections/unleasedConnDivisor)
 	}
 	if l != g.limits {
-		g.log.Info("connection limit per member", "connections", l.Connections, "before", g.limits.Connections)
+		g.log.Info("connection limit per member", "connections", l.Connections, "before", g.limits.Connections,
+			"highest_priority", l.Priorities.Highest, "lowest_priority", l.Priorities.Lowest)
 		g.limits = l
 		g.scheduler.SetLimits(l)
 		g.scheduler.TrimToLimit()
 	}
 }
 
+// routePriorities returns the range of the priorities of the group's routes.
+func (g *Group) routePriorities(c *catalog.Catalog) dispatch.Priorities {
+	if g.prioritiesFrom != c {
+		g.prioritiesFrom = c
+		g.priorities.Highest, g.priorities.Lowest = c.PriorityRange(g.id)
+	}
+	return g.priorities
+}
+
 // memberInfos describes the members to the promotion state machine.
 func (g *Group) memberInfos(now time.Time) []promotion.Info {
 	list := make([]promotion.Info, 0, len(g.members))
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -8,6 +10,8 @@
 type Metrics struct {
 	Answers       *prometheus.CounterVec
 	QueueWait     prometheus.Histogram
+	PriorityWait  *prometheus.HistogramVec
+	Refusals      *prometheus.CounterVec
 	MemberLatency *prometheus.HistogramVec
 	Promotions    prometheus.Counter
 	Dials         *prometheus.CounterVec
@@ -24,6 +28,13 @@
 		QueueWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "celerystep_owner_wait_seconds", Help: "Time that statements waited for a connection.", Buckets: buckets,
 		}),
+		PriorityWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "celerystep_owner_priority_wait_seconds", Help: "Time that statements waited for a connection, by the priority of the route.",
+			Buckets: buckets,
+		}, []string{"priority"}),
+		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "celerystep_owner_refusals_total", Help: "Statements refused by the scheduler, by the priority of the route and the reason.",
+		}, []string{"priority", "reason"}),
 		MemberLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "celerystep_owner_member_seconds", Help: "Time that members took for statements.", Buckets: buckets,
 		}, []string{"member"}),
@@ -37,6 +48,17 @@
 			Name: "celerystep_owner_probes_total", Help: "Status requests to members.",
 		}),
 	}
-	r.MustRegister(m.Answers, m.QueueWait, m.MemberLatency, m.Promotions, m.Dials, m.Probes)
+	r.MustRegister(m.Answers, m.QueueWait, m.PriorityWait, m.Refusals, m.MemberLatency, m.Promotions, m.Dials, m.Probes)
 	return m
 }
+
+// maxPriorityLabel is the highest priority number that metrics tell apart; it bounds their cardinality.
+const maxPriorityLabel = 4
+
+// priorityLabel returns the value of the label for a route's priority.
+func priorityLabel(priority int) string {
+	if priority >= maxPriorityLabel {
+		return strconv.Itoa(maxPriorityLabel) + "+"
+	}
+	return strconv.Itoa(max(priority, 0))
+}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -101,7 +101,8 @@
 // refusalResponse logs the scheduler's refusal and returns the response for the caller.
 func (g *Group) refusalResponse(c *call, r dispatch.Refusal) *operation.Response {
 	g.o.Metrics.Answers.WithLabelValues("none", statement.CodeBusy.String()).Inc()
-	g.logRefusal(c.r, "busy", r.Reason.String(), "ahead", r.ExpectedWait, "waiting", r.QueueLength, "retry_after", r.After, "attempts", c.attempts)
+	g.o.Metrics.Refusals.WithLabelValues(priorityLabel(c.route.Priority), r.Reason.String()).Inc()
+	g.logRefusal(c.r, "busy", r.Reason.String(), "priority", c.route.Priority, "ahead", r.ExpectedWait, "waiting", r.QueueLength, "retry_after", r.After, "attempts", c.attempts)
 	return refusal(statement.CodeBusy, r.Reason.String(), r.After)
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -190,6 +190,7 @@
 	}
 	c.waited += v.assignment.Waited
 	g.o.Metrics.QueueWait.Observe(v.assignment.Waited.Seconds())
+	g.o.Metrics.PriorityWait.WithLabelValues(priorityLabel(c.route.Priority)).Observe(v.assignment.Waited.Seconds())
 	return g.takeConn(v.assignment, c)
 }
 
@@ -242,6 +243,10 @@
 		OpensTransaction: c.r.Begin != statement.KindInvalid,
 		Avoid:            c.avoid,
 		Retried:          c.attempts > 0,
+		Priority:         c.route.Priority,
+	}
+	if c.customer != nil {
+		it.CustomerPriority, it.Weight = c.customer.Priority, c.customer.Rate
 	}
 	c.floor = position.Position{}
 	if floor, ok := g.floor(c); ok && !c.primaryOnly {
