Test priority scheduling; refuse what a customer sends beyond its share

Cause: a customer far above its share filled the queue with statements that were served late, a customer that waits alone was held to a share, a displaced item was lost when the newcomer was refused afterwards, and retries during an outage were spread as if one slot served them.

Change: what a customer sends beyond its share is refused when its target would be missed, unless it waits alone; the queue displaces an item last; retries are spread over the slots of one member while none is usable; the reserve leaves at least one statement in flight.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -82,7 +82,7 @@
 
 // hasRoom reports whether another statement may be sent to the member.
 func (s *Scheduler) hasRoom(m *member, w *queuedItem, replicas bool, now time.Time) bool {
-	limit := m.Slots + s.limits.ExtraInFlight - s.reservedSlots(m, w)
+	limit := s.lessReserve(m.Slots+s.limits.ExtraInFlight, m, w)
 	if m.Primary && replicas {
 		// Reads that a replica can serve leave a slot free for statements that only the primary can run.
 		limit = m.Slots - 1
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -327,7 +327,7 @@
 	w := s.queue[i]
 	m, c := s.choose(w, now)
 	if c == nil {
-		if m != nil && !s.isOpening(w.opening) && s.mayOpen(m, w) {
+		if m != nil && !s.isOpening(w.opening) {
 			if o, ok := s.open(m, w.Customer, now); ok {
 				w.opening = o.Conn
 				p.Opens = append(p.Opens, o)
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -27,6 +27,8 @@
 	// connectedTo holds the member of each open connection; rejected counts the connections that members rejected.
 	connectedTo map[ConnID]*server
 	rejected    int
+	// beforeSubmit may change an item. The function that it returns is called with the result of the submission.
+	beforeSubmit func(it *Item, now time.Time) func(*Refusal)
 
 	// routes, customers, costs and service belong to the simulation of operations. service draws what depends on the order of
 	// service, so that the operations of a seed are the same under all rules.
@@ -190,7 +192,12 @@
 }
 
 func (l *loadSimulation) submit(it Item, now time.Time) {
+	afterSubmit := func(*Refusal) {}
+	if l.beforeSubmit != nil {
+		afterSubmit = l.beforeSubmit(&it, now)
+	}
 	ticket, refusal := l.s.Submit(it, now)
+	afterSubmit(refusal)
 	if refusal != nil {
 		l.refused++
 		l.worstRefusal = max(l.worstRefusal, refusal.After)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -9,12 +9,12 @@
 	return s.limits.Priorities.differ() && (w.Priority > s.limits.Priorities.Highest || w.surplus) && !w.delayed
 }
 
-// reservedSlots returns how many statements in flight at the member are kept available for more urgent items.
-func (s *Scheduler) reservedSlots(m *member, w *queuedItem) int {
-	if m.Primary && w.Need == NeedPrimary && s.lessUrgent(w) {
-		return 1
+// lessReserve returns how many statements may be in flight at the member for the item, given the limit for the most urgent ones.
+func (s *Scheduler) lessReserve(limit int, m *member, w *queuedItem) int {
+	if m.Primary && s.lessUrgent(w) {
+		return max(limit-1, 1)
 	}
-	return 0
+	return limit
 }
 
 // transactionPercent returns the percentage of a member's connections that may be held when the item opens a transaction.
@@ -24,18 +24,3 @@
 	}
 	return s.limits.TransactionPercent
 }
-
-// mayOpen reports whether another connection of the item's customer to the member can be of use: no more statements than
-// slots allow are in flight. Further connections would take room from other customers.
-func (s *Scheduler) mayOpen(m *member, w *queuedItem) bool {
-	if !s.limits.Priorities.differ() {
-		return true
-	}
-	usable := 0
-	for _, c := range m.conns {
-		if c.customer == w.Customer && !c.inTransaction() {
-			usable++
-		}
-	}
-	return usable < m.Slots+s.limits.ExtraInFlight
-}
--- a/internal/dispatch/retryafter.go
+++ b/internal/dispatch/retryafter.go
@@ -18,7 +18,18 @@
 			at = until
 		}
 	}
-	slots := max(s.usableSlots()[w.Need], 1)
-	schedule[w.Priority] = at.Add(w.Cost / time.Duration(slots))
+	schedule[w.Priority] = at.Add(w.Cost / time.Duration(s.expectedSlots(w.Need)))
 	return at.Sub(now)
 }
+
+// expectedSlots returns the slots that will run statements with the need: those of one member while none is usable.
+func (s *Scheduler) expectedSlots(need Need) int {
+	if slots := s.usableSlots()[need]; slots > 0 {
+		return slots
+	}
+	slots := 1
+	for _, m := range s.members {
+		slots = max(slots, m.Slots)
+	}
+	return slots
+}
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -74,10 +74,10 @@
 		return
 	}
 	t := &s.shares[w.Need]
-	weight := s.waitingWeight(w.Need)
+	weight, others := s.waitingWeight(w)
 	t.advance(slots, weight, now)
 	wait := scale(t.work(w)-t.virtual, weight/float64(slots))
-	if wait > shareCredit {
+	if others && wait > shareCredit {
 		w.surplus = true
 		w.effectiveDue = w.Due.Add(wait - shareCredit)
 	}
@@ -86,15 +86,15 @@
 // weight returns the weight of the item's customer.
 func (w *queuedItem) weight() float64 { return max(w.Weight, 1) }
 
-// waitingWeight returns the weight of the customers that have items with the need in the queue.
-func (s *Scheduler) waitingWeight(need Need) float64 {
+// waitingWeight returns the weight of the customers that wait for the same slots as the item, and whether others are among them.
+func (s *Scheduler) waitingWeight(w *queuedItem) (weight float64, others bool) {
 	customers := make(map[string]bool)
-	weight := 0.0
 	for _, q := range s.queue {
-		if q.Need == need && !customers[q.Customer] {
+		if q.Need == w.Need && !customers[q.Customer] {
 			customers[q.Customer] = true
 			weight += q.weight()
+			others = others || q.Customer != w.Customer
 		}
 	}
-	return weight
+	return weight, others
 }
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -13,26 +13,32 @@
 	return nil
 }
 
-// refusePrioritized returns a refusal when the item could not be served before its deadline.
+// refusePrioritized returns a refusal when the item could not be served before its deadline, or finds no room in the queue.
 func (s *Scheduler) refusePrioritized(w *queuedItem, now time.Time) *Refusal {
-	if len(s.queue) >= s.limits.QueueLength && !s.displace(w, now) {
-		slots, running, _ := s.capacity(w, now)
-		delay := s.priorityDelay(w, max(slots, 1), running, now)
-		return s.newRefusal(ReasonQueueFull, w, delay, delay, now)
-	}
 	slots, running, _ := s.capacity(w, now)
 	if slots == 0 {
-		if s.primaryInTime(w, now) {
-			return nil
+		if !s.primaryInTime(w, now) {
+			return s.newRefusal(ReasonNoMember, w, s.memberRetryAfter(now), 0, now)
 		}
-		return s.newRefusal(ReasonNoMember, w, s.memberRetryAfter(now), 0, now)
+		slots = s.expectedSlots(w.Need)
 	}
 	delay := s.priorityDelay(w, slots, running, now)
-	maxWait := latestStart(w.Deadline, w.Cost, now).Sub(now)
-	if w.Retried || delay <= maxWait {
-		return nil
+	if excess := delay - s.maxDelay(w, now); excess > 0 && !w.Retried {
+		return s.newRefusal(ReasonQueueTooLong, w, excess, delay, now)
+	}
+	if len(s.queue) >= s.limits.QueueLength && !s.displace(w, now) {
+		return s.newRefusal(ReasonQueueFull, w, delay, delay, now)
+	}
+	return nil
+}
+
+// maxDelay returns the longest wait for which the item is queued: until its deadline, or until its target for what a customer
+// sends beyond its share, which would fill the queue with work that is late.
+func (s *Scheduler) maxDelay(w *queuedItem, now time.Time) time.Duration {
+	if w.surplus {
+		return w.latestStart.Sub(now)
 	}
-	return s.newRefusal(ReasonQueueTooLong, w, delay-maxWait, delay, now)
+	return latestStart(w.Deadline, w.Cost, now).Sub(now)
 }
 
 // primaryInTime reports whether a primary is expected before the item's deadline.
@@ -66,7 +72,7 @@
 // urgent first.
 func (s *Scheduler) shed(now time.Time, p *Plan) {
 	p.Expired, s.displaced = append(p.Expired, s.displaced...), nil
-	if !s.limits.Priorities.differ() {
+	if !s.limits.Priorities.differ() || len(s.queue) == 0 {
 		return
 	}
 	slots, replicas := s.usableSlots(), s.replicaUsable()
