Bound the connections that transactions of one customer hold

Cause: transactions that one customer leaves idle could hold all connections that transactions may hold, so those of other customers waited or were refused.

Change: where the priorities of a group's routes differ, the transactions of one customer hold at most half of them.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -90,7 +90,7 @@
 	if m.running >= limit || !m.withinWarmupRate(now) {
 		return false
 	}
-	return !w.OpensTransaction || m.heldConns*100 < s.limits.Connections*s.transactionPercent(w)
+	return !w.OpensTransaction || s.transactionRoom(m, w)
 }
 
 // estimate returns the expected time until the member has run the item.
--- a/internal/dispatch/operation_load_test.go
+++ b/internal/dispatch/operation_load_test.go
@@ -208,13 +208,18 @@
 	}
 }
 
-// idleInTransaction lets callers open a transaction on the primary again and again, and leave it idle until it is rolled back.
-func (l *loadSimulation) idleInTransaction(callers int, from, until time.Time) {
+// idleInTransaction lets callers open a transaction on the primary again and again, and leave it idle until it is rolled back. They
+// belong to the customer, or each to another one if it is empty.
+func (l *loadSimulation) idleInTransaction(callers int, customer string, from, until time.Time) {
 	idle := &loadRoute{name: "idle", priority: 1, work: 14 * time.Millisecond, target: 250 * time.Millisecond, deadline: 2 * time.Second, served: make(map[string]int)}
 	for i := range callers {
+		owner := customer
+		if owner == "" {
+			owner = l.customers[i]
+		}
 		for at := from.Add(time.Duration(i) * 10 * time.Millisecond); at.Before(until); at = at.Add(3200 * time.Millisecond) {
 			l.after(at, func() {
-				l.attempt(&loadOperation{route: idle, customer: l.customers[i], first: at, statements: 2, pause: 3 * time.Second}, at)
+				l.attempt(&loadOperation{route: idle, customer: owner, first: at, statements: 2, pause: 3 * time.Second}, at)
 			})
 		}
 	}
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -16,7 +16,7 @@
 	{"calm", func(*loadSimulation) {}},
 	{"burst", func(l *loadSimulation) { l.offer(at(2000), at(5000), 0.7, "") }},
 	{"customer", func(l *loadSimulation) { l.offer(at(2000), at(8500), 6.5/8, "c0") }},
-	{"idle transactions", func(l *loadSimulation) { l.idleInTransaction(15, at(2000), at(8000)) }},
+	{"idle transactions", func(l *loadSimulation) { l.idleInTransaction(15, "", at(2000), at(8000)) }},
 	{"slow member", func(l *loadSimulation) { l.slowMember(at(2000), at(8000)) }},
 	{"no primary", func(l *loadSimulation) { l.losePrimary(at(4000)) }},
 	{"burst and slow member", func(l *loadSimulation) {
@@ -34,7 +34,7 @@
 	{"customer, no primary and idle transactions", func(l *loadSimulation) {
 		l.offer(at(2000), at(8500), 6.5/8, "c0")
 		l.losePrimary(at(4000))
-		l.idleInTransaction(15, at(2000), at(8000))
+		l.idleInTransaction(15, "", at(2000), at(8000))
 	}},
 	{"threefold load and slow member", func(l *loadSimulation) {
 		l.offer(at(2000), at(6000), 2, "")
@@ -110,6 +110,16 @@
 	}
 }
 
+// Guards against transactions of one customer, left idle, that take the connections from the transactions of others.
+func TestIdleTransactionsOfOneCustomerLeaveConnectionsForOthers(t *testing.T) {
+	is := is.New(t)
+	l := simulate(func(l *loadSimulation) { l.idleInTransaction(60, "c0", at(2000), at(8000)) }, 8, true)
+	l.logResults(t, "by priority")
+	for _, r := range l.routes {
+		is.True(r.servedInTime("c0") >= 0.98)
+	}
+}
+
 // prioritized returns a scheduler for routes of priorities 0 to 2.
 func prioritized(connections int) *Scheduler {
 	s := newScheduler(connections)
@@ -153,9 +163,9 @@
 func TestReservesAreKeptForUrgentStatements(t *testing.T) {
 	is := is.New(t)
 	s := prioritized(11) // ten connections to a member, of which seven may be held
-	for range 20 {
+	for i := range 20 {
 		it := prioritizedWrite(1, epoch)
-		it.OpensTransaction = true
+		it.Customer, it.OpensTransaction = fmt.Sprint(i%4), true
 		submit(t, s, it, epoch)
 	}
 	held := 0
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -17,10 +17,26 @@
 	return limit
 }
 
-// transactionPercent returns the percentage of a member's connections that may be held when the item opens a transaction.
-func (s *Scheduler) transactionPercent(w *queuedItem) int {
+// transactionRoom reports whether another of the member's connections may be held by a transaction. Where priorities differ, those
+// of one customer hold at most half of the connections that transactions may hold.
+func (s *Scheduler) transactionRoom(m *member, w *queuedItem) bool {
+	percent := s.limits.TransactionPercent
 	if s.lessUrgent(w) {
-		return s.limits.TransactionPercent - reservedConnectionPercent
+		percent -= reservedConnectionPercent
 	}
-	return s.limits.TransactionPercent
+	if m.heldConns*100 >= s.limits.Connections*percent {
+		return false
+	}
+	return !s.limits.Priorities.differ() || m.heldBy(w.Customer)*200 < s.limits.Connections*percent
+}
+
+// heldBy returns the number of connections that the customer's transactions hold.
+func (m *member) heldBy(customer string) int {
+	n := 0
+	for _, c := range m.conns {
+		if c.customer == customer && c.inTransaction() {
+			n++
+		}
+	}
+	return n
 }
