Search for an evictable connection once per plan

Cause: with a backlog, every waiting statement without a connection searched all connections of the member for one to evict, also when none was idle for long enough.

Change: a search that finds none for any customer is not repeated at the same time.

--- a/internal/dispatch/connections.go
+++ b/internal/dispatch/connections.go
@@ -61,6 +61,8 @@
 	// connLimit is how many connections the member accepts at present, until connLimitUntil.
 	connLimit      int
 	connLimitUntil time.Time
+	// noneEvictableAt is when no connection could be evicted for any customer: none can at the same time.
+	noneEvictableAt time.Time
 	// warmupTokens is the token bucket that limits statements to a member that is warming up.
 	warmupTokens float64
 	warmupAt     time.Time
@@ -122,15 +124,23 @@
 
 // evictable returns the connection of another customer that has been idle for longest, or nil.
 func (s *Scheduler) evictable(m *member, customer string, now time.Time) *conn {
+	if m.noneEvictableAt.Equal(now) {
+		return nil
+	}
 	var oldest *conn
+	anyIdle := false
 	for _, c := range m.conns {
-		if c.state != connIdle || c.customer == customer || now.Sub(c.since) < minEvictIdle {
+		if c.state != connIdle || now.Sub(c.since) < minEvictIdle {
 			continue
 		}
-		if oldest == nil || c.since.Before(oldest.since) {
+		anyIdle = true
+		if c.customer != customer && (oldest == nil || c.since.Before(oldest.since)) {
 			oldest = c
 		}
 	}
+	if !anyIdle {
+		m.noneEvictableAt = now
+	}
 	return oldest
 }
 
