--- /dev/null
+++ b/internal/dispatch/reserve.go
@@ -0,0 +1,43 @@
+package dispatch
+
+// reservedConnectionPercent is the percentage of a member's connections that only transactions of the most urgent statements
+// may hold, beside Limits.TransactionPercent.
+const reservedConnectionPercent = 10
+
+// lessUrgent reports whether an item must leave the reserves for the most urgent ones: also one beyond its customer's share.
+func (s *Scheduler) lessUrgent(w *queuedItem) bool {
+	return s.limits.Priorities.differ() && (w.Priority > s.limits.Priorities.Highest || w.surplus) && !w.delayed
+}
+
+// lessReserve returns how many statements may be in flight at the member for the item, given the limit for the most urgent ones.
+func (s *Scheduler) lessReserve(limit int, m *member, w *queuedItem) int {
+	if m.Primary && s.lessUrgent(w) {
+		return max(limit-1, 1)
+	}
+	return limit
+}
+
+// transactionRoom reports whether another of the member's connections may be held by a transaction. Where priorities differ, those
+// of one customer hold at most half of the connections that transactions may hold.
+func (s *Scheduler) transactionRoom(m *member, w *queuedItem) bool {
+	percent := s.limits.TransactionPercent
+	if s.lessUrgent(w) {
+		percent -= reservedConnectionPercent
+	}
+	allowance := s.allowance(m)
+	if m.heldConns*100 >= allowance*percent {
+		return false
+	}
+	return !s.limits.Priorities.differ() || m.heldBy(w.Customer)*200 < allowance*percent
+}
+
+// heldBy returns the number of connections that the customer's transactions hold.
+func (m *member) heldBy(customer string) int {
+	n := 0
+	for _, c := range m.conns {
+		if c.customer == customer && c.inTransaction() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -105,7 +105,8 @@
 		return refusal(statement.CodeBusy, r.Reason.String(), 0)
 	}
 	g.o.Metrics.Answers.WithLabelValues("none", statement.CodeBusy.String()).Inc()
-	g.logRefusal(c.r, "busy", r.Reason.String(), "ahead", r.ExpectedWait, "waiting", r.QueueLength, "retry_after", r.After, "attempts", c.attempts)
+	g.o.Metrics.Refusals.WithLabelValues(priorityLabel(c.route.Priority), r.Reason.String()).Inc()
+	g.logRefusal(c.r, "busy", r.Reason.String(), "priority", c.route.Priority, "ahead", r.ExpectedWait, "waiting", r.QueueLength, "retry_after", r.After, "attempts", c.attempts)
 	return refusal(statement.CodeBusy, r.Reason.String(), r.After)
 }
 
