--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -96,7 +96,7 @@
 
 // hasRoom reports whether another statement may be sent to the member.
 func (s *Scheduler) hasRoom(m *member, w *queuedItem, replicas bool, now time.Time) bool {
-	limit := m.Slots + s.limits.ExtraInFlight
+	limit := s.lessReserve(m.Slots+s.limits.ExtraInFlight, m, w)
 	if m.Primary && replicas {
 		// Reads that a replica can serve leave a slot free for statements that only the primary can run.
 		limit = m.Slots - 1
@@ -105,7 +105,7 @@
 	if m.running >= limit || !m.withinWarmupRate(now) {
 		return false
 	}
-	return !w.OpensTransaction || m.heldConns*100 < s.allowance(m)*s.limits.TransactionPercent
+	return !w.OpensTransaction || s.transactionRoom(m, w)
 }
 
 // estimate returns the expected time until the member has run the item, beyond the item's cost at a normal member.
