Name the refusal of what a customer sends beyond its share

Cause: the log and the metric could not tell a customer beyond its share from a queue that is too long. Change: the reason over_share.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -120,11 +120,13 @@
 	ReasonDeadline
 	// ReasonShed: more urgent items leave no time for the queued item.
 	ReasonShed
+	// ReasonOverShare: the customer has received more than its share while others wait, and the target would be missed.
+	ReasonOverShare
 )
 
 // String returns the name used in logs.
 func (r Reason) String() string {
-	return [...]string{"none", "queue_too_long", "queue_full", "no_member", "deadline", "shed"}[r]
+	return [...]string{"none", "queue_too_long", "queue_full", "no_member", "deadline", "shed", "over_share"}[r]
 }
 
 // Refusal gives the reason why a statement is not run and when to retry.
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -212,6 +212,31 @@
 	}
 }
 
+// Guards against a customer that fills the queue with late statements while others wait; alone, it may use all slots.
+func TestStatementsBeyondTheShareAreRefusedWhileOthersWait(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		t.Run(fmt.Sprint("others wait: ", others), func(t *testing.T) {
+			is := is.New(t)
+			s := prioritized(21)
+			if others {
+				it := prioritizedWrite(2, epoch)
+				it.Customer = "b"
+				submit(t, s, it, epoch)
+			}
+			var refusal *Refusal
+			for range 120 { // 400 ms of work for three slots; the target is 150 ms, the deadline 800 ms
+				if _, refusal = s.Submit(prioritizedWrite(0, epoch), epoch); refusal != nil {
+					break
+				}
+			}
+			is.Equal(refusal != nil, others)
+			if others {
+				is.Equal(refusal.Reason, ReasonOverShare)
+			}
+		})
+	}
+}
+
 // Guards against rejected callers that all come back at the same time, and before more urgent ones.
 func TestRetriesAreSpreadInOrderOfPriority(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -23,8 +23,9 @@
 		slots = s.expectedSlots(w.Need)
 	}
 	delay := s.priorityDelay(w, slots, running, now)
-	if excess := delay - s.maxDelay(w, now); excess > 0 && !w.Retried {
-		return s.newRefusal(ReasonQueueTooLong, w, excess, delay, now)
+	maxDelay, reason := s.maxDelay(w, now)
+	if delay > maxDelay && !w.Retried {
+		return s.newRefusal(reason, w, delay-maxDelay, delay, now)
 	}
 	if len(s.queue) >= s.limits.QueueLength && !s.displace(w, now) {
 		return s.newRefusal(ReasonQueueFull, w, delay, delay, now)
@@ -32,13 +33,13 @@
 	return nil
 }
 
-// maxDelay returns the longest wait for which the item is queued: until its deadline, or until its target for what a customer
-// sends beyond its share, which would fill the queue with work that is late.
-func (s *Scheduler) maxDelay(w *queuedItem, now time.Time) time.Duration {
+// maxDelay returns the longest wait for which the item is queued, and the reason to refuse a longer one: until its deadline, or
+// until its target for what a customer sends beyond its share, which would fill the queue with work that is late.
+func (s *Scheduler) maxDelay(w *queuedItem, now time.Time) (time.Duration, Reason) {
 	if w.surplus {
-		return w.latestStart.Sub(now)
+		return w.latestStart.Sub(now), ReasonOverShare
 	}
-	return latestStart(w.Deadline, w.Cost, now).Sub(now)
+	return latestStart(w.Deadline, w.Cost, now).Sub(now), ReasonQueueTooLong
 }
 
 // primaryInTime reports whether a primary is expected before the item's deadline.
