Test the order by priority; what has missed its target is late at once

Cause: without the order by priority only tests of other rules failed. A statement that arrived after its target, for example after a failed attempt, went before statements in time for 30 ms.

Change: a test of the order; the test of the simulated loads requires 99.9 % of the most urgent route in time wherever there is a primary; a statement whose target has passed counts as late.

Result: the new test fails without the order by priority.

--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -30,17 +30,10 @@
 
 // class returns the item's class.
 func (s *Scheduler) class(w *queuedItem, now time.Time) class {
-	switch {
-	case !s.limits.Priorities.differ():
-		if w.Due.After(now) {
-			return classInTime
-		}
-		return classLate
-	case now.After(w.latestStart):
+	if !w.Due.After(now) || s.limits.Priorities.differ() && now.After(w.latestStart) {
 		return classLate
-	default:
-		return classInTime
 	}
+	return classInTime
 }
 
 // latestStart returns when an item must start to meet a target or deadline. A quarter of the time is reserved for statements
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,6 +73,9 @@
 			is.True(after.refusedPerServed() <= max(before.refusedPerServed()/2, 0.23)) // half of 0.46
 			urgent, urgentBefore := after.routes[0], before.routes[0]
 			is.True(urgent.failed <= urgentBefore.failed)
+			if !strings.Contains(load.name, "no primary") {
+				is.True(urgent.inTime*1000 >= urgent.operations*999) // its work alone is far below the capacity
+			}
 			if urgentBefore.failed+urgentBefore.late == 0 {
 				for i, r := range after.routes {
 					is.True(r.inTime*1000 >= before.routes[i].inTime*999) // nothing is worse in calm
@@ -133,6 +137,27 @@
 	return it
 }
 
+// Guards against urgent statements behind less urgent ones that are due earlier, and behind late ones.
+func TestPriorityOrdersTheQueue(t *testing.T) {
+	is := is.New(t)
+	s := prioritized(21)
+	s.limits.ExtraInFlight = -2 // one at a time
+	var want []Ticket
+	for _, c := range []struct{ priority, due int }{{0, 400}, {0, 500}, {1, 300}, {2, 200}, {0, -10}, {1, -20}} {
+		it := prioritizedWrite(c.priority, epoch)
+		it.Due = at(c.due)
+		want = append(want, submit(t, s, it, epoch))
+	}
+	var order []Ticket
+	for range 2 * len(want) {
+		for _, a := range connect(s, s.Plan(epoch), epoch) {
+			order = append(order, a.Ticket)
+			s.Done(a.Conn, false, epoch)
+		}
+	}
+	is.Equal(order, want)
+}
+
 // Guards against starvation of less urgent statements while urgent ones keep the slots busy.
 func TestLessUrgentStatementsKeepAMinimumShare(t *testing.T) {
 	is := is.New(t)
