Do not count refused session values against a borrowed replica

Cause: a session value that a member refuses is the session's fault; owners already leave it out of a member's failures. Change: the same at a delegate. Result: go test ./internal/owner passes.

--- a/internal/owner/delegate_read.go
+++ b/internal/owner/delegate_read.go
@@ -74,7 +74,7 @@
 	}
 	c.attempts++
 	answer, err := g.execute(run, c, l, false)
-	if caller.Err() == nil && !errors.Is(err, errLoanLapsed) {
+	if caller.Err() == nil && !errors.Is(err, errLoanLapsed) && !errors.Is(err, errSetup) {
 		d.recordOutcome(l, err != nil || answer.Code == statement.CodeFailed)
 	}
 	c.begun.finish(answer.Code, err)
