Run read-only transactions at delegates

Cause: only single reads ran at delegates.

Change: the first read of a BEGIN READ transaction on a bounded_staleness or read_your_writes route goes to the delegate like a single read, with the same checks, and falls back to the owner when it is declined. A transaction that is open there stays there: the router of the caller's instance records the delegate of the session and sends all later statements and the end to it. When that is not possible the caller gets ABORTED. A shutdown waits for them.

The test of what goes to a delegate required that the first read of a read-only transaction does not; it now requires that it does, and that writes and plain transactions do not.

--- a/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
@@ -60,7 +60,8 @@
 	End(context.Context, *connect.Request[v1.EndRequest]) (*connect.Response[v1.EndResponse], error)
 	// TakeTokens grants tokens of customers whose coordinator the receiver is.
 	TakeTokens(context.Context, *connect.Request[v1.TakeTokensRequest]) (*connect.Response[v1.TakeTokensResponse], error)
-	// RunRead runs a read on a replica that the receiver, the delegate of the group in the caller's failure domain, has borrowed.
+	// RunRead runs a read, or a statement of a read-only transaction, on a replica that the receiver, the delegate of the group in the
+	// caller's failure domain, has borrowed.
 	RunRead(context.Context, *connect.Request[v1.RunReadRequest]) (*connect.Response[v1.RunReadResponse], error)
 	// BorrowReplica lends a share of a replica of a group that the receiver owns.
 	BorrowReplica(context.Context, *connect.Request[v1.BorrowReplicaRequest]) (*connect.Response[v1.BorrowReplicaResponse], error)
@@ -180,7 +181,8 @@
 	End(context.Context, *connect.Request[v1.EndRequest]) (*connect.Response[v1.EndResponse], error)
 	// TakeTokens grants tokens of customers whose coordinator the receiver is.
 	TakeTokens(context.Context, *connect.Request[v1.TakeTokensRequest]) (*connect.Response[v1.TakeTokensResponse], error)
-	// RunRead runs a read on a replica that the receiver, the delegate of the group in the caller's failure domain, has borrowed.
+	// RunRead runs a read, or a statement of a read-only transaction, on a replica that the receiver, the delegate of the group in the
+	// caller's failure domain, has borrowed.
 	RunRead(context.Context, *connect.Request[v1.RunReadRequest]) (*connect.Response[v1.RunReadResponse], error)
 	// BorrowReplica lends a share of a replica of a group that the receiver owns.
 	BorrowReplica(context.Context, *connect.Request[v1.BorrowReplicaRequest]) (*connect.Response[v1.BorrowReplicaResponse], error)
--- a/internal/caller/delegate.go
+++ b/internal/caller/delegate.go
@@ -45,7 +45,31 @@
 	return p.(*delegatePath)
 }
 
-// readAtDelegate runs a read at the delegate of its group. It returns false when there is none or it did not serve the read,
+// delegateRef identifies the process of a delegate.
+type delegateRef struct {
+	claim ownership.Claim
+	mine  bool
+}
+
+// holder returns the delegate that holds the session's transaction, or false if none does.
+func (r *Router) holder(s operation.SessionID) (delegateRef, bool) {
+	d, ok := r.delegated.Load(s)
+	if !ok {
+		return delegateRef{}, false
+	}
+	return d.(delegateRef), true
+}
+
+// recordHolder records whether the delegate holds the session's transaction after the response.
+func (r *Router) recordHolder(s operation.SessionID, d delegateRef, resp *operation.Response) {
+	if resp.Code == statement.CodeOK && resp.State == statement.TxOpen {
+		r.delegated.Store(s, d)
+	} else {
+		r.delegated.Delete(s)
+	}
+}
+
+// readAtDelegate runs a read, or the first read of a read-only transaction, at the delegate of its group. It returns false when there is none or it did not serve the read,
 // which must then be sent to the owner.
 func (r *Router) readAtDelegate(ctx context.Context, q *operation.Request) (operation.Response, bool) {
 	route := r.Catalog().Routes[q.Database]
@@ -57,22 +81,75 @@
 	if !r.mayTry(q.Group, claim, ok, started) {
 		return operation.Response{}, false
 	}
-	result, err := r.callDelegate(ctx, q, route, claim, mine)
+	d := delegateRef{claim, mine}
+	result, err := r.callDelegate(ctx, q, route, d)
 	now := r.Clock()
 	r.recordRead(q, claim, result.Decline, err, now)
 	if result.Decline != delegation.DeclineNone {
+		if q.Begin != statement.KindInvalid && err != nil && !notExecuted(err) {
+			// The delegate may have opened the transaction.
+			go r.endAtDelegate(context.WithoutCancel(ctx), q.Group, q.Session, d)
+		}
 		q.Elapsed += now.Sub(started)
 		q.Charged = result.Charged
 		return operation.Response{}, false
 	}
+	if q.Begin != statement.KindInvalid {
+		r.recordHolder(q.Session, d, &result.Response)
+	}
 	r.learnRevision(ctx, &result.Response)
 	return result.Response, true
 }
 
+// continueAtDelegate runs a statement of a transaction at the delegate that holds it. If that is not possible the transaction is
+// aborted, since its statements must run on one connection and it has changed nothing.
+func (r *Router) continueAtDelegate(ctx context.Context, q *operation.Request, d delegateRef) operation.Response {
+	timeout := defaultTimeout
+	if route := r.Catalog().Routes[q.Database]; route != nil && route.Timeout > 0 {
+		timeout = route.Timeout
+	}
+	// The delegate enforces the statement timeout. This longer one covers a delegate that does not answer.
+	ctx, cancel := context.WithTimeout(ctx, timeout+answerMargin)
+	defer cancel()
+	result, err := r.readAt(ctx, q, d)
+	if err != nil || result.Decline != delegation.DeclineNone {
+		r.delegated.Delete(q.Session)
+		r.recordRead(q, d.claim, delegation.DeclineUnreachable, err, r.Clock())
+		go r.endAtDelegate(context.WithoutCancel(ctx), q.Group, q.Session, d)
+		return r.refuse(q, statement.CodeAborted, "the delegate that holds the transaction does not answer", d.claim, err, 0)
+	}
+	r.recordHolder(q.Session, d, &result.Response)
+	outcome := "served"
+	if result.Response.Code == statement.CodeAborted {
+		outcome = "aborted"
+	}
+	r.Metrics.DelegateReads.WithLabelValues(outcome).Inc()
+	return result.Response
+}
+
+// endAtDelegate rolls back the session's transaction at the delegate.
+func (r *Router) endAtDelegate(ctx context.Context, g upstream.GroupID, s operation.SessionID, d delegateRef) {
+	if d.mine {
+		r.LocalReads.EndRead(ctx, g, s)
+		return
+	}
+	if err := r.Peers.At(d.claim.Address).EndRead(ctx, g, s); err != nil {
+		r.Log.Debug("could not end a transaction at its delegate; it ends when it is idle", "group", g, "delegate", d.claim.Owner, "error", err)
+	}
+}
+
+// readAt runs the statement at the delegate.
+func (r *Router) readAt(ctx context.Context, q *operation.Request, d delegateRef) (operation.ReadResult, error) {
+	if d.mine {
+		return r.LocalReads.RunRead(ctx, q), nil
+	}
+	return r.Peers.At(d.claim.Address).RunRead(ctx, q)
+}
+
 // delegable reports whether a delegate may serve the request.
 func delegable(q *operation.Request, route *catalog.Route) bool {
 	reads := q.Statement.Kind == statement.KindRead || q.Statement.Kind == statement.KindExecute && !q.Statement.Writes()
-	return reads && !q.InTransaction && q.Begin == statement.KindInvalid && route != nil && route.Consistency != catalog.Primary
+	return reads && !q.InTransaction && q.Begin != statement.KindBegin && route != nil && route.Consistency != catalog.Primary
 }
 
 // mayTry reports whether the delegate exists and is not backed off from. It records a change of the delegate.
@@ -87,10 +164,10 @@
 	return ok && p.backoff.Over(now)
 }
 
-// callDelegate sends the read to the delegate.
-func (r *Router) callDelegate(ctx context.Context, q *operation.Request, route *catalog.Route, claim ownership.Claim, mine bool) (operation.ReadResult, error) {
-	if mine {
-		return r.LocalReads.RunRead(ctx, q), nil
+// callDelegate sends the read to the delegate, which must leave time for the owner.
+func (r *Router) callDelegate(ctx context.Context, q *operation.Request, route *catalog.Route, d delegateRef) (operation.ReadResult, error) {
+	if d.mine {
+		return r.readAt(ctx, q, d)
 	}
 	target := route.TargetLatency
 	if target <= 0 {
@@ -98,7 +175,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, target*delegateTimeoutPercent/100)
 	defer cancel()
-	result, err := r.Peers.At(claim.Address).RunRead(ctx, q)
+	result, err := r.readAt(ctx, q, d)
 	if err != nil {
 		return operation.ReadResult{Decline: delegation.DeclineUnreachable}, err
 	}
@@ -110,7 +187,9 @@
 	p := r.path(q.Group)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backoff.Record(d, now)
+	if claim.OwnerProcess() == p.process {
+		p.backoff.Record(d, now)
+	}
 	if d == delegation.DeclineNone {
 		r.Metrics.DelegateReads.WithLabelValues("served").Inc()
 		return
--- a/internal/caller/delegate_test.go
+++ b/internal/caller/delegate_test.go
@@ -25,6 +25,8 @@
 	calls  int
 	result operation.ReadResult
 	delay  func()
+	// ended receives the sessions whose transactions were ended.
+	ended chan operation.SessionID
 }
 
 func (d *fakeDelegate) Delegate(upstream.GroupID) (ownership.Claim, bool, bool) {
@@ -39,6 +41,10 @@
 	return d.result
 }
 
+func (d *fakeDelegate) EndRead(_ context.Context, _ upstream.GroupID, s operation.SessionID) {
+	d.ended <- s
+}
+
 // newDelegatingRouter returns a router with a delegate, an owner that records its last request, and a settable time.
 func newDelegatingRouter() (r *Router, d *fakeDelegate, o *fakeOwner, last *operation.Request, now *time.Time) {
 	last, now = &operation.Request{}, new(time.Time)
@@ -49,13 +55,13 @@
 	}}
 	r = newRouter(o, func() time.Time { return *now })
 	r.Catalog().Routes["orders"].Consistency = catalog.BoundedStaleness
-	d = &fakeDelegate{claim: ownership.Claim{Owner: "d", Process: "p"}}
+	d = &fakeDelegate{claim: ownership.Claim{Owner: "d", Process: "p"}, ended: make(chan operation.SessionID, 10)}
 	r.Delegates, r.LocalReads, r.Metrics = d, d, NewMetrics(prometheus.NewRegistry())
 	return r, d, o, last, now
 }
 
 // Guards against statements at a delegate that only an owner may run.
-func TestOnlyReadsOutsideTransactionsGoToTheDelegate(t *testing.T) {
+func TestOnlyReadsGoToTheDelegate(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		change func(r *Router, q *operation.Request)
@@ -68,8 +74,19 @@
 		}, 0},
 		{"write", func(_ *Router, q *operation.Request) { q.Statement.Kind = statement.KindWrite }, 0},
 		{"commit", func(_ *Router, q *operation.Request) { q.Statement.Kind = statement.KindCommit }, 0},
-		{"first read of a transaction", func(_ *Router, q *operation.Request) { q.Begin = statement.KindBeginRead }, 0},
-		{"read in a transaction", func(_ *Router, q *operation.Request) { q.InTransaction = true }, 0},
+		{"first read of a read-only transaction", func(_ *Router, q *operation.Request) { q.Begin = statement.KindBeginRead }, 1},
+		{"first write of a read-only transaction", func(_ *Router, q *operation.Request) {
+			q.Begin, q.Statement.Kind = statement.KindBeginRead, statement.KindWrite
+		}, 0},
+		{"commit of an empty read-only transaction", func(_ *Router, q *operation.Request) {
+			q.Begin, q.Statement.Kind = statement.KindBeginRead, statement.KindCommit
+		}, 0},
+		{"first read of a transaction that may write", func(_ *Router, q *operation.Request) { q.Begin = statement.KindBegin }, 0},
+		{"read in a transaction at the owner", func(_ *Router, q *operation.Request) { q.InTransaction = true }, 0},
+		{"read-only transaction that must see every commit", func(r *Router, q *operation.Request) {
+			r.Catalog().Routes["orders"].Consistency = catalog.Primary
+			q.Begin = statement.KindBeginRead
+		}, 0},
 		{"read that must see every commit", func(r *Router, _ *operation.Request) {
 			r.Catalog().Routes["orders"].Consistency = catalog.Primary
 		}, 0},
--- a/internal/caller/router.go
+++ b/internal/caller/router.go
@@ -23,6 +23,10 @@
 	ownerWaitDivisor = 4
 	// ownerRetryAfter is the retry delay sent to callers whose group has no reachable owner.
 	ownerRetryAfter = 150 * time.Millisecond
+	// defaultTimeout is the statement timeout of databases without a route.
+	defaultTimeout = 2 * time.Second
+	// answerMargin is added to a statement timeout, which another instance enforces, for the way of the answer.
+	answerMargin = 150 * time.Millisecond
 )
 
 // Claims provides the ownership claims of the groups.
@@ -59,12 +63,20 @@
 	overRate overRate
 	// paths maps upstream.GroupID to *delegatePath.
 	paths sync.Map
+	// delegated maps operation.SessionID to the delegateRef of the process that holds the session's transaction.
+	delegated sync.Map
 }
 
 // Run implements operation.Runner.
 func (r *Router) Run(ctx context.Context, q *operation.Request) operation.Response {
+	if q.InTransaction {
+		if d, ok := r.holder(q.Session); ok {
+			return r.continueAtDelegate(ctx, q, d)
+		}
+		return r.route(ctx, q)
+	}
 	customer := r.Catalog().CustomerByKey(q.Key)
-	if customer == nil || q.InTransaction {
+	if customer == nil {
 		return r.route(ctx, q)
 	}
 	if remaining := r.overRate.remaining(customer, q.Group, r.Clock()); remaining > 0 {
@@ -85,13 +97,13 @@
 	started := r.Clock()
 	route := r.Catalog().Routes[q.Database]
 	ownerWait := ownerRetryAfter
-	timeout := 2 * time.Second
+	timeout := defaultTimeout
 	if route != nil {
 		ownerWait = max(route.TargetLatency/ownerWaitDivisor, 20*time.Millisecond)
 		timeout = max(route.Timeout, ownerWait)
 	}
 	// The owner enforces the statement timeout. This longer one covers an owner that does not answer.
-	ctx, cancel := context.WithTimeout(ctx, timeout+150*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, timeout+answerMargin)
 	defer cancel()
 	elapsed := q.Elapsed
 	for {
@@ -178,6 +190,11 @@
 
 // End implements operation.Runner.
 func (r *Router) End(ctx context.Context, g upstream.GroupID, s operation.SessionID) {
+	if d, ok := r.holder(s); ok {
+		r.delegated.Delete(s)
+		r.endAtDelegate(ctx, g, s, d)
+		return
+	}
 	r.Local.End(ctx, g, s)
 	claim, mine, _ := r.Claims.Current(g)
 	if mine || claim.Address == "" {
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -128,6 +128,8 @@
 	return operation.ReadResult{Decline: delegation.DeclineNoGrant}
 }
 
+func (l *leavingOwner) EndRead(context.Context, upstream.GroupID, operation.SessionID) {}
+
 func (l *leavingOwner) Lend(upstream.GroupID, owner.BorrowRequest) (delegation.Offer, delegation.Refusal) {
 	return delegation.Offer{}, delegation.RefusalNotOwner
 }
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -136,12 +136,21 @@
 	return answer, nil
 }
 
-// End asks the peer to roll back the session's open transaction.
+// End asks the peer to roll back the session's open transaction, which it holds as the group's owner.
 func (p *Peer) End(ctx context.Context, g upstream.GroupID, s operation.SessionID) error {
+	return p.end(ctx, g, s, false)
+}
+
+// EndRead asks the peer to roll back the session's open transaction, which it holds as the group's delegate.
+func (p *Peer) EndRead(ctx context.Context, g upstream.GroupID, s operation.SessionID) error {
+	return p.end(ctx, g, s, true)
+}
+
+func (p *Peer) end(ctx context.Context, g upstream.GroupID, s operation.SessionID, delegated bool) error {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	started := time.Now()
-	_, err := p.client.End(ctx, connect.NewRequest(&fleetv1.EndRequest{Session: toSession(s), Group: string(g)}))
+	_, err := p.client.End(ctx, connect.NewRequest(&fleetv1.EndRequest{Session: toSession(s), Group: string(g), Delegated: delegated}))
 	if err != nil {
 		return p.classifyError(err, started)
 	}
@@ -161,7 +170,7 @@
 	return fromTokens(resp.Msg.GetGrants()), nil
 }
 
-// RunRead runs a read at the peer, which is the delegate of the group in the caller's failure domain.
+// RunRead runs a read or a statement of a read-only transaction at the peer, which is the delegate of the group in the caller's failure domain.
 func (p *Peer) RunRead(ctx context.Context, r *operation.Request) (operation.ReadResult, error) {
 	ctx, done, err := p.health.startCall(ctx)
 	if err != nil {
--- a/internal/fleetlink/convert_test.go
+++ b/internal/fleetlink/convert_test.go
@@ -63,6 +63,8 @@
 	return operation.ReadResult{Decline: delegation.DeclineNoGrant}
 }
 
+func (*noOwner) EndRead(context.Context, upstream.GroupID, operation.SessionID) {}
+
 func (*noOwner) Lend(upstream.GroupID, owner.BorrowRequest) (delegation.Offer, delegation.Refusal) {
 	return delegation.Offer{}, delegation.RefusalNotOwner
 }
--- a/internal/fleetlink/server.go
+++ b/internal/fleetlink/server.go
@@ -82,7 +82,11 @@
 
 // End implements fleetv1connect.FleetServiceHandler.
 func (h *handler) End(ctx context.Context, r *connect.Request[fleetv1.EndRequest]) (*connect.Response[fleetv1.EndResponse], error) {
-	h.local.End(ctx, upstream.GroupID(r.Msg.GetGroup()), fromSession(r.Msg.GetSession()))
+	end := h.local.End
+	if r.Msg.GetDelegated() {
+		end = h.local.EndRead
+	}
+	end(ctx, upstream.GroupID(r.Msg.GetGroup()), fromSession(r.Msg.GetSession()))
 	return connect.NewResponse(&fleetv1.EndResponse{}), nil
 }
 
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -94,7 +94,8 @@
 	End(ctx context.Context, g upstream.GroupID, s SessionID)
 }
 
-// ReadResult is a delegate's answer to a read. A read that was declined must be sent to the owner of the group.
+// ReadResult is a delegate's answer to a read. A read that was declined must be sent to the owner of the group, unless it is in a
+// transaction: statements in a transaction are never declined.
 type ReadResult struct {
 	Response Response
 	Decline  delegation.Decline
@@ -102,9 +103,11 @@
 	Charged bool
 }
 
-// ReadRunner runs reads of groups that other instances own.
+// ReadRunner runs reads and read-only transactions of groups that other instances own.
 type ReadRunner interface {
 	RunRead(ctx context.Context, r *Request) ReadResult
+	// EndRead rolls back the session's open transaction that RunRead has opened, if any.
+	EndRead(ctx context.Context, g upstream.GroupID, s SessionID)
 }
 
 // DetailOverRate is the detail of responses with OverRate set.
--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -23,6 +23,7 @@
 	errGroupStopped      = errors.New("the group was stopped")
 	errIdleClosed        = errors.New("the idle connection was closed")
 	errMemberUnavailable = errors.New("the member does not answer or was replaced")
+	errLoanEnded         = errors.New("the delegate may not use the member any more")
 )
 
 const (
@@ -264,6 +265,11 @@
 	g.signal()
 }
 
+// isTo reports whether the connection leads to this process of the member.
+func (l *memberConn) isTo(m member.Member) bool {
+	return l.member.ID == m.ID && l.member.Born == m.Born && l.member.Address == m.Address
+}
+
 // memberReplaced reports whether the connection's member has left or has a new process.
 func (l *memberConn) memberReplaced(g *Group) bool {
 	m, ok := g.members[l.member.ID]
--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -25,8 +25,8 @@
 	delegateRunPercent  = 70
 )
 
-// Delegate runs reads of a group that another instance owns, on the share of a replica that the owner lends. It uses the
-// queue, the connections and the checks of a Group that holds this replica only.
+// Delegate runs reads and read-only transactions of a group that another instance owns, on the share of a replica that the owner
+// lends. It uses the queue, the connections and the checks of a Group that holds this replica only.
 type Delegate struct {
 	g *Group
 	// The fields below are guarded by the group's lock.
@@ -41,12 +41,15 @@
 func newDelegate(o Options, id upstream.GroupID) *Delegate {
 	o.Log = o.Log.With("delegated", true)
 	d := &Delegate{g: newGroup(o, ownership.Claim{Group: id}, false)}
-	d.g.delegated = true
+	d.g.delegated, d.g.covers = true, d.covers
 	return d
 }
 
 // RunRead implements operation.ReadRunner.
 func (m *Manager) RunRead(ctx context.Context, r *operation.Request) operation.ReadResult {
+	if r.InTransaction {
+		return operation.ReadResult{Response: m.runInDelegatedTransaction(ctx, r)}
+	}
 	c := m.o.Catalog()
 	if !m.o.DelegateReads || !delegation.Eligible(c, r.Group) {
 		return operation.ReadResult{Decline: delegation.DeclineNoGrant}
@@ -61,6 +64,36 @@
 	return d.runRead(ctx, r, tokens)
 }
 
+// runInDelegatedTransaction runs a statement of a transaction that this instance holds as the group's delegate. A transaction does
+// not depend on whether this instance would still accept new reads.
+func (m *Manager) runInDelegatedTransaction(ctx context.Context, r *operation.Request) operation.Response {
+	if r.CatalogRevision > m.o.Catalog().Revision {
+		m.o.CatchUp(ctx, r.CatalogRevision)
+	}
+	d := m.knownDelegate(r.Group)
+	if d == nil || !d.g.hasTransaction(r.Session) {
+		return aborted("the transaction was rolled back: its delegate has lost the member or it was idle for too long")
+	}
+	resp := d.g.runInTransaction(ctx, r)
+	if ctx.Err() == nil {
+		d.recordOutcome(resp.Code == statement.CodeFailed || resp.Code == statement.CodeAborted)
+	}
+	return resp
+}
+
+// EndRead implements operation.ReadRunner.
+func (m *Manager) EndRead(_ context.Context, id upstream.GroupID, s operation.SessionID) {
+	if d := m.knownDelegate(id); d != nil {
+		d.g.endTransaction(s)
+	}
+}
+
+func (m *Manager) knownDelegate(id upstream.GroupID) *Delegate {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.delegates[id]
+}
+
 // delegate returns the delegate of the group and the owned group whose rate limiter it uses. It returns nil if this instance
 // owns no group: it would have neither tokens nor a current view of keys and members. It also returns nil if it owns this one.
 func (m *Manager) delegate(id upstream.GroupID) (tokens *Group, d *Delegate) {
@@ -165,6 +198,10 @@
 	if now.Sub(g.lastHousekeeping) >= housekeepingInterval {
 		g.lastHousekeeping = now
 		g.scheduler.CloseExpiredIdle(now)
+		g.endIdleTransactions(g.o.Catalog(), now)
+	}
+	if len(g.txs) > 0 {
+		d.renew(now)
 	}
 	g.applyPlan(now)
 	return d.active || len(g.conns) > 0 || len(g.waiters) > 0
@@ -180,6 +217,7 @@
 		d.borrower.Drop(now)
 		ok = false
 	}
+	d.abandonTransactions(now)
 	if !ok {
 		if d.active {
 			d.active = false
@@ -195,6 +233,30 @@
 	g.scheduler.SetMembers([]dispatch.MemberConfig{{ID: m.ID, Slots: grant.Share.Slots, Usable: true}}, now)
 }
 
+// covers reports whether the loan permits a transaction on the connection to go on. It may on a member that is leaving, until the
+// loan lapses. The group is locked.
+func (d *Delegate) covers(l *memberConn, now time.Time) bool {
+	grant, ok := d.borrower.Grant(now)
+	m, known := d.find(grant.Member)
+	return ok && known && m.Born == grant.Born && m.Address == grant.Address && l.isTo(m) && !d.g.o.Authority.DomainOut(m.Domain)
+}
+
+// abandonTransactions closes the connections of the transactions that the loan does not cover any more, since the owner counts them
+// as free, and of those beyond its share. The group is locked.
+func (d *Delegate) abandonTransactions(now time.Time) {
+	grant, _ := d.borrower.Grant(now)
+	open := 0
+	for s, t := range d.g.txs {
+		switch {
+		case t.memberConn.isClosed():
+		case open < grant.Share.Connections && d.covers(t.memberConn, now):
+			open++
+		default:
+			d.g.abandonTransaction(s, t, errLoanEnded)
+		}
+	}
+}
+
 // adopt starts to use the loan, which is not a renewal of the one in use. The group is locked.
 func (d *Delegate) adopt(grant delegation.Grant, m member.Member, now time.Time) {
 	g := d.g
@@ -249,16 +311,22 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock()
+	d.renew(now)
+	_, _, ok := d.loan(now)
+	return ok && d.active
+}
+
+// renew requests or renews a loan if that is due. The group is locked.
+func (d *Delegate) renew(now time.Time) {
+	g := d.g
 	if d.borrower.Ask(now) {
 		go d.borrow(BorrowRequest{
 			Domain: g.o.Domain, Running: g.scheduler.Running(), Queued: g.scheduler.Len(), Connections: g.scheduler.Conns(),
 		})
 	}
-	_, _, ok := d.loan(now)
-	return ok && d.active
 }
 
-// runRead runs a read if the loan, the customer's rate and the known positions permit it. It takes tokens from the rate limiter
+// runRead runs a read, or opens a read-only transaction with its first read, if the loan, the customer's rate and the known positions permit it. It takes tokens from the rate limiter
 // of an owned group.
 func (d *Delegate) runRead(ctx context.Context, r *operation.Request, tokens *Group) operation.ReadResult {
 	if !d.borrowed() {
@@ -284,7 +352,7 @@
 
 // delegable reports whether a delegate may run the call.
 func (c *call) delegable() bool {
-	return c.reads() && c.r.Begin == statement.KindInvalid && !c.r.InTransaction && c.route.Consistency != catalog.Primary
+	return c.reads() && !c.r.Statement.Writes() && !c.r.InTransaction && c.route.Consistency != catalog.Primary
 }
 
 func (d *Delegate) knowsFloor(c *call) bool {
@@ -315,21 +383,24 @@
 	c.attempts++
 	answer, err := g.execute(run, c, l, false)
 	if caller.Err() == nil {
-		d.recordOutcome(l, err != nil || answer.Code == statement.CodeFailed)
+		d.recordOutcome(err != nil || answer.Code == statement.CodeFailed)
 	}
 	resp, again := g.completeAttempt(run, c, l, false, answer, err)
-	if again || resp.Code == statement.CodeTimeout {
+	if again || err != nil || resp.Code == statement.CodeTimeout {
 		return operation.ReadResult{Decline: delegation.DeclineFailed, Charged: !resp.Code.NotRun()}
 	}
 	return operation.ReadResult{Response: resp}
 }
 
-// recordOutcome records whether the read on the replica failed, which may give the loan up.
-func (d *Delegate) recordOutcome(l *memberConn, failed bool) {
+// recordOutcome records whether the read on the replica failed, which may give the loan up. Without a loan, the cause is not the
+// replica.
+func (d *Delegate) recordOutcome(failed bool) {
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
-	if d.borrower.Record(failed, d.g.o.Clock()) {
-		d.g.log.Info("too many reads on the borrowed replica fail", "member", l.member.ID)
+	now := d.g.o.Clock()
+	grant, _, ok := d.loan(now)
+	if ok && d.borrower.Record(failed, now) {
+		d.g.log.Info("too many reads on the borrowed replica fail", "member", grant.Member)
 		d.g.signal()
 	}
 }
@@ -343,7 +414,7 @@
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
 	_, m, ok := d.loan(d.g.o.Clock())
-	if !ok || m.ID != l.member.ID || m.Born != l.member.Born || m.Address != l.member.Address {
+	if !ok || !l.isTo(m) {
 		return delegation.DeclineNoGrant
 	}
 	return delegation.DeclineNone
--- a/internal/owner/delegate_test.go
+++ b/internal/owner/delegate_test.go
@@ -22,7 +22,7 @@
 )
 
 // delegateWorld is an instance that is the delegate of group "g" and owns group "own", with a replica, an owner of "g" and a
-// coordinator as its surroundings. It implements member.Port, member.Conn, Lender and TokenSource.
+// coordinator as its surroundings. It implements member.Port, Lender and TokenSource.
 type delegateWorld struct {
 	fakeAuthority
 	m *Manager
@@ -40,6 +40,17 @@
 	answer  statement.Answer
 	failure error
 	sent    []member.Command
+	// loans counts the requests for a loan, dials the connections, closed those that were closed.
+	loans, dials, closed int
+	// sentOn holds, for each command sent, the number of its connection.
+	sentOn []int
+}
+
+// replicaConn is a connection to the replica, with its transaction state. It implements member.Conn.
+type replicaConn struct {
+	w      *delegateWorld
+	number int
+	state  statement.TxState
 }
 
 var replica = member.Member{ID: "m2", Group: "g", Address: "a2", Domain: "near", Slots: 5, Born: 1}
@@ -102,7 +113,10 @@
 	if w.onBorrow != nil {
 		w.onBorrow()
 	}
-	w.locked(func() { o, r = w.offer, w.refusal })
+	w.locked(func() {
+		w.loans++
+		o, r = w.offer, w.refusal
+	})
 	return o, r
 }
 
@@ -121,24 +135,44 @@
 	if w.onDial != nil {
 		w.onDial()
 	}
-	return w, nil
+	c := &replicaConn{w: w}
+	w.locked(func() {
+		w.dials++
+		c.number = w.dials
+	})
+	return c, nil
 }
 
-func (w *delegateWorld) Do(_ context.Context, commands ...member.Command) ([]statement.Answer, error) {
+func (c *replicaConn) Do(_ context.Context, commands ...member.Command) (answers []statement.Answer, err error) {
+	w := c.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.sent = append(w.sent, commands...)
+	for _, command := range commands {
+		w.sent, w.sentOn = append(w.sent, command), append(w.sentOn, c.number)
+		answer := w.answer
+		switch command.Kind {
+		case statement.KindBeginRead:
+			if answer.Code == statement.CodeOK {
+				c.state = statement.TxOpen
+			}
+		case statement.KindCommit, statement.KindRollback:
+			c.state = statement.TxIdle
+		default:
+		}
+		answer.State = c.state
+		answers = append(answers, answer)
+	}
 	if w.failure != nil {
 		return nil, w.failure
 	}
-	return []statement.Answer{w.answer}, nil
+	return answers, nil
 }
 
-func (w *delegateWorld) Status(context.Context) (promotion.Status, error) {
+func (c *replicaConn) Status(context.Context) (promotion.Status, error) {
 	return promotion.Status{}, member.ErrBusy
 }
 
-func (w *delegateWorld) Close() {}
+func (c *replicaConn) Close() { c.w.locked(func() { c.w.closed++ }) }
 
 func (w *delegateWorld) read() operation.ReadResult {
 	return w.m.RunRead(context.Background(), &operation.Request{
@@ -156,7 +190,7 @@
 		active := d.active
 		d.g.mu.Unlock()
 		if active {
-			w.locked(func() { w.sent = nil })
+			w.locked(func() { w.sent, w.sentOn = nil, nil })
 			return
 		}
 		if time.Now().After(end) {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -72,7 +72,9 @@
 	lent     delegation.Ledger
 	refusals map[instance.FailureDomain]delegation.Refusal
 	// delegated is true for the group of a Delegate: this instance does not own it.
-	delegated        bool
+	delegated bool
+	// covers reports whether a transaction on the connection may go on; nil if that needs no check. The group is locked.
+	covers           func(l *memberConn, now time.Time) bool
 	lastHousekeeping time.Time
 	lastPrewarm      time.Time
 }
@@ -350,6 +352,14 @@
 // housekeep closes idle connections, rolls back idle transactions and opens connections ahead of demand.
 func (g *Group) housekeep(c *catalog.Catalog, now time.Time) {
 	g.scheduler.CloseExpiredIdle(now)
+	g.endIdleTransactions(c, now)
+	if !g.released && now.Sub(g.lastPrewarm) >= time.Second {
+		g.prewarm(c, now)
+	}
+}
+
+// endIdleTransactions rolls back the transactions whose idle timeout has passed.
+func (g *Group) endIdleTransactions(c *catalog.Catalog, now time.Time) {
 	limit := c.IdleInTransactionTimeout
 	if limit <= 0 {
 		limit = defaultIdleInTransaction
@@ -360,9 +370,6 @@
 			g.rollBack(s, t)
 		}
 	}
-	if !g.released && now.Sub(g.lastPrewarm) >= time.Second {
-		g.prewarm(c, now)
-	}
 }
 
 // prewarm opens connections ahead of demand.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -161,7 +161,7 @@
 	return m.members[id]
 }
 
-// OpenTransactions returns the number of open transactions in all groups.
+// OpenTransactions returns the number of open transactions in all groups, including those held as a delegate.
 func (m *Manager) OpenTransactions() int {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -171,6 +171,9 @@
 			n += g.openTransactions()
 		}
 	}
+	for _, d := range m.delegates {
+		n += d.g.openTransactions()
+	}
 	return n
 }
 
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -75,6 +75,10 @@
 		}
 		g.logRefusal(r, "aborted", detail)
 		return aborted(detail)
+	case g.covers != nil && !g.covers(t.memberConn, g.o.Clock()):
+		g.abandonTransaction(r.Session, t, errLoanEnded)
+		g.mu.Unlock()
+		return aborted(errLoanEnded.Error())
 	case t.mode.guarded && r.Statement.Writes():
 		g.rollBack(r.Session, t)
 		g.mu.Unlock()
@@ -195,6 +199,20 @@
 	}
 }
 
+// abandonTransaction closes the connection of a transaction, which ends the transaction at its member. A statement that runs on it
+// fails. The group is locked.
+func (g *Group) abandonTransaction(s operation.SessionID, t *transaction, cause error) {
+	l := t.memberConn
+	g.log.Info("transaction aborted", "session", s.Number, "instance", s.Instance, "member", l.member.ID, "busy", t.busy, "cause", cause)
+	l.close(cause)
+	if t.busy {
+		return
+	}
+	g.forgetTransaction(s, t)
+	delete(g.conns, l.id)
+	g.scheduler.Closed(l.id)
+}
+
 // dropTransaction removes the idle transaction of a lost connection.
 func (g *Group) dropTransaction(l *memberConn) {
 	for s, t := range g.txs {
