--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -5,25 +5,22 @@
 	"slices"
 	"time"
 
-	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/go-faster/errors"
+
 	"github.com/celerystep/celerystep/internal/delegation"
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/promotion"
-	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
-const (
-	// borrowTimeout bounds a request for a loan. A later response would leave little of the loan.
-	borrowTimeout = 400 * time.Millisecond
-	// delegateWaitPercent and delegateRunPercent are the percentages of a route's target latency by which a read must have a
-	// connection, and its answer. Later it falls back to the owner.
-	delegateWaitPercent = 50
-	delegateRunPercent  = 70
-)
+// borrowTimeout bounds a request for a loan. A later response would leave little of the loan.
+const borrowTimeout = 400 * time.Millisecond
+
+// errLoanLapsed is the cause for which a delegate closes the connections of a loan that was not renewed in time.
+var errLoanLapsed = errors.New("the loan of the replica has lapsed")
 
 // Delegate runs reads and read-only transactions of a group that another instance owns, on the share of a replica that the owner
 // lends. It uses the queue, the connections and the checks of a Group that holds this replica only.
@@ -64,30 +61,6 @@
 	return d.runRead(ctx, r, tokens)
 }
 
-// runInDelegatedTransaction runs a statement of a transaction that this instance holds as the group's delegate. A transaction does
-// not depend on whether this instance would still accept new reads.
-func (m *Manager) runInDelegatedTransaction(ctx context.Context, r *operation.Request) operation.Response {
-	if r.CatalogRevision > m.o.Catalog().Revision {
-		m.o.CatchUp(ctx, r.CatalogRevision)
-	}
-	d := m.knownDelegate(r.Group)
-	if d == nil || !d.g.hasTransaction(r.Session) {
-		return aborted("the transaction was rolled back: its delegate has lost the member or it was idle for too long")
-	}
-	resp := d.g.runInTransaction(ctx, r)
-	if ctx.Err() == nil {
-		d.recordOutcome(resp.Code == statement.CodeFailed || resp.Code == statement.CodeAborted)
-	}
-	return resp
-}
-
-// EndRead implements operation.ReadRunner.
-func (m *Manager) EndRead(_ context.Context, id upstream.GroupID, s operation.SessionID) {
-	if d := m.knownDelegate(id); d != nil {
-		d.g.endTransaction(s)
-	}
-}
-
 func (m *Manager) knownDelegate(id upstream.GroupID) *Delegate {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -219,6 +192,10 @@
 	}
 	d.abandonTransactions(now)
 	if !ok {
+		if !grant.Until.IsZero() && !now.Before(grant.Until) {
+			// The owner may use these connections now, also those on which reads still run.
+			d.closeConns(errLoanLapsed)
+		}
 		if d.active {
 			d.active = false
 			g.log.Info("borrowed replica returned", "member", grant.Member, "claim", grant.Revision, "expired", now.Sub(grant.Until))
@@ -233,36 +210,10 @@
 	g.scheduler.SetMembers([]dispatch.MemberConfig{{ID: m.ID, Slots: grant.Share.Slots, Usable: true}}, now)
 }
 
-// covers reports whether the loan permits a transaction on the connection to go on. It may on a member that is leaving, until the
-// loan lapses. The group is locked.
-func (d *Delegate) covers(l *memberConn, now time.Time) bool {
-	grant, ok := d.borrower.Grant(now)
-	m, known := d.find(grant.Member)
-	return ok && known && m.Born == grant.Born && m.Address == grant.Address && l.isTo(m) && !d.g.o.Authority.DomainOut(m.Domain)
-}
-
-// abandonTransactions closes the connections of the transactions that the loan does not cover any more, since the owner counts them
-// as free, and of those beyond its share. The group is locked.
-func (d *Delegate) abandonTransactions(now time.Time) {
-	grant, _ := d.borrower.Grant(now)
-	open := 0
-	for s, t := range d.g.txs {
-		switch {
-		case t.memberConn.isClosed():
-		case open < grant.Share.Connections && d.covers(t.memberConn, now):
-			open++
-		default:
-			d.g.abandonTransaction(s, t, errLoanEnded)
-		}
-	}
-}
-
 // adopt starts to use the loan, which is not a renewal of the one in use. The group is locked.
 func (d *Delegate) adopt(grant delegation.Grant, m member.Member, now time.Time) {
 	g := d.g
-	for id := range g.members {
-		g.closeConnsTo(id, errMemberUnavailable)
-	}
+	d.closeConns(errMemberUnavailable)
 	g.members = map[upstream.MemberID]member.Member{m.ID: m}
 	g.machine = promotion.New(promotion.DefaultTiming(), now)
 	g.machine.SetMembers([]promotion.Info{{ID: m.ID, Local: true}}, now)
@@ -271,6 +222,13 @@
 		"position", grant.Position, "age", grant.Age, "valid", grant.Until.Sub(now))
 }
 
+// closeConns closes all connections. The group is locked.
+func (d *Delegate) closeConns(cause error) {
+	for id := range d.g.members {
+		d.g.closeConnsTo(id, cause)
+	}
+}
+
 // borrow requests a loan from the group's owner.
 func (d *Delegate) borrow(r BorrowRequest) {
 	g := d.g
@@ -325,103 +283,3 @@
 		})
 	}
 }
-
-// runRead runs a read, or opens a read-only transaction with its first read, if the loan, the customer's rate and the known positions permit it. It takes tokens from the rate limiter
-// of an owned group.
-func (d *Delegate) runRead(ctx context.Context, r *operation.Request, tokens *Group) operation.ReadResult {
-	if !d.borrowed() {
-		return operation.ReadResult{Decline: delegation.DeclineNoGrant}
-	}
-	c, refused := d.g.admit(r)
-	if refused != nil || !c.delegable() {
-		return operation.ReadResult{Decline: delegation.DeclineNotAdmitted}
-	}
-	if decline := d.precheck(c); decline != delegation.DeclineNone {
-		return operation.ReadResult{Decline: decline}
-	}
-	if ok, _ := tokens.takeToken(ctx, c); !ok {
-		return operation.ReadResult{Decline: delegation.DeclineOverRate}
-	}
-	result := d.attempt(ctx, c)
-	if !result.Charged && (result.Decline != delegation.DeclineNone || result.Response.Code.NotRun()) {
-		tokens.returnToken(c)
-	}
-	result.Response.CatalogRevision = c.catalog.Revision
-	return result
-}
-
-// delegable reports whether a delegate may run the call.
-func (c *call) delegable() bool {
-	return c.reads() && !c.r.Statement.Writes() && !c.r.InTransaction && c.route.Consistency != catalog.Primary
-}
-
-// precheck declines at once a call whose floor is not known, and a transaction that would have to wait for the end of another.
-func (d *Delegate) precheck(c *call) delegation.Decline {
-	d.g.mu.Lock()
-	defer d.g.mu.Unlock()
-	if _, ok := d.g.floor(c); !ok {
-		return delegation.DeclineFloorUnknown
-	}
-	if c.r.Begin != statement.KindInvalid && !d.g.scheduler.TransactionRoom() {
-		return delegation.DeclineBusy
-	}
-	return delegation.DeclineNone
-}
-
-// attempt queues the read and runs it once.
-func (d *Delegate) attempt(caller context.Context, c *call) operation.ReadResult {
-	g := d.g
-	target := c.due.Sub(c.arrived)
-	c.due = c.arrived.Add(target * delegateWaitPercent / 100)
-	left := c.arrived.Sub(g.o.Clock())
-	run, cancel := context.WithTimeout(caller, left+target*delegateRunPercent/100)
-	defer cancel()
-	queue, leave := context.WithTimeout(run, left+target*delegateWaitPercent/100)
-	defer leave()
-	l, _, refused := g.acquire(queue, c)
-	if refused != nil {
-		return operation.ReadResult{Decline: delegation.DeclineBusy}
-	}
-	if decline := d.recheck(c, l); decline != delegation.DeclineNone {
-		g.releaseUnused(l)
-		return operation.ReadResult{Decline: decline}
-	}
-	c.attempts++
-	answer, err := g.execute(run, c, l, false)
-	if caller.Err() == nil {
-		d.recordOutcome(err != nil || answer.Code == statement.CodeFailed)
-	}
-	resp, again := g.completeAttempt(run, c, l, false, answer, err)
-	if again || err != nil || resp.Code == statement.CodeTimeout {
-		return operation.ReadResult{Decline: delegation.DeclineFailed, Charged: !resp.Code.NotRun()}
-	}
-	return operation.ReadResult{Response: resp}
-}
-
-// recordOutcome records whether the read on the replica failed, which may give the loan up. Without a loan, the cause is not the
-// replica.
-func (d *Delegate) recordOutcome(failed bool) {
-	d.g.mu.Lock()
-	defer d.g.mu.Unlock()
-	now := d.g.o.Clock()
-	grant, _, ok := d.loan(now)
-	if ok && d.borrower.Record(failed, now) {
-		d.g.log.Info("too many reads on the borrowed replica fail", "member", grant.Member)
-		d.g.signal()
-	}
-}
-
-// recheck repeats, right before the read is sent, the checks whose result may have changed since: the process may have been
-// frozen, or the read was queued.
-func (d *Delegate) recheck(c *call, l *memberConn) delegation.Decline {
-	if d.g.revalidate(c) != nil {
-		return delegation.DeclineNotAdmitted
-	}
-	d.g.mu.Lock()
-	defer d.g.mu.Unlock()
-	_, m, ok := d.loan(d.g.o.Clock())
-	if !ok || !l.isTo(m) {
-		return delegation.DeclineNoGrant
-	}
-	return delegation.DeclineNone
-}
--- a/internal/owner/delegate_test.go
+++ b/internal/owner/delegate_test.go
@@ -34,10 +34,10 @@
 	offer   delegation.Offer
 	refusal delegation.Refusal
 	tokens  int
-	// silent makes the replica leave statements unanswered.
-	silent bool
-	// onBorrow runs while a loan is requested, onDial while a connection is opened; answer is the replica's answer or its error.
+	// onBorrow runs while a loan is requested, onDial while a connection is opened, onSend when statements have been sent; answer
+	// is the replica's answer or failure its error.
 	onBorrow, onDial func()
+	onSend           func(ctx context.Context)
 
 	answer  statement.Answer
 	failure error
@@ -147,11 +147,8 @@
 
 func (c *replicaConn) Do(ctx context.Context, commands ...member.Command) (answers []statement.Answer, err error) {
 	w := c.w
-	var silent bool
-	w.locked(func() { silent = w.silent })
-	if silent {
-		<-ctx.Done()
-		return nil, member.ErrLost
+	if w.onSend != nil {
+		w.onSend(ctx)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -242,6 +239,7 @@
 			m.Leaving = true
 			w.m.SetMembers("g", []member.Member{m})
 		}, delegation.DeclineNoGrant},
+		{"the domain is out of service", func(w *delegateWorld) { w.domainOut = true }, delegation.DeclineNoGrant},
 		{"the member has a new process", func(w *delegateWorld) {
 			m := replica
 			m.Born++
@@ -265,12 +263,26 @@
 	}
 }
 
-// Guards against a read that is sent although the loan has lapsed, or the key was withdrawn, while the process was frozen or the
-// read was queued.
+// changeRoute puts a configuration into force in which the route differs.
+func (w *delegateWorld) changeRoute(change func(r *catalog.Route)) {
+	w.locked(func() {
+		w.catalog = delegatedCatalog(6, "k1")
+		change(w.catalog.Routes["views"])
+	})
+}
+
+// Guards against a read that is sent although the loan has lapsed, the key was withdrawn, or the route has come to need commits
+// that the floor does not cover, while the process was frozen or the read was queued.
 func TestAFrozenDelegateSendsNothing(t *testing.T) {
 	for name, change := range map[string]func(w *delegateWorld){
 		"the loan lapses":      func(w *delegateWorld) { w.advance(delegation.TTL) },
 		"the key is withdrawn": func(w *delegateWorld) { w.locked(func() { w.catalog = delegatedCatalog(6, "k2") }) },
+		"the route reads at the primary": func(w *delegateWorld) {
+			w.changeRoute(func(r *catalog.Route) { r.Consistency = catalog.Primary })
+		},
+		"the route permits less staleness": func(w *delegateWorld) {
+			w.changeRoute(func(r *catalog.Route) { r.MaxStaleness = stalenessMargin / 2 })
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -293,6 +305,37 @@
 	}
 }
 
+// Guards against a connection on which a read runs after the loan has lapsed, when the owner may use it, and against a pause of
+// the next loan because of that.
+func TestALapsedLoanEndsItsReads(t *testing.T) {
+	is := is.New(t)
+	w := newDelegateWorld(t)
+	w.borrow(t)
+	w.changeRoute(func(r *catalog.Route) { r.Timeout, r.TargetLatency = time.Hour, time.Hour })
+	_, d := w.m.delegate("g")
+	var cause error
+	w.onSend = func(ctx context.Context) {
+		w.locked(func() { w.refusal, w.failure = delegation.RefusalHeld, member.ErrLost })
+		w.advance(delegation.TTL)
+		d.step()
+		select {
+		case <-ctx.Done():
+		case <-time.After(10 * time.Second):
+		}
+		cause = context.Cause(ctx)
+	}
+	result := w.read()
+	is.Equal(cause, errLoanLapsed)
+	is.Equal(result.Decline, delegation.DeclineFailed)
+	is.True(result.Charged)
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	is.Equal(len(d.g.conns), 0)
+	// Three failures in succession give a loan up; the read that ended with its loan is not one of them.
+	is.True(!d.borrower.Record(true, w.clock()))
+	is.True(!d.borrower.Record(true, w.clock()))
+}
+
 // Guards against a position that counts as known for a later time than it is, when the owner's response takes long.
 func TestThePositionOfALoanCountsFromItsRequest(t *testing.T) {
 	is := is.New(t)
--- a/internal/owner/delegate_transaction_test.go
+++ b/internal/owner/delegate_transaction_test.go
@@ -261,8 +261,9 @@
 	is := is.New(t)
 	w := newDelegateWorld(t)
 	w.borrow(t)
+	w.onSend = func(ctx context.Context) { <-ctx.Done() }
 	w.locked(func() {
-		w.silent = true
+		w.failure = member.ErrLost
 		w.catalog.Routes["views"].TargetLatency = 200 * time.Millisecond
 	})
 	result := w.begin(1)
