--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -108,6 +108,16 @@
 	return !w.OpensTransaction || s.transactionRoom(m, w)
 }
 
+// TransactionRoom reports whether another transaction may hold a connection to any usable member.
+func (s *Scheduler) TransactionRoom() bool {
+	for _, m := range s.members {
+		if m.Usable && s.heldBelow(m, s.limits.TransactionPercent) {
+			return true
+		}
+	}
+	return false
+}
+
 // estimate returns the expected time until the member has run the item, beyond the item's cost at a normal member.
 func (s *Scheduler) estimate(m *member, w *queuedItem, connected bool, now time.Time) time.Duration {
 	slowdown := s.state(m, now).Slowdown
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -24,11 +24,15 @@
 	if s.lessUrgent(w) {
 		percent -= reservedConnectionPercent
 	}
-	allowance := s.allowance(m)
-	if m.heldConns*100 >= allowance*percent {
+	if !s.heldBelow(m, percent) {
 		return false
 	}
-	return !s.limits.Priorities.differ() || m.heldBy(w.Customer)*200 < allowance*percent
+	return !s.limits.Priorities.differ() || m.heldBy(w.Customer)*200 < s.allowance(m)*percent
+}
+
+// heldBelow reports whether transactions hold less than the percentage of the connections that the member may have.
+func (s *Scheduler) heldBelow(m *member, percent int) bool {
+	return m.heldConns*100 < s.allowance(m)*percent
 }
 
 // heldBy returns the number of connections that the customer's transactions hold.
--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -25,6 +25,7 @@
 	errUnanswered        = errors.New("a member that is judged failing left the read unanswered")
 	errSetup             = errors.Wrap(member.ErrLost, "the session cannot be set up on the connection")
 	errMemberUnavailable = errors.New("the member does not answer or was replaced")
+	errLoanEnded         = errors.New("the delegate may not use the member any more")
 )
 
 const (
@@ -266,6 +267,11 @@
 	g.signal()
 }
 
+// isTo reports whether the connection leads to this process of the member.
+func (l *memberConn) isTo(m member.Member) bool {
+	return l.member.ID == m.ID && l.member.Born == m.Born && l.member.Address == m.Address
+}
+
 // memberReplaced reports whether the connection's member has left or has a new process.
 func (l *memberConn) memberReplaced(g *Group) bool {
 	m, ok := g.members[l.member.ID]
--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -22,8 +22,8 @@
 // errLoanLapsed is the cause for which a delegate closes the connections of a loan that was not renewed in time.
 var errLoanLapsed = errors.New("the loan of the replica has lapsed")
 
-// Delegate runs reads of a group that another instance owns, on the share of a replica that the owner lends. It uses the
-// queue, the connections and the checks of a Group that holds this replica only.
+// Delegate runs reads and read-only transactions of a group that another instance owns, on the share of a replica that the owner
+// lends. It uses the queue, the connections and the checks of a Group that holds this replica only.
 type Delegate struct {
 	g *Group
 	// The fields below are guarded by the group's lock.
@@ -38,12 +38,15 @@
 func newDelegate(o Options, id upstream.GroupID) *Delegate {
 	o.Log = o.Log.With("delegated", true)
 	d := &Delegate{g: newGroup(o, ownership.Claim{Group: id}, false)}
-	d.g.delegated = true
+	d.g.delegated, d.g.covers = true, d.covers
 	return d
 }
 
 // RunRead implements operation.ReadRunner.
 func (m *Manager) RunRead(ctx context.Context, r *operation.Request) operation.ReadResult {
+	if r.InTransaction {
+		return operation.ReadResult{Response: m.runInDelegatedTransaction(ctx, r)}
+	}
 	c := m.o.Catalog()
 	if !m.o.DelegateReads || !delegation.Eligible(c, r.Group) {
 		return operation.ReadResult{Decline: delegation.DeclineNoGrant}
@@ -58,6 +61,12 @@
 	return d.runRead(ctx, r, tokens)
 }
 
+func (m *Manager) knownDelegate(id upstream.GroupID) *Delegate {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.delegates[id]
+}
+
 // delegate returns the delegate of the group and the owned group whose rate limiter it uses. It returns nil if this instance
 // owns no group: it would have neither tokens nor a current view of keys and members. It also returns nil if it owns this one.
 func (m *Manager) delegate(id upstream.GroupID) (tokens *Group, d *Delegate) {
@@ -162,6 +171,10 @@
 	if now.Sub(g.lastHousekeeping) >= housekeepingInterval {
 		g.lastHousekeeping = now
 		g.scheduler.CloseExpiredIdle(now)
+		g.endIdleTransactions(g.o.Catalog(), now)
+	}
+	if len(g.txs) > 0 {
+		d.renew(now)
 	}
 	g.applyPlan(now)
 	return d.active || len(g.conns) > 0 || len(g.waiters) > 0
@@ -177,6 +190,7 @@
 		d.borrower.Drop(now)
 		ok = false
 	}
+	d.abandonTransactions(now)
 	if !ok {
 		if !grant.Until.IsZero() && !now.Before(grant.Until) {
 			// The owner may use these connections now, also those on which reads still run.
@@ -255,11 +269,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock()
+	d.renew(now)
+	_, _, ok := d.loan(now)
+	return ok && d.active
+}
+
+// renew requests or renews a loan if that is due. The group is locked.
+func (d *Delegate) renew(now time.Time) {
+	g := d.g
 	if d.borrower.Ask(now) {
 		go d.borrow(BorrowRequest{
 			Domain: g.o.Domain, Running: g.scheduler.Running(), Queued: g.scheduler.Len(), Connections: g.scheduler.Conns(),
 		})
 	}
-	_, _, ok := d.loan(now)
-	return ok && d.active
 }
--- a/internal/owner/delegate_read.go
+++ b/internal/owner/delegate_read.go
@@ -18,8 +18,8 @@
 	delegateRunPercent  = 70
 )
 
-// runRead runs a read if the loan, the customer's rate and the known positions permit it. It takes tokens from the rate limiter
-// of an owned group.
+// runRead runs a read, or opens a read-only transaction with its first read, if the loan, the customer's rate and the known
+// positions permit it. It takes tokens from the rate limiter of an owned group.
 func (d *Delegate) runRead(ctx context.Context, r *operation.Request, tokens *Group) operation.ReadResult {
 	if !d.borrowed() {
 		return operation.ReadResult{Decline: delegation.DeclineNoGrant}
@@ -28,8 +28,8 @@
 	if refused != nil || !c.delegable() {
 		return operation.ReadResult{Decline: delegation.DeclineNotAdmitted}
 	}
-	if !d.knowsFloor(c) {
-		return operation.ReadResult{Decline: delegation.DeclineFloorUnknown}
+	if decline := d.precheck(c); decline != delegation.DeclineNone {
+		return operation.ReadResult{Decline: decline}
 	}
 	if ok, _ := tokens.takeToken(ctx, c); !ok {
 		return operation.ReadResult{Decline: delegation.DeclineOverRate}
@@ -44,14 +44,20 @@
 
 // delegable reports whether a delegate may run the call.
 func (c *call) delegable() bool {
-	return c.reads() && c.r.Begin == statement.KindInvalid && !c.r.InTransaction && c.route.Consistency != catalog.Primary
+	return c.reads() && !c.r.Statement.Writes() && !c.r.InTransaction && c.route.Consistency != catalog.Primary
 }
 
-func (d *Delegate) knowsFloor(c *call) bool {
+// precheck declines at once a call whose floor is not known, and a transaction that would have to wait for the end of another.
+func (d *Delegate) precheck(c *call) delegation.Decline {
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
-	_, ok := d.g.floor(c)
-	return ok
+	if _, ok := d.g.floor(c); !ok {
+		return delegation.DeclineFloorUnknown
+	}
+	if c.r.Begin != statement.KindInvalid && !d.g.scheduler.TransactionRoom() {
+		return delegation.DeclineBusy
+	}
+	return delegation.DeclineNone
 }
 
 // attempt queues the read and runs it once.
@@ -75,23 +81,26 @@
 	c.attempts++
 	answer, err := g.execute(run, c, l, false)
 	if caller.Err() == nil && !errors.Is(err, errLoanLapsed) && !errors.Is(err, errSetup) {
-		d.recordOutcome(l, err != nil || answer.Code == statement.CodeFailed)
+		d.recordOutcome(err != nil || answer.Code == statement.CodeFailed)
 	}
 	c.begun.finish(answer.Code, err)
 	resp, again := g.completeAttempt(run, c, l, false, answer, err)
 	c.begun.record(&resp, c.arrived)
-	if again || resp.Code == statement.CodeTimeout {
+	if again || err != nil || resp.Code == statement.CodeTimeout {
 		return operation.ReadResult{Decline: delegation.DeclineFailed, Charged: !resp.Code.NotRun()}
 	}
 	return operation.ReadResult{Response: resp}
 }
 
-// recordOutcome records whether the read on the replica failed, which may give the loan up.
-func (d *Delegate) recordOutcome(l *memberConn, failed bool) {
+// recordOutcome records whether the read on the replica failed, which may give the loan up. Without a loan, the cause is not the
+// replica.
+func (d *Delegate) recordOutcome(failed bool) {
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
-	if d.borrower.Record(failed, d.g.o.Clock()) {
-		d.g.log.Info("too many reads on the borrowed replica fail", "member", l.member.ID)
+	now := d.g.o.Clock()
+	grant, _, ok := d.loan(now)
+	if ok && d.borrower.Record(failed, now) {
+		d.g.log.Info("too many reads on the borrowed replica fail", "member", grant.Member)
 		d.g.signal()
 	}
 }
@@ -105,7 +114,7 @@
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
 	_, m, ok := d.loan(d.g.o.Clock())
-	if !ok || m.ID != l.member.ID || m.Born != l.member.Born || m.Address != l.member.Address {
+	if !ok || !l.isTo(m) {
 		return delegation.DeclineNoGrant
 	}
 	// The route may have changed, and positions of a new term may be known. Without a floor the replica would answer on any log.
