Add celerystepctl config check

Cause: mistakes of a configuration file showed only when the change was sent, and entries that the fleet accepts although they have no effect (a customer without a key, a main group without a route) never showed.

Change: config check FILE [--against VERSION|FILE] reports errors, warnings and differences with paths and lines. Errors come from the decoder and the checks of package config, differences from its Diff. The warnings are decided in package configcheck, which is a pure function of the configuration. config.ParseDocument is ParseFile before the lists are sorted, so that paths of later checks point into the file. Exit codes: 0 no findings, 1 findings, 2 cannot read. Differences are no findings, because a file with an intended change must be able to pass.

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -18,21 +18,30 @@
 // ParseFile reads and checks a configuration file. All mistakes are returned, each with its path and line, and the
 // configuration is nil when there is one.
 func ParseFile(document []byte) (*Cluster, []Problem) {
+	c, _, problems := ParseDocument(document)
+	if c != nil {
+		c.Normalize()
+	}
+	return c, problems
+}
+
+// ParseDocument is ParseFile with the lists in the order of the document, so that the Positions locate the paths of
+// later checks. The Positions are nil when the document is not JSON.
+func ParseDocument(document []byte) (*Cluster, *jsoncheck.Positions, []Problem) {
 	problems, pos := schema.Check(document)
 	if len(problems) > 0 {
-		return nil, problems
+		return nil, pos, problems
 	}
 	c := &Cluster{}
 	if problems := jsoncheck.Decode(document, c, pos); len(problems) > 0 {
-		return nil, problems
+		return nil, pos, problems
 	}
 	problems = Check(c)
 	jsoncheck.Locate(problems, pos)
 	if len(problems) > 0 {
-		return nil, problems
+		return nil, pos, problems
 	}
-	c.Normalize()
-	return c, nil
+	return c, pos, nil
 }
 
 // FormatFile returns the configuration as a file that ParseFile reads.
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -33,6 +33,8 @@
 	to := diff.Flag("to", "Second version. Default: the present one.").Uint64()
 	a.command(diff, func(ctx context.Context) error { return a.diffConfig(ctx, *file, *from, *to) })
 
+	a.declareConfigCheck(clause)
+
 	a.command(clause.Command("history", "List the kept versions with who made them."), a.listHistory)
 }
 
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -13,9 +13,9 @@
 // Exit codes.
 const (
 	ExitOK = 0
-	// ExitFailed means that a question was not answered, or an internal error.
+	// ExitFailed means that a question was not answered, an internal error, or findings of config check.
 	ExitFailed = 1
-	// ExitUsage means a mistake on the command line.
+	// ExitUsage means a mistake on the command line, or that config check cannot read its file or version.
 	ExitUsage = 2
 	// ExitInvalid means that the result of the change has mistakes; nothing was changed.
 	ExitInvalid = 3
@@ -85,8 +85,11 @@
 		behind    *config.BehindError
 		missing   *notConfirmedError
 		unrevoked *notRevokedError
+		unread    *unreadableError
 	)
 	switch {
+	case errors.As(err, &unread):
+		return ExitUsage, "Nothing was checked."
 	case errors.As(err, &usage):
 		return ExitUsage, "See celerystepctl --help."
 	case errors.As(err, &refused), errors.As(err, &invalid), errors.As(err, &problems):
