Bound what clients can make a process hold

Cause: messages, responses, connections and calls of clients were bounded one by one or not at all; 150 clients with legal messages took 216 MB, 40 calls of peers 1.3 GB, and idle connections any number of descriptors. Change: package intake accounts for all of them. A byte budget (an eighth of limits.memoryMb) is charged before long messages are buffered, for their copies on the way to members and peers, for answers, session state and calls of peers. Sessions, those without START, connections of peers and probes, and calls are bounded; the bounds follow from limits.memoryMb and limits.maxFds and can be set in clientLimits. A check of all connections each second closes those whose begun message stays below 4 KiB/s after 30 s, and those that take nothing of a response for 30 s; statements set no timer. Under pressure, connections without progress are closed first, then the heaviest; those that hold at most 32 KiB, or whose statement runs, never. The kernel's buffers of a caller's connection are 16 KiB; those of HTTP/2 connections 128 KiB. Requests of peers are at most 3 MiB, and not compressed.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -16,6 +16,7 @@
 	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/catalog"
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/intake"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/statement"
 )
@@ -287,6 +288,9 @@
 		runner:   s.Runner,
 		clock:    s.Clock,
 	}
+	if limited, ok := c.(*intake.Conn); ok {
+		session.account = limited.Account
+	}
 	if code := session.Check(); code != statement.CodeOK {
 		s.reject(codec, start, code, "no such database or key")
 		return nil
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -7,10 +7,12 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/intake"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/statement"
@@ -21,6 +23,10 @@
 	// maxValues and maxPrepared bound the session values and prepared statements of one session.
 	maxValues   = 200
 	maxPrepared = 500
+	// maxStateBytes bounds the bytes of all values and prepared statements of one session. They accompany its requests.
+	maxStateBytes = 1 << 20
+	// freeStateBytes is the part of them that is not charged.
+	freeStateBytes = 4 << 10
 )
 
 // Session is the state of one caller's session. It is used by one goroutine.
@@ -31,6 +37,8 @@
 	catalog  func() *catalog.Catalog
 	runner   operation.Runner
 	clock    boottime.Clock
+	// account is charged for the values and the prepared statements; nil without limits.
+	account *intake.Account
 
 	values   map[string]string
 	prepared map[string]statement.Prepared
@@ -40,6 +48,10 @@
 	// heldByMember is true while a member holds the session's transaction in group.
 	heldByMember bool
 	group        upstream.GroupID
+	// stateBytes is the number of bytes of values and prepared statements that were set, and not deleted, so far.
+	stateBytes int
+	// charged is the largest number of them for which the account was charged.
+	charged int64
 	// floor is the position of the session's last commit, which its later reads must observe.
 	floor position.Position
 }
@@ -146,23 +158,48 @@
 	if _, known := s.values[st.Name]; !known && len(s.values) >= maxValues {
 		return s.fail(statement.CodeFailed, "too many session values")
 	}
+	if !s.keep(len(st.Name) + len(st.Value) - len(s.values[st.Name])) {
+		return s.fail(statement.CodeFailed, "the session values are too large")
+	}
 	// Requests in flight share the old map.
 	next := maps.Clone(s.values)
 	if next == nil {
 		next = make(map[string]string)
 	}
-	next[st.Name] = st.Value
+	// A copy, so that the value does not retain a larger message.
+	next[st.Name] = strings.Clone(st.Value)
 	s.values = next
 	return s.answerOK()
 }
 
+// keep reserves memory for n more bytes of values and prepared statements. It returns false if the session may not hold them.
+// Bytes are not returned to the budget before the session ends, as requests in flight may share them.
+func (s *Session) keep(n int) bool {
+	next := s.stateBytes + n
+	if next > maxStateBytes {
+		return false
+	}
+	if charge := int64(next) - max(s.charged, freeStateBytes); charge > 0 {
+		if s.account.Keep(charge) != nil {
+			return false
+		}
+		s.charged = int64(next)
+	}
+	s.stateBytes = next
+	return true
+}
+
 func (s *Session) doPrepare(st statement.Statement) operation.Response {
 	if len(s.prepared) >= maxPrepared {
 		return s.fail(statement.CodeFailed, "too many prepared statements")
 	}
+	if !s.keep(len(st.Name) + len(st.Prepared.Definition) - len(s.prepared[st.Name].Definition)) {
+		return s.fail(statement.CodeFailed, "the prepared statements are too large")
+	}
 	if s.prepared == nil {
 		s.prepared = make(map[string]statement.Prepared)
 	}
+	st.Prepared.Definition = strings.Clone(st.Prepared.Definition)
 	s.prepared[st.Name] = st.Prepared
 	return s.answerOK()
 }
@@ -171,6 +208,7 @@
 	if _, ok := s.prepared[st.Name]; !ok {
 		return s.fail(statement.CodeUnknownStatement, "no statement is prepared under the name")
 	}
+	s.stateBytes -= len(st.Name) + len(s.prepared[st.Name].Definition)
 	delete(s.prepared, st.Name)
 	return s.answerOK()
 }
--- a/internal/fleetlink/server.go
+++ b/internal/fleetlink/server.go
@@ -21,7 +21,18 @@
 
 const (
 	// maxConcurrentStreams bounds the calls in flight on one connection.
-	maxConcurrentStreams = 2000
+	maxConcurrentStreams = 500
+	// maxRequestBytes bounds a request: a statement and the values of its session, of 1 MiB each, and what accompanies them.
+	maxRequestBytes = 3 << 20
+	// connReceiveBytes and streamReceiveBytes bound the bytes of requests that are received before they are read.
+	connReceiveBytes, streamReceiveBytes = 128 << 10, 64 << 10
+	// writeTimeout bounds the time from the headers of a request to the end of its response, writeByteTimeout the time for which a
+	// connection takes no bytes. Requests wait up to maxWait of package fanout for a change.
+	writeTimeout, writeByteTimeout = 90 * time.Second, 30 * time.Second
+	// idleServerTimeout closes idle connections. It is longer than that of the clients.
+	idleServerTimeout = 2 * idleTimeout
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 16 << 10
 	// headerTimeout bounds the time to read the headers of a request.
 	headerTimeout = 2 * time.Second
 	// pingInterval and pingTimeout configure the HTTP/2 pings that detect stalled connections to peers.
@@ -56,12 +67,19 @@
 // NewServer returns the unencrypted HTTP/2 server for the calls of peers.
 func NewServer(local Local, reader Reader, self instance.ID, process string) *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(fleetv1connect.NewFleetServiceHandler(&handler{local: local, reader: reader, self: self, process: process}))
+	mux.Handle(fleetv1connect.NewFleetServiceHandler(&handler{local: local, reader: reader, self: self, process: process},
+		connect.WithReadMaxBytes(maxRequestBytes), connect.WithCompression("gzip", nil, nil)))
 	s := &http.Server{
 		Handler:           mux,
 		Protocols:         new(http.Protocols),
 		ReadHeaderTimeout: headerTimeout,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleServerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxConcurrentStreams, MaxReceiveBufferPerConnection: connReceiveBytes,
+			MaxReceiveBufferPerStream: streamReceiveBytes, WriteByteTimeout: writeByteTimeout,
+		},
 	}
 	s.Protocols.SetUnencryptedHTTP2(true)
 	return s
--- /dev/null
+++ b/internal/intake/gate.go
@@ -0,0 +1,159 @@
+package intake
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// minStartingAge is the age from which a connection without a start message may be closed in favor of a new one.
+	minStartingAge = time.Second
+	// writeChunk is the length of the parts in which large responses are written, so that progress is seen.
+	writeChunk = 16 << 10
+)
+
+// Gate accepts the connections of callers within the limits. It implements net.Listener.
+type Gate struct {
+	net.Listener
+	budget *Budget
+	limits Limits
+
+	mu       sync.Mutex
+	open     int
+	starting map[*Conn]time.Time
+}
+
+// NewGate returns a gate before a listener.
+func NewGate(l net.Listener, b *Budget, limits Limits) *Gate {
+	return &Gate{Listener: l, budget: b, limits: limits, starting: make(map[*Conn]time.Time)}
+}
+
+// Accept implements net.Listener. Connections beyond the limits are closed; nothing has run on them.
+func (g *Gate) Accept() (net.Conn, error) {
+	for {
+		raw, err := g.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := g.admit(raw); c != nil {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// admit returns nil if the connection is refused.
+func (g *Gate) admit(raw net.Conn) *Conn {
+	now, client := time.Now(), raw.RemoteAddr().String()
+	cause, victim := g.full(now)
+	if cause != "" {
+		g.budget.reporter.limited(cause, client, 0)
+		if victim == nil {
+			return nil
+		}
+		_ = victim.Close()
+	}
+	c := &Conn{Conn: raw, gate: g}
+	c.Account = g.budget.Open(client, func() { _ = raw.Close() })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open++
+	g.starting[c] = now
+	return c
+}
+
+// full returns the limit that has been reached, if any, and the oldest connection without a start message that may be closed.
+func (g *Gate) full(now time.Time) (Cause, *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cause := Cause("")
+	switch {
+	case g.open >= g.limits.Sessions:
+		cause = CauseSessions
+	case len(g.starting) >= g.limits.Starting:
+		cause = CauseStarting
+	default:
+		return "", nil
+	}
+	var oldest *Conn
+	at := now.Add(-minStartingAge)
+	for c, since := range g.starting {
+		if since.Before(at) {
+			oldest, at = c, since
+		}
+	}
+	return cause, oldest
+}
+
+// Conn is a caller's connection with its account. A nil Conn has a nil account.
+type Conn struct {
+	net.Conn
+	*Account
+	gate   *Gate
+	closed atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.phase.Store(phaseReading)
+		c.moved.Add(int64(n))
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.phase.Store(phaseWriting)
+	defer c.phase.Store(phaseIdle)
+	written := 0
+	for {
+		n, err := c.Conn.Write(b[written:min(len(b), written+writeChunk)])
+		written += n
+		c.moved.Add(int64(n))
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if !c.closed.CompareAndSwap(false, true) {
+		return nil
+	}
+	c.gate.mu.Lock()
+	c.gate.open--
+	delete(c.gate.starting, c)
+	c.gate.mu.Unlock()
+	err := c.Conn.Close()
+	c.Account.Close()
+	return err
+}
+
+// Started records that the start message is complete.
+func (c *Conn) Started() {
+	c.MessageRead()
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	delete(c.gate.starting, c)
+}
+
+// MessageBegun records that a part of the next message was received with the previous one.
+func (a *Account) MessageBegun() {
+	if a != nil {
+		a.phase.Store(phaseReading)
+	}
+}
+
+// MessageRead records that a message is complete.
+func (a *Account) MessageRead() {
+	if a == nil {
+		return
+	}
+	a.messages.Add(1)
+	a.phase.Store(phaseRunning)
+}
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -32,6 +32,34 @@
 	return c.Listen(ctx, "tcp4", address)
 }
 
+// ListenBounded is Listen with a limit on the kernel's send and receive buffers of each accepted connection.
+func ListenBounded(ctx context.Context, address string, bufferBytes int) (net.Listener, error) {
+	bounded := func(network, address string, raw syscall.RawConn) error {
+		if err := control(network, address, raw); err != nil {
+			return err
+		}
+		return setBuffers(raw, bufferBytes)
+	}
+	c := net.ListenConfig{KeepAliveConfig: keepAlive, Control: bounded}
+	return c.Listen(ctx, "tcp4", address)
+}
+
+// setBuffers sets the sizes of the kernel's buffers, which accepted connections inherit.
+func setBuffers(raw syscall.RawConn, n int) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+			if failed == nil {
+				failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, n)
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
 func control(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/fleetlink"
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/intake"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/owner"
@@ -160,6 +161,9 @@
 	Clock    boottime.Clock
 	Log      hclog.Logger
 	Metrics  *Metrics
+	// ClientBudget accounts for the bytes of clients within ClientLimits; nil for no limits.
+	ClientBudget *intake.Budget
+	ClientLimits intake.Limits
 	// Owner holds the options of the owner manager. New sets the fields that the node provides itself.
 	Owner owner.Options
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -12,6 +12,7 @@
 	"github.com/celerystep/celerystep/internal/caller"
 	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/fleetlink"
+	"github.com/celerystep/celerystep/internal/intake"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/ownership"
 )
@@ -69,9 +70,10 @@
 	group.Go(func() error { return n.runKeyVerification(background) })
 	servers := []*http.Server{
 		fleetlink.NewServer(peerService{n.Owner, n}, n.newReaderServer(), n.opts.Settings.Instance, n.opts.Settings.Process),
-		{Handler: ready, ReadHeaderTimeout: time.Second},
-		{Handler: metrics, ReadHeaderTimeout: time.Second},
+		newProbeServer(ready),
+		newProbeServer(metrics),
 	}
+	l = n.limitClients(background, l, servers)
 	for i, listener := range []net.Listener{l.Peers, l.Ready, l.Metrics} {
 		group.Go(func() error { return ignoreStopped(background, servers[i].Serve(listener)) })
 	}
@@ -94,6 +96,36 @@
 	return err
 }
 
+const (
+	// probeReadTimeout, probeWriteTimeout and probeIdleTimeout bound requests to the readiness and the metrics endpoints.
+	probeReadTimeout, probeWriteTimeout, probeIdleTimeout = 5 * time.Second, 10 * time.Second, 2 * time.Minute
+	// probeHeaderBytes bounds the headers of such a request.
+	probeHeaderBytes = 8 << 10
+)
+
+func newProbeServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: time.Second, ReadTimeout: probeReadTimeout, WriteTimeout: probeWriteTimeout,
+		IdleTimeout: probeIdleTimeout, MaxHeaderBytes: probeHeaderBytes,
+	}
+}
+
+// limitClients applies the limits on clients to the listeners and to the servers for peers, readiness and metrics.
+func (n *Node) limitClients(ctx context.Context, l Listeners, servers []*http.Server) Listeners {
+	b, limits := n.opts.ClientBudget, n.opts.ClientLimits
+	if b == nil {
+		return l
+	}
+	go b.Watch(ctx)
+	servers[0].Handler = intake.NewCalls(servers[0].Handler, b, limits.PeerCalls)
+	return Listeners{
+		Callers: intake.NewGate(l.Callers, b, limits),
+		Peers:   intake.LimitPeers(l.Peers, servers[0], b, limits.PeerConns),
+		Ready:   intake.LimitProbes(l.Ready, servers[1], b, limits.ProbeConns),
+		Metrics: intake.LimitProbes(l.Metrics, servers[2], b, limits.ProbeConns),
+	}
+}
+
 // drainPeerCalls waits for in-flight calls of peers.
 func (n *Node) drainPeerCalls(s *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerDrainTimeout)
