--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -263,6 +263,9 @@
 		s.reject(codec, start, statement.CodeMalformed, err.Error())
 		return nil
 	}
+	if limited, ok := c.(*intake.Conn); ok && errors.Is(err, os.ErrDeadlineExceeded) {
+		limited.StartOverdue()
+	}
 	if err != nil {
 		s.Log.Debug("connection ended before its start message", "caller", c.RemoteAddr(), "error", err)
 		return nil
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -134,6 +134,9 @@
 	return err
 }
 
+// StartOverdue records that the start message was not complete in time.
+func (c *Conn) StartOverdue() { c.gate.budget.reporter.limited(CauseStart, c.name, 0) }
+
 // Started records that the start message is complete.
 func (c *Conn) Started() {
 	c.MessageRead()
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -11,10 +11,10 @@
 
 const (
 	// SocketBufferBytes is the size of the kernel's send and receive buffers of a caller's connection. With a round-trip time of
-	// 6 ms it allows about 20 Mbit/s for each session.
-	SocketBufferBytes = 16 << 10
-	// sessionBytes is the memory of the process and of the receive buffer that an idle session can take, as the kernel reserves
-	// twice the buffer size; the rest of memoryPerSession is for the program.
+	// 6 ms it allows about 40 Mbit/s for each session.
+	SocketBufferBytes = 32 << 10
+	// memoryPerSession is the machine's memory for each session. An idle session takes about 10 KiB of the process, and up to twice
+	// SocketBufferBytes of the kernel while it sends ahead; the rest is for the program.
 	memoryPerSession = 192 << 10
 	// budgetDivisor is the share of the machine's memory that is reserved for the bytes of clients.
 	budgetDivisor = 8
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -15,6 +15,7 @@
 const (
 	CauseSessions  Cause = "sessions"
 	CauseStarting  Cause = "starting"
+	CauseStart     Cause = "start"
 	CauseMessage   Cause = "message"
 	CauseResponse  Cause = "response"
 	CauseStalled   Cause = "memory_stalled"
