Give up messages that wait for memory; do not charge shared responses

Cause: found in review. A long message that waited for the memory of its copies counted as running, so that several could block each other for 5 s. Responses of Follow, one large configuration for many instances at once, could be closed as the heaviest. A closed account could be charged and would not have returned the bytes. Change: the copies are charged before the message counts as running; responses of Follow are not charged, only bounded in number and time; a closed account refuses charges, with a test.

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -254,6 +254,10 @@
 		}
 		b.await()
 	}
+	// A closed account would never return the bytes.
+	if a.evicted || a.closed {
+		return ErrEvicted
+	}
 	b.take(a, n)
 	return nil
 }
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -112,6 +112,7 @@
 	is.Equal(b.Used(), int64(1010))
 	a.Close()
 	a.Close()
+	is.True(errors.Is(a.Charge(1), ErrEvicted)) // or the byte would never be returned
 	is.Equal(b.Used(), int64(0))
 	is.True(errors.Is(open(b, 0, phaseReading).Charge(testLimit+1), ErrExhausted))
 	var none *Account
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -26,12 +26,15 @@
 	next   http.Handler
 	budget *Budget
 	limit  int64
+	// shared is the path of calls whose responses are not charged.
+	shared string
 	active atomic.Int64
 }
 
-// NewCalls returns a handler that bounds the calls to next.
-func NewCalls(next http.Handler, b *Budget, limit int) *Calls {
-	return &Calls{next: next, budget: b, limit: int64(limit)}
+// NewCalls returns a handler that bounds the calls to next. Responses of the path shared, which pass the same content on to many
+// instances at once, are not charged: closing them would send these instances elsewhere all together. They must still progress.
+func NewCalls(next http.Handler, b *Budget, limit int, shared string) *Calls {
+	return &Calls{next: next, budget: b, limit: int64(limit), shared: shared}
 }
 
 // ServeHTTP implements http.Handler.
@@ -42,7 +45,7 @@
 		http.Error(w, "too many calls", http.StatusServiceUnavailable)
 		return
 	}
-	c := &call{ResponseWriter: w, body: r.Body, handler: h, client: r.RemoteAddr}
+	c := &call{ResponseWriter: w, body: r.Body, handler: h, client: r.RemoteAddr, shared: r.URL.Path == h.shared}
 	c.timer = time.AfterFunc(bodyTimeout, c.bodyOverdue)
 	defer c.end()
 	r.Body = requestBody{c}
@@ -55,6 +58,7 @@
 	body    io.ReadCloser
 	handler *Calls
 	client  string
+	shared  bool
 	account *Account
 	read    int
 	timer   *time.Timer
@@ -104,9 +108,14 @@
 	if len(b) <= freeCallBytes {
 		return c.ResponseWriter.Write(b)
 	}
-	if c.openAccount().ChargeResponse(int64(responseCopies*len(b))) != nil {
+	size := int64(responseCopies * len(b))
+	if c.shared {
+		size = 0
+	}
+	if c.openAccount().ChargeResponse(size) != nil {
 		panic(http.ErrAbortHandler)
 	}
+	c.account.phase.Store(phaseWriting)
 	written := 0
 	for written < len(b) {
 		n, err := c.ResponseWriter.Write(b[written:min(len(b), written+writeChunk)])
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/celerystep/celerystep/gen/celerystep/fleet/v1/fleetv1connect"
 	"github.com/celerystep/celerystep/internal/caller"
 	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/fleetlink"
@@ -117,7 +118,7 @@
 		return l
 	}
 	go b.Watch(ctx)
-	servers[0].Handler = intake.NewCalls(servers[0].Handler, b, limits.PeerCalls)
+	servers[0].Handler = intake.NewCalls(servers[0].Handler, b, limits.PeerCalls, fleetv1connect.FleetServiceFollowProcedure)
 	return Listeners{
 		Callers: intake.NewGate(l.Callers, b, limits),
 		Peers:   intake.LimitPeers(l.Peers, servers[0], b, limits.PeerConns),
