--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -16,6 +16,7 @@
 	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/catalog"
 	"github.com/celerystep/celerystep/internal/instance"
+	"github.com/celerystep/celerystep/internal/intake"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/statement"
 )
@@ -262,6 +263,9 @@
 		s.reject(codec, start, statement.CodeMalformed, err.Error())
 		return nil
 	}
+	if limited, ok := c.(*intake.Conn); ok && errors.Is(err, os.ErrDeadlineExceeded) {
+		limited.StartOverdue()
+	}
 	if err != nil {
 		s.Log.Debug("connection ended before its start message", "caller", c.RemoteAddr(), "error", err)
 		return nil
@@ -287,6 +291,9 @@
 		runner:   s.Runner,
 		clock:    s.Clock,
 	}
+	if limited, ok := c.(*intake.Conn); ok {
+		session.account = limited.Account
+	}
 	if code := session.Check(); code != statement.CodeOK {
 		s.reject(codec, start, code, "no such database or key")
 		return nil
