Delegate reads with fewer connections than customers

Cause: a group was eligible from 4/3 as many usable connections as customers; billing has 49 for 81 and was left out, though most of its reads cross failure domains. Change: half as many suffice. The share that stays with the owner still holds 16 connections.

--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -27,15 +27,15 @@
 	lentNumerator, lentDenominator = 2, 3
 )
 
-// Eligible reports whether reads of the group may be delegated. Connections belong to one customer each, so a share that
-// holds far fewer connections than there are customers would spend its time on opening them.
+// Eligible reports whether reads of the group may be delegated. Connections belong to one customer each, so with far fewer
+// connections than customers both shares would spend their time on opening them.
 func Eligible(c *catalog.Catalog, id upstream.GroupID) bool {
 	g := c.Groups[id]
 	if g == nil || g.WarmupPerSecond > 0 {
 		return false
 	}
 	connections := dispatch.DefaultLimits(g.MaxConnections).Connections
-	return connections >= minConnections && 3*connections >= 4*c.CustomerCount()
+	return connections >= minConnections && 2*connections >= c.CustomerCount()
 }
 
 // Share is a part of a replica.
