Do not shed a statement that nothing goes before

Shedding compared the expected cost alone with the time until the deadline. Costs are learned from statements that run, so a route whose expected cost had grown beyond its deadline, for example by a slow member, was shed for ever, also with free slots. A statement was also refused beside a free slot because of the statements in flight; by due time it is not.

Only work that goes before a statement sheds it now, and a free slot is used. A costly statement was never assigned in the new test before and is always assigned now.

--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -339,3 +339,17 @@
 	}
 	return due, wait, max(it.Due.Sub(now)*3/4-it.Cost, minWait)
 }
+
+// Guards against a route that is never served again once its expected cost exceeds its deadline.
+func TestACostlyStatementUsesAFreeSlot(t *testing.T) {
+	is := is.New(t)
+	s := prioritized(21)
+	for range 2 {
+		it := prioritizedWrite(1, epoch)
+		it.Cost, it.Deadline = 2*time.Second, at(800)
+		ticket := submit(t, s, it, epoch)
+		assigned := connect(s, s.Plan(epoch), epoch)
+		is.Equal(len(assigned), 1)
+		is.Equal(assigned[0].Ticket, ticket)
+	}
+}
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -15,7 +15,10 @@
 
 // refusePrioritized returns a refusal when the item could not be served before its deadline, or finds no room in the queue.
 func (s *Scheduler) refusePrioritized(w *queuedItem, now time.Time) *Refusal {
-	slots, running, _ := s.capacity(w, now)
+	slots, running, free := s.capacity(w, now)
+	if free {
+		return nil
+	}
 	if slots == 0 {
 		if !s.primaryInTime(w, now) {
 			return s.newRefusal(ReasonNoMember, w, s.memberRetryAfter(now), 0, now)
@@ -70,7 +73,8 @@
 }
 
 // shed removes the items that could not start before their deadline because of the work that goes before them, the least
-// urgent first.
+// urgent first. An item that nothing goes before stays even if its expected cost exceeds the time that is left: costs are only
+// learned from statements that run.
 func (s *Scheduler) shed(now time.Time, p *Plan) {
 	p.Expired, s.displaced = append(p.Expired, s.displaced...), nil
 	if !s.limits.Priorities.differ() || len(s.queue) == 0 {
@@ -90,7 +94,7 @@
 				ahead = work[NeedPrimary] + work[NeedAny]
 			}
 			wait := ahead / time.Duration(slots[w.Need])
-			if excess := wait + w.Cost - w.Deadline.Sub(now); excess > 0 {
+			if excess := wait + w.Cost - w.Deadline.Sub(now); ahead > 0 && excess > 0 {
 				s.remove(i)
 				p.Expired = append(p.Expired, Expired{Ticket: w.ticket, Refusal: *s.newRefusal(ReasonShed, w, excess, wait, now)})
 				continue
