Keep the minimum share beside statements beyond a share

The work that delays less urgent statements was searched from the end of the queue, where statements beyond their customer's share stand in any priority. One of the highest priority there ended the search, so the delay was not counted and the minimum share did not apply while a customer sent urgent statements beyond its share.

Such statements are skipped now. Where the delayed statement cannot be assigned, its credit does not grow, and its claim to the reserves ends with the attempt: before, every statement that had been first once kept the claim, and the credit was without bound. The new test counted no delay before.

--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -121,10 +121,14 @@
 		if s.delaying[need] < cost {
 			continue
 		}
-		s.queue[i].delayed = true
+		w := s.queue[i]
+		w.delayed = true
 		if s.assignItem(i, now, p) {
 			s.delaying[need] -= cost
+			continue
 		}
+		// Further delay gives no claim to several slots at once, nor to the reserves as one of many items.
+		w.delayed, s.delaying[need] = false, cost
 	}
 }
 
@@ -152,10 +156,13 @@
 // countDelay adds the work of an item that is assigned while less urgent ones wait for the same slots.
 func (s *Scheduler) countDelay(w *queuedItem) {
 	for _, q := range slices.Backward(s.queue) {
+		if q.surplus {
+			continue
+		}
 		if q.Priority <= w.Priority {
 			return
 		}
-		if q.Need == w.Need && !q.surplus {
+		if q.Need == w.Need {
 			s.delaying[w.Need] += w.Cost
 			return
 		}
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -353,3 +353,14 @@
 		is.Equal(assigned[0].Ticket, ticket)
 	}
 }
+
+// Guards against a minimum share that ends while urgent statements beyond a customer's share are waiting.
+func TestTheMinimumShareHoldsBesideStatementsBeyondTheShare(t *testing.T) {
+	is := is.New(t)
+	s := prioritized(21)
+	s.insert(&queuedItem{Item: prioritizedWrite(1, epoch)})
+	s.insert(&queuedItem{Item: prioritizedWrite(0, epoch), surplus: true})
+	urgent := prioritizedWrite(0, epoch)
+	s.countDelay(&queuedItem{Item: urgent})
+	is.Equal(s.delaying[NeedPrimary], urgent.Cost)
+}
