Account for shares of statements that waited for a primary

A new owner whose first statements wait for a primary had no accounts until its queue was empty once, and the virtual time advanced by the time since the zero time, which overflows. No customer was beyond its share meanwhile.

The accounts begin with the first statement that finds slots. In the new test a customer was refused for the length of the queue before, and for its share now.

--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -364,3 +364,23 @@
 	s.countDelay(&queuedItem{Item: urgent})
 	is.Equal(s.delaying[NeedPrimary], urgent.Cost)
 }
+
+// Guards against shares that a new owner without a primary does not account for until its queue is empty.
+func TestSharesHoldForStatementsThatWaitedForAPrimary(t *testing.T) {
+	is := is.New(t)
+	s := prioritized(21)
+	s.SetMembers(members()[1:], epoch)
+	s.SetPrimaryExpected(at(50))
+	other := prioritizedWrite(2, epoch)
+	other.Customer = "b"
+	submit(t, s, other, epoch)
+	s.SetMembers(members(), epoch)
+	var refusal *Refusal
+	for range 240 { // 800 ms of work for three slots
+		if _, refusal = s.Submit(prioritizedWrite(0, epoch), epoch); refusal != nil {
+			break
+		}
+	}
+	is.True(refusal != nil)
+	is.Equal(refusal.Reason, ReasonOverShare)
+}
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -56,7 +56,7 @@
 
 // advance moves the virtual time by the share of a unit of weight, given the weight of all waiting customers.
 func (t *shares) advance(slots int, weight float64, now time.Time) {
-	if weight == 0 {
+	if weight == 0 || t.accounts == nil {
 		t.accounts, t.virtual = make(map[string][]account), 0
 	} else {
 		t.virtual += scale(now.Sub(t.at)*time.Duration(slots), 1/weight)
