Bound the retry times by the deadlines of refused statements

Each refusal took capacity for a retry, also when the retry time was after the caller's deadline, so the times of a priority grew without bound during a burst: 1,000 refusals of 10 ms on three slots led to 3.7 s at a deadline of 0.8 s.

A caller that has given up by then takes no capacity. The retry time of such a refusal stays near the longest deadline.

--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -384,3 +384,15 @@
 	is.True(refusal != nil)
 	is.Equal(refusal.Reason, ReasonOverShare)
 }
+
+// Guards against retry times that grow without bound by the retries of callers who have given up.
+func TestRetryTimesDoNotExceedTheDeadline(t *testing.T) {
+	is := is.New(t)
+	s := prioritized(21)
+	s.SetMembers(members()[1:], epoch)
+	for range 1000 { // 3.3 s of work
+		it := prioritizedWrite(0, epoch)
+		_, refusal := s.Submit(it, epoch)
+		is.True(refusal.After <= it.Deadline.Sub(epoch)+it.Cost)
+	}
+}
--- a/internal/dispatch/retryafter.go
+++ b/internal/dispatch/retryafter.go
@@ -18,7 +18,10 @@
 			at = until
 		}
 	}
-	schedule[w.Priority] = at.Add(w.Cost / time.Duration(s.expectedSlots(w.Need)))
+	// A caller whose deadline is earlier does not come back, and needs no capacity.
+	if at.Before(w.Deadline) {
+		schedule[w.Priority] = at.Add(w.Cost / time.Duration(s.expectedSlots(w.Need)))
+	}
 	return at.Sub(now)
 }
 
