Count the time until a primary in the expected wait

Without a primary, a statement was queued when a primary was expected before its deadline, whatever had to run before it then. Such statements waited until the primary came only to be shed.

The expected wait includes the time until the primary.

--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -396,3 +396,22 @@
 		is.True(refusal.After <= it.Deadline.Sub(epoch)+it.Cost)
 	}
 }
+
+// Guards against statements that wait for a primary although the work before them then takes until their deadline.
+func TestTheWaitIncludesTheTimeUntilAPrimary(t *testing.T) {
+	is := is.New(t)
+	s := prioritized(21)
+	s.SetMembers(members()[1:], epoch)
+	s.SetPrimaryExpected(at(500))
+	var refusal *Refusal
+	queued := 0
+	for ; queued < 100; queued++ { // 3.3 ms of all slots each; the deadline is at 800 ms
+		if _, refusal = s.Submit(prioritizedWrite(0, epoch), epoch); refusal != nil {
+			break
+		}
+	}
+	is.True(refusal != nil)
+	is.Equal(refusal.Reason, ReasonQueueTooLong)
+	is.True(queued > 0)
+	is.True(refusal.ExpectedWait > 500*time.Millisecond)
+}
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -19,13 +19,14 @@
 	if free {
 		return nil
 	}
+	var untilPrimary time.Duration
 	if slots == 0 {
 		if !s.primaryInTime(w, now) {
 			return s.newRefusal(ReasonNoMember, w, s.memberRetryAfter(now), 0, now)
 		}
-		slots = s.expectedSlots(w.Need)
+		slots, untilPrimary = s.expectedSlots(w.Need), s.primaryExpected.Sub(now)
 	}
-	delay := s.priorityDelay(w, slots, running, now)
+	delay := untilPrimary + s.priorityDelay(w, slots, running, now)
 	maxDelay, reason := s.maxDelay(w, now)
 	if delay > maxDelay && !w.Retried {
 		return s.newRefusal(reason, w, delay-maxDelay, delay, now)
