Let the simulated balancer learn from answers

The simulation of operations had a balancer that observed nothing, so the slow member was never judged slow and the interplay of priorities with adaptive limits was not simulated.

It observes answers as owners do now.

--- a/internal/dispatch/operation_load_test.go
+++ b/internal/dispatch/operation_load_test.go
@@ -180,7 +180,8 @@
 	work := time.Duration(float64(o.route.work) * (0.3 + 1.4*l.service.Float64()))
 	done := l.members[a.Member].run(now, work)
 	l.after(done, func() {
-		l.costs[o.route.name] = (l.cost(o.route)*9 + done.Sub(now)) / 10
+		took := l.s.ObserveAnswer(a.Conn, l.cost(o.route), done.Sub(now), done)
+		l.costs[o.route.name] = (l.cost(o.route)*9 + took) / 10
 		o.statements--
 		l.s.Done(a.Conn, o.statements > 0, done)
 		if o.statements > 0 {
