Keep transactions without connections out of the minimum share

The less urgent statement that was due first got the minimum share of the slots, also when it was a transaction that waited for a connection, not for a slot: the other less urgent statements then got nothing.

--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -132,7 +132,16 @@
 	}
 }
 
+// dueBefore reports whether a is of an earlier class than b, or due before it in the same one.
+func (s *Scheduler) dueBefore(a, b *queuedItem, now time.Time) bool {
+	if x, y := s.class(a, now), s.class(b, now); x != y {
+		return x < y
+	}
+	return a.effectiveDue.Before(b.effectiveDue)
+}
+
 // delayedItem returns the index of the item that was due first among those that wait behind more urgent ones, or -1.
+// Transactions for which members have no connections left wait for those, not for slots.
 func (s *Scheduler) delayedItem(need Need, now time.Time) int {
 	first, best := -1, -1
 	for i, q := range s.queue {
@@ -145,8 +154,7 @@
 		if q.Priority == s.queue[first].Priority {
 			continue
 		}
-		if best < 0 || s.class(q, now) < s.class(s.queue[best], now) ||
-			s.class(q, now) == s.class(s.queue[best], now) && q.effectiveDue.Before(s.queue[best].effectiveDue) {
+		if (best < 0 || s.dueBefore(q, s.queue[best], now)) && s.transactionFits(q) {
 			best = i
 		}
 	}
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -415,3 +415,28 @@
 	is.True(queued > 0)
 	is.True(refusal.ExpectedWait > 500*time.Millisecond)
 }
+
+// Guards against transactions that wait for connections and keep the minimum share from other less urgent statements, or that
+// take the connections which are reserved for the most urgent ones.
+func TestTheMinimumShareSkipsTransactionsWithoutConnections(t *testing.T) {
+	is := is.New(t)
+	s := prioritized(11) // ten connections to a member, of which less urgent transactions may hold six
+	for i := range 6 {
+		s.conns[ConnID(i)] = &conn{id: ConnID(i), member: s.members[0], customer: fmt.Sprint(i), state: connHeld}
+		s.members[0].conns = append(s.members[0].conns, s.conns[ConnID(i)])
+		s.members[0].heldConns++
+	}
+	submit(t, s, prioritizedWrite(0, epoch), epoch)
+	transaction, statement := prioritizedWrite(1, epoch), prioritizedWrite(1, epoch)
+	transaction.OpensTransaction = true
+	submit(t, s, transaction, epoch)
+	is.Equal(s.delayedItem(NeedPrimary, epoch), -1)
+	want := submit(t, s, statement, epoch)
+	is.Equal(s.queue[s.delayedItem(NeedPrimary, epoch)].ticket, want)
+
+	s.queue[1].delayed = true
+	is.True(!s.transactionRoom(s.members[0], s.queue[1]))
+	urgent := prioritizedWrite(0, epoch)
+	urgent.OpensTransaction = true
+	is.True(s.transactionRoom(s.members[0], &queuedItem{Item: urgent}))
+}
