Skip queued statements for which all members are full

A plan ended early only when all members were full, which the slot kept at the primary prevents: with any load beyond the capacity, each plan chose a member for each queued statement.

The check considers the need and the reserve of each statement.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -335,8 +335,9 @@
 
 // assign assigns connections to the items of a class.
 func (s *Scheduler) assign(now time.Time, p *Plan, c class) {
-	for i := 0; i < len(s.queue) && !s.saturated(); {
-		if s.class(s.queue[i], now) != c || !s.assignItem(i, now, p) {
+	for i := 0; i < len(s.queue); {
+		w := s.queue[i]
+		if s.class(w, now) != c || s.saturated(w) || !s.assignItem(i, now, p) {
 			i++
 		}
 	}
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -80,9 +80,12 @@
 	})
 }
 
-// saturated reports whether no member has room for a statement of any kind.
-func (s *Scheduler) saturated() bool {
-	return !slices.ContainsFunc(s.members, func(m *member) bool { return m.Usable && m.running < m.Slots+s.limits.ExtraInFlight })
+// saturated reports whether all members that could run the item have as many statements in flight as they may get. It is cheap, as
+// it is called for all of a long queue. Members may have less room than that: see hasRoom.
+func (s *Scheduler) saturated(w *queuedItem) bool {
+	return !slices.ContainsFunc(s.members, func(m *member) bool {
+		return m.Usable && (m.Primary || w.Need == NeedAny) && m.running < s.lessReserve(m.Slots+s.limits.ExtraInFlight, m, w)
+	})
 }
 
 // replicaUsable reports whether reads have other slots than those of the primary.
