Do not shed statements that were attempted before

A read is queued again after an attempt whose answer was lost or failed. Shedding it, or removing it from a full queue, sent a refusal (BUSY) which says that nothing ran, and a statement that was attempted before was not to be refused for the queue.

It stays in the queue now. The new test failed before for a statement without time before its deadline.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -48,7 +48,8 @@
 	OpensTransaction bool
 	// Avoid is a member on which the statement has failed before.
 	Avoid upstream.MemberID
-	// Retried is true for a statement that was attempted before; it is not refused because of the length of the queue.
+	// Retried is true for a statement that was attempted before; it is not refused because of the
+	// expected wait, nor shed, as a member may have begun to run it. A full queue still refuses it.
 	Retried bool
 	// Priority is the priority of the statement's route; 0 is the highest.
 	Priority int
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -440,3 +440,24 @@
 	urgent.OpensTransaction = true
 	is.True(s.transactionRoom(s.members[0], &queuedItem{Item: urgent}))
 }
+
+// Guards against refusals of statements that a member may have begun to run: a refusal says that nothing ran.
+func TestStatementsAttemptedBeforeAreNotShed(t *testing.T) {
+	for _, queueLength := range []int{400, 100} { // no time before the deadline, no room in the queue
+		is := is.New(t)
+		s := prioritized(21)
+		s.limits.QueueLength = queueLength
+		attempted := prioritizedWrite(2, epoch)
+		attempted.Retried = true
+		ticket := submit(t, s, attempted, epoch)
+		for range queueLength - 1 {
+			it := prioritizedWrite(0, epoch)
+			it.Due, it.Deadline = at(4000), at(8000)
+			submit(t, s, it, epoch)
+		}
+		_, _ = s.Submit(prioritizedWrite(0, epoch), epoch)
+		for _, e := range s.Plan(epoch).Expired {
+			is.True(e.Ticket != ticket)
+		}
+	}
+}
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -56,14 +56,17 @@
 	return &Refusal{Reason: reason, After: s.scheduleRetry(w, soonest, now), ExpectedWait: wait, QueueLength: len(s.queue)}
 }
 
-// displace removes the last item of a full queue if the item goes before it.
+// displace removes the last item of a full queue that was not attempted before, if the new item goes before it.
 func (s *Scheduler) displace(w *queuedItem, now time.Time) bool {
-	last := 0
+	last := -1
 	for i, q := range s.queue {
-		if s.class(q, now) >= s.class(s.queue[last], now) {
+		if !q.Retried && (last < 0 || s.class(q, now) >= s.class(s.queue[last], now)) {
 			last = i
 		}
 	}
+	if last < 0 {
+		return false
+	}
 	q := s.queue[last]
 	if c := s.class(w, now); c > s.class(q, now) || c == s.class(q, now) && !s.goesBefore(w, q) {
 		return false
@@ -75,7 +78,7 @@
 
 // shed removes the items that could not start before their deadline because of the work that goes before them, the least
 // urgent first. An item that nothing goes before stays even if its expected cost exceeds the time that is left: costs are only
-// learned from statements that run.
+// learned from statements that run. An item that a member may have begun stays too: a refusal would say that nothing ran.
 func (s *Scheduler) shed(now time.Time, p *Plan) {
 	p.Expired, s.displaced = append(p.Expired, s.displaced...), nil
 	if !s.limits.Priorities.differ() || len(s.queue) == 0 {
@@ -95,7 +98,7 @@
 				ahead = work[NeedPrimary] + work[NeedAny]
 			}
 			wait := ahead / time.Duration(slots[w.Need])
-			if excess := wait + w.Cost - w.Deadline.Sub(now); ahead > 0 && excess > 0 {
+			if excess := wait + w.Cost - w.Deadline.Sub(now); ahead > 0 && excess > 0 && !w.Retried {
 				s.remove(i)
 				p.Expired = append(p.Expired, Expired{Ticket: w.ticket, Refusal: *s.newRefusal(ReasonShed, w, excess, wait, now)})
 				continue
