--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -80,9 +80,12 @@
 	})
 }
 
-// saturated reports whether no member has room for a statement of any kind.
-func (s *Scheduler) saturated() bool {
-	return !slices.ContainsFunc(s.members, func(m *member) bool { return m.Usable && m.running < m.Slots+s.limits.ExtraInFlight })
+// saturated reports whether all members that could run the item have as many statements in flight as they may get. It is cheap, as
+// it is called for all of a long queue. Members may have less room than that: see hasRoom.
+func (s *Scheduler) saturated(w *queuedItem) bool {
+	return !slices.ContainsFunc(s.members, func(m *member) bool {
+		return m.Usable && (m.Primary || w.Need == NeedAny) && m.running < s.lessReserve(m.Slots+s.limits.ExtraInFlight, m, w)
+	})
 }
 
 // replicaUsable reports whether reads have other slots than those of the primary.
@@ -121,14 +124,27 @@
 		if s.delaying[need] < cost {
 			continue
 		}
-		s.queue[i].delayed = true
+		w := s.queue[i]
+		w.delayed = true
 		if s.assignItem(i, now, p) {
 			s.delaying[need] -= cost
+			continue
 		}
+		// Further delay gives no claim to several slots at once, nor to the reserves as one of many items.
+		w.delayed, s.delaying[need] = false, cost
+	}
+}
+
+// dueBefore reports whether a is of an earlier class than b, or due before it in the same one.
+func (s *Scheduler) dueBefore(a, b *queuedItem, now time.Time) bool {
+	if x, y := s.class(a, now), s.class(b, now); x != y {
+		return x < y
 	}
+	return a.effectiveDue.Before(b.effectiveDue)
 }
 
 // delayedItem returns the index of the item that was due first among those that wait behind more urgent ones, or -1.
+// Transactions for which members have no connections left wait for those, not for slots.
 func (s *Scheduler) delayedItem(need Need, now time.Time) int {
 	first, best := -1, -1
 	for i, q := range s.queue {
@@ -141,8 +157,7 @@
 		if q.Priority == s.queue[first].Priority {
 			continue
 		}
-		if best < 0 || s.class(q, now) < s.class(s.queue[best], now) ||
-			s.class(q, now) == s.class(s.queue[best], now) && q.effectiveDue.Before(s.queue[best].effectiveDue) {
+		if (best < 0 || s.dueBefore(q, s.queue[best], now)) && s.transactionFits(q) {
 			best = i
 		}
 	}
@@ -152,10 +167,13 @@
 // countDelay adds the work of an item that is assigned while less urgent ones wait for the same slots.
 func (s *Scheduler) countDelay(w *queuedItem) {
 	for _, q := range slices.Backward(s.queue) {
+		if q.surplus {
+			continue
+		}
 		if q.Priority <= w.Priority {
 			return
 		}
-		if q.Need == w.Need && !q.surplus {
+		if q.Need == w.Need {
 			s.delaying[w.Need] += w.Cost
 			return
 		}
