Keep the token of a read that a member began

Result: TestTheTokenOfAReadThatRanIsNotReturned (does not compile before); go test ./internal/owner passes.

--- a/internal/owner/begun_test.go
+++ b/internal/owner/begun_test.go
@@ -90,3 +90,15 @@
 	is.Equal(run().Began, uint32(1)) // it failed, after it began
 	is.Equal(run().Began, uint32(0)) // the transaction has ended
 }
+
+// Guards against a customer above its rate: a read that a member began and failed, and whose next attempt was refused, has used
+// its token.
+func TestTheTokenOfAReadThatRanIsNotReturned(t *testing.T) {
+	is := is.New(t)
+	c := testCall(statement.KindRead)
+	is.True(c.refundable(statement.CodeBusy))
+	c.begun.markSent(time.Unix(1, 0))
+	c.begun.finish(statement.CodeFailed, nil)
+	is.True(!c.refundable(statement.CodeBusy))
+	is.True(!c.refundable(statement.CodeOK))
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -135,7 +135,7 @@
 		if retry && c.attempts < maxAttempts && ctx.Err() == nil {
 			continue
 		}
-		if resp.Code.NotRun() && !r.Charged {
+		if c.refundable(resp.Code) {
 			g.returnToken(c)
 		}
 		resp.CatalogRevision = c.catalog.Revision
@@ -144,6 +144,11 @@
 	}
 }
 
+// refundable reports whether the call's token can be returned: nothing ran, in this attempt or an earlier one.
+func (c *call) refundable(last statement.Code) bool {
+	return last.NotRun() && !c.r.Charged && c.begun.count == 0
+}
+
 // attempt queues the statement and runs it once. again is true when another attempt may succeed and cannot run the
 // statement twice.
 func (g *Group) attempt(ctx context.Context, c *call) (resp operation.Response, retry bool) {
