Do not charge socket buffers to calls of peers

A call whose response had not progressed for a second was charged with the 128 KiB of a connection's socket buffers. Calls share their connection, so a large configuration on its way to many instances over a slow link filled the budget by itself, and its calls could then be closed as stalled, which the exemption of Follow responses was to prevent.

Only callers' connections are charged for their socket buffers now. 16 stalled calls hold 0 bytes; they held 2,097,152 before, twice the budget of the test.

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -84,6 +84,8 @@
 	name   string
 	// evict closes the connection; nil for those that are never closed under pressure.
 	evict func()
+	// socketBytes is charged while the client takes nothing of a response. It is 0 for calls, which share connections.
+	socketBytes int64
 	phase atomic.Int32
 	// moved counts the bytes that were received or taken, messages the messages that were completed.
 	moved    atomic.Int64
@@ -101,7 +103,16 @@
 
 // Open returns an account; evict closes the connection and must not block.
 func (b *Budget) Open(name string, evict func()) *Account {
-	a := &Account{budget: b, name: name, evict: evict}
+	return b.open(name, evict, 0)
+}
+
+// OpenConn returns the account of a connection, whose socket buffers are charged while its client takes nothing.
+func (b *Budget) OpenConn(name string, evict func()) *Account {
+	return b.open(name, evict, blockedWriteBytes)
+}
+
+func (b *Budget) open(name string, evict func(), socketBytes int64) *Account {
+	a := &Account{budget: b, name: name, evict: evict, socketBytes: socketBytes}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.accounts[a] = struct{}{}
@@ -335,7 +346,7 @@
 	// still is the number of checks without progress, ticks the number since the message began, from the bytes moved before it.
 	still, ticks int
 	from         int64
-	// blocked is true while the kernel's buffers of the connection are charged.
+	// blocked is true while socketBytes is charged.
 	blocked bool
 }
 
@@ -387,9 +398,9 @@
 	if blocked := now == phaseWriting && w.still > 0; blocked != w.blocked {
 		w.blocked = blocked
 		if blocked {
-			a.budget.take(a, blockedWriteBytes)
+			a.budget.take(a, a.socketBytes)
 		} else {
-			a.budget.release(a, blockedWriteBytes)
+			a.budget.release(a, a.socketBytes)
 		}
 	}
 }
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -27,7 +27,7 @@
 
 func open(b *Budget, held int64, p phase) client {
 	c := client{evicted: make(chan struct{})}
-	c.Account = b.Open("test", func() { close(c.evicted) })
+	c.Account = b.OpenConn("test", func() { close(c.evicted) })
 	c.Force(held)
 	c.phase.Store(p)
 	return c
@@ -119,6 +119,24 @@
 	is.NoErr(none.Charge(1)) // no limits
 }
 
+// Guards against memory pressure from a configuration that many instances take slowly at once, and against closing their calls for it.
+func TestSlowSharedResponsesAreNotCharged(t *testing.T) {
+	is := is.New(t)
+	b := newTestBudget()
+	var calls []*call
+	for range 2 * testLimit / blockedWriteBytes {
+		c := &call{handler: &Calls{budget: b}}
+		c.openAccount().phase.Store(phaseWriting)
+		calls = append(calls, c)
+	}
+	b.ticks(stalledTicks + 2)
+	is.Equal(b.Used(), int64(0))
+	for _, c := range calls {
+		is.True(!c.account.evicted)
+		c.account.Close()
+	}
+}
+
 // Guards against a response that waits in memory while the budget is exceeded.
 func TestResponsesCloseTheHeaviestAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -56,7 +56,7 @@
 		_ = victim.Close()
 	}
 	c := &Conn{Conn: raw, gate: g}
-	c.Account = g.budget.Open(client, func() { _ = raw.Close() })
+	c.Account = g.budget.OpenConn(client, func() { _ = raw.Close() })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.open++
