Wait for start messages before refusing a burst of callers

The accept loop can be ahead of the sessions that read START, above all on a machine with a small share of a core, where callers queue in the backlog during a pause. The gate then refused callers although the start messages of those before them had already arrived.

It waits up to 250 ms for one of them to be read.

--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -10,6 +10,9 @@
 const (
 	// minStartingAge is the age from which a connection without a start message may be closed in favor of a new one.
 	minStartingAge = time.Second
+	// startingWait is how long a new connection waits for others to complete their start messages. It is longer than the pauses of
+	// a machine that has a small share of a core.
+	startingWait = 250 * time.Millisecond
 	// writeChunk is the length of the parts in which large responses are written, so that progress is seen.
 	writeChunk = 16 << 10
 )
@@ -23,11 +26,13 @@
 	mu       sync.Mutex
 	open     int
 	starting map[*Conn]time.Time
+	// left receives a value when a connection has left starting.
+	left chan struct{}
 }
 
 // NewGate returns a gate before a listener.
 func NewGate(l net.Listener, b *Budget, limits Limits) *Gate {
-	return &Gate{Listener: l, budget: b, limits: limits, starting: make(map[*Conn]time.Time)}
+	return &Gate{Listener: l, budget: b, limits: limits, starting: make(map[*Conn]time.Time), left: make(chan struct{}, 1)}
 }
 
 // Accept implements net.Listener. Connections beyond the limits are closed; nothing has run on them.
@@ -46,8 +51,8 @@
 
 // admit returns nil if the connection is refused.
 func (g *Gate) admit(raw net.Conn) *Conn {
-	now, client := time.Now(), raw.RemoteAddr().String()
-	cause, victim := g.full(now)
+	client := raw.RemoteAddr().String()
+	cause, victim := g.awaitRoom()
 	if cause != "" {
 		g.budget.reporter.limited(cause, client, 0)
 		if victim == nil {
@@ -60,10 +65,39 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.open++
-	g.starting[c] = now
+	g.starting[c] = time.Now()
 	return c
 }
 
+// awaitRoom returns the result of full. In a burst, Accept can be ahead of the sessions, whose start messages have arrived and are
+// not read yet; it waits for them, at most for startingWait, rather than refuse the next caller.
+func (g *Gate) awaitRoom() (Cause, *Conn) {
+	cause, victim := g.full(time.Now())
+	if cause != CauseStarting || victim != nil {
+		return cause, victim
+	}
+	timer := time.NewTimer(startingWait)
+	defer timer.Stop()
+	for cause == CauseStarting && victim == nil {
+		select {
+		case <-g.left:
+			cause, victim = g.full(time.Now())
+		case <-timer.C:
+			return g.full(time.Now())
+		}
+	}
+	return cause, victim
+}
+
+// leaveStarting records that the connection has completed its start message or ended. The gate is locked.
+func (g *Gate) leaveStarting(c *Conn) {
+	delete(g.starting, c)
+	select {
+	case g.left <- struct{}{}:
+	default:
+	}
+}
+
 // full returns the limit that has been reached, if any, and the oldest connection without a start message that may be closed.
 func (g *Gate) full(now time.Time) (Cause, *Conn) {
 	g.mu.Lock()
@@ -127,7 +161,7 @@
 	}
 	c.gate.mu.Lock()
 	c.gate.open--
-	delete(c.gate.starting, c)
+	c.gate.leaveStarting(c)
 	c.gate.mu.Unlock()
 	err := c.Conn.Close()
 	c.Account.Close()
@@ -142,7 +176,7 @@
 	c.MessageRead()
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	delete(c.gate.starting, c)
+	c.gate.leaveStarting(c)
 }
 
 // MessageBegun records that a part of the next message was received with the previous one.
