Close no connection for a charge above the whole budget

Such a charge is refused in any case, but it first closed every stalled connection that could be closed. With the default limits no charge is that large. The new test failed before; go test -race ./internal/intake passes.

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -86,7 +86,7 @@
 	evict func()
 	// socketBytes is charged while the client takes nothing of a response. It is 0 for calls, which share connections.
 	socketBytes int64
-	phase atomic.Int32
+	phase       atomic.Int32
 	// moved counts the bytes that were received or taken, messages the messages that were completed.
 	moved    atomic.Int64
 	messages atomic.Uint32
@@ -255,7 +255,10 @@
 			started = time.Now()
 		}
 		waited := time.Since(started)
-		b.relieve(n, waited >= pressureWait)
+		// Closing others cannot make room for more than the limit.
+		if n <= b.limit {
+			b.relieve(n, waited >= pressureWait)
+		}
 		if a.evicted || a.closed {
 			return ErrEvicted
 		}
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -119,6 +119,16 @@
 	is.NoErr(none.Charge(1)) // no limits
 }
 
+// Guards against closing others for a message that can never fit.
+func TestTooLargeChargesCloseNobody(t *testing.T) {
+	is := is.New(t)
+	b := newTestBudget()
+	stalled := open(b, testLimit/8, phaseReading)
+	b.ticks(stalledTicks + 1)
+	is.True(errors.Is(open(b, 0, phaseReading).Charge(testLimit+1), ErrExhausted))
+	is.True(!stalled.isEvicted())
+}
+
 // Guards against memory pressure from a configuration that many instances take slowly at once, and against closing their calls for it.
 func TestSlowSharedResponsesAreNotCharged(t *testing.T) {
 	is := is.New(t)
