Refuse more sessions than the machine's memory allows

clientLimits.sessions was checked against the descriptors only: 5,000 sessions were accepted for 136 MB, although idle ones with full receive buffers take 42 KiB each, 205 MB together.

They may take half of the memory now, 1,657 sessions on such a machine; the default is 725.

--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -209,14 +209,17 @@
 	l := DefaultLimits(136<<20, 3010)
 	is.True(l.Sessions >= 700) // ordinary sessions and a crowd
 	is.NoErr(l.CheckBytes(136 << 20))
-	is.NoErr(l.CheckSessions(3010))
+	is.NoErr(l.CheckSessions(136<<20, 3010))
 	is.NoErr(l.CheckStarting())
 	l.Bytes = 136 << 20
 	is.True(l.CheckBytes(136<<20) != nil)
 	l.Sessions = 3010
-	is.True(l.CheckSessions(3010) != nil)
-	l.Starting = 3011
+	is.True(l.CheckSessions(0, 3010) != nil)
+	l.Sessions = 5000
+	is.NoErr(l.CheckSessions(0, 8192))
+	is.True(l.CheckSessions(136<<20, 8192) != nil) // 205 MB
+	l.Starting = 5001
 	is.True(l.CheckStarting() != nil)
 	unknown := DefaultLimits(0, 0)
-	is.NoErr(unknown.CheckSessions(0))
+	is.NoErr(unknown.CheckSessions(0, 0))
 }
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -16,6 +16,8 @@
 	// memoryPerSession is the machine's memory for each session. An idle session takes about 10 KiB of the process, and up to twice
 	// SocketBufferBytes of the kernel while it sends ahead; the rest is for the program.
 	memoryPerSession = 192 << 10
+	// sessionBytes is the memory of an idle session with a full receive buffer.
+	sessionBytes = 10<<10 + SocketBufferBytes
 	// budgetDivisor is the share of the machine's memory that is reserved for the bytes of clients.
 	budgetDivisor = 8
 	// minBytes is the smallest usable budget: one message of 1 MiB with its copies.
@@ -76,12 +78,15 @@
 	return nil
 }
 
-// CheckSessions returns an error unless the machine has the descriptors for the sessions.
-func (l Limits) CheckSessions(descriptors int) error {
+// CheckSessions returns an error unless the machine has the descriptors and the memory for the sessions; 0 stands for an unknown size.
+func (l Limits) CheckSessions(memoryBytes int64, descriptors int) error {
 	if l.Sessions < 1 || descriptors > 0 && l.Sessions+l.PeerConns+2*l.ProbeConns > descriptors-reservedDescriptors {
 		return errors.Errorf("%d sessions do not fit into %d descriptors, of which %d are reserved for files and %d for other connections",
 			l.Sessions, descriptors, reservedDescriptors, l.PeerConns+2*l.ProbeConns)
 	}
+	if memoryBytes > 0 && int64(l.Sessions) > memoryBytes/2/sessionBytes {
+		return errors.Errorf("%d sessions, which may take %d bytes each, need more than half of the machine's memory", l.Sessions, sessionBytes)
+	}
 	return nil
 }
 
