--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -27,7 +27,7 @@
 
 func open(b *Budget, held int64, p phase) client {
 	c := client{evicted: make(chan struct{})}
-	c.Account = b.Open("test", func() { close(c.evicted) })
+	c.Account = b.OpenConn("test", func() { close(c.evicted) })
 	c.Force(held)
 	c.phase.Store(p)
 	return c
@@ -119,6 +119,34 @@
 	is.NoErr(none.Charge(1)) // no limits
 }
 
+// Guards against closing others for a message that can never fit.
+func TestTooLargeChargesCloseNobody(t *testing.T) {
+	is := is.New(t)
+	b := newTestBudget()
+	stalled := open(b, testLimit/8, phaseReading)
+	b.ticks(stalledTicks + 1)
+	is.True(errors.Is(open(b, 0, phaseReading).Charge(testLimit+1), ErrExhausted))
+	is.True(!stalled.isEvicted())
+}
+
+// Guards against memory pressure from a configuration that many instances take slowly at once, and against closing their calls for it.
+func TestSlowSharedResponsesAreNotCharged(t *testing.T) {
+	is := is.New(t)
+	b := newTestBudget()
+	var calls []*call
+	for range 2 * testLimit / blockedWriteBytes {
+		c := &call{handler: &Calls{budget: b}}
+		c.openAccount().phase.Store(phaseWriting)
+		calls = append(calls, c)
+	}
+	b.ticks(stalledTicks + 2)
+	is.Equal(b.Used(), int64(0))
+	for _, c := range calls {
+		is.True(!c.account.evicted)
+		c.account.Close()
+	}
+}
+
 // Guards against a response that waits in memory while the budget is exceeded.
 func TestResponsesCloseTheHeaviestAtOnce(t *testing.T) {
 	is := is.New(t)
@@ -181,14 +209,17 @@
 	l := DefaultLimits(136<<20, 3010)
 	is.True(l.Sessions >= 700) // ordinary sessions and a crowd
 	is.NoErr(l.CheckBytes(136 << 20))
-	is.NoErr(l.CheckSessions(3010))
+	is.NoErr(l.CheckSessions(136<<20, 3010))
 	is.NoErr(l.CheckStarting())
 	l.Bytes = 136 << 20
 	is.True(l.CheckBytes(136<<20) != nil)
 	l.Sessions = 3010
-	is.True(l.CheckSessions(3010) != nil)
-	l.Starting = 3011
+	is.True(l.CheckSessions(0, 3010) != nil)
+	l.Sessions = 5000
+	is.NoErr(l.CheckSessions(0, 8192))
+	is.True(l.CheckSessions(136<<20, 8192) != nil) // 205 MB
+	l.Starting = 5001
 	is.True(l.CheckStarting() != nil)
 	unknown := DefaultLimits(0, 0)
-	is.NoErr(unknown.CheckSessions(0))
+	is.NoErr(unknown.CheckSessions(0, 0))
 }
