Give each transaction an id of its own

Cause: a session kept one id, and the end of a rolled-back transaction is sent in the background. Until it ran, the router still held the delegate of the old transaction: later statements of a next transaction at the owner went to the old transaction at the delegate, and its COMMIT was answered with success there while the owner's write was not committed. An end or a first statement that arrived late rolled the next transaction back. Change: a session takes a new id with each BEGIN.

--- a/internal/caller/delegate_transaction_test.go
+++ b/internal/caller/delegate_transaction_test.go
@@ -163,3 +163,48 @@
 		}
 	}
 }
+
+// delayedEnd holds the ends of transactions back until it is released.
+type delayedEnd struct {
+	*Router
+	release chan struct{}
+	done    chan struct{}
+}
+
+func (d *delayedEnd) End(ctx context.Context, g upstream.GroupID, s operation.SessionID) {
+	<-d.release
+	d.Router.End(ctx, g, s)
+	close(d.done)
+}
+
+// Guards against a statement, or a commit, of a transaction at the owner that runs in an earlier transaction at a delegate whose
+// end is still under way.
+func TestALateEndDoesNotAffectTheNextTransaction(t *testing.T) {
+	is := is.New(t)
+	r, d, o, _, _ := newDelegatingRouter()
+	runner := &delayedEnd{Router: r, release: make(chan struct{}), done: make(chan struct{})}
+	server := &Server{Instance: "i"}
+	s := &Session{
+		id: server.newSessionID(), newID: server.newSessionID, database: "orders", key: "k1", catalog: r.Catalog, runner: runner, clock: r.Clock,
+	}
+	d.result = openResult(statement.TxOpen)
+	do(s, statement.KindBeginRead)
+	is.Equal(do(s, statement.KindRead).Code, statement.CodeOK)
+	ended := s.id
+	do(s, statement.KindRollback)
+	state := statement.TxOpen
+	o.run = func(*operation.Request) operation.Response {
+		return operation.Response{Answer: statement.Answer{State: state}}
+	}
+	do(s, statement.KindBegin)
+	is.Equal(do(s, statement.KindWrite).State, statement.TxOpen)
+	state = statement.TxIdle
+	is.Equal(do(s, statement.KindCommit).State, statement.TxIdle)
+	is.Equal(d.calls, 1)
+	is.Equal(o.calls, 2)
+	close(runner.release)
+	<-runner.done
+	is.Equal(<-d.ended, ended)
+	_, held := r.holder(ended)
+	is.True(!held)
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -284,7 +284,8 @@
 	}
 	_ = c.SetReadDeadline(deadline)
 	session := &Session{
-		id:       operation.SessionID{Instance: s.Instance, Number: s.numbers.Add(1)},
+		id:       s.newSessionID(),
+		newID:    s.newSessionID,
 		database: start.Database,
 		key:      start.Key,
 		catalog:  s.Catalog,
@@ -303,3 +304,7 @@
 	}
 	return session
 }
+
+func (s *Server) newSessionID() operation.SessionID {
+	return operation.SessionID{Instance: s.Instance, Number: s.numbers.Add(1)}
+}
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -31,7 +31,10 @@
 
 // Session is the state of one caller's session. It is used by one goroutine.
 type Session struct {
-	id       operation.SessionID
+	// id is replaced with each transaction, as the end of the previous one may still be under way.
+	id operation.SessionID
+	// newID returns an id that was not used before.
+	newID    func() operation.SessionID
 	database string
 	key      string
 	catalog  func() *catalog.Catalog
@@ -135,6 +138,7 @@
 	if _, code := s.route(); code != statement.CodeOK {
 		return s.answer(statement.Answer{Code: code, Detail: "the route or the key is not in force any more"})
 	}
+	s.id = s.newID()
 	s.state, s.pendingBegin = statement.TxOpen, st.Kind
 	return s.answerOK()
 }
--- a/internal/caller/session_test.go
+++ b/internal/caller/session_test.go
@@ -49,7 +49,12 @@
 	c.Routes["db"] = &catalog.Route{Name: "r", Database: "db", Group: "g"}
 	c.AddCustomer(&catalog.Customer{Name: "t"}, []string{"k"})
 	run := &scriptedRunner{answers: answers, ended: make(chan operation.SessionID, 10)}
-	s := &Session{database: "db", key: "k", catalog: func() *catalog.Catalog { return c }, runner: run, clock: time.Now}
+	number := uint64(0)
+	newID := func() operation.SessionID {
+		number++
+		return operation.SessionID{Instance: "i", Number: number}
+	}
+	s := &Session{id: newID(), newID: newID, database: "db", key: "k", catalog: func() *catalog.Catalog { return c }, runner: run, clock: time.Now}
 	return s, run, c
 }
 
@@ -128,3 +133,19 @@
 	delete(c.Routes, "db")
 	is.Equal(do(s, statement.KindRead).Code, statement.CodeUnknownDatabase)
 }
+
+// Guards against an end that arrives late and rolls back the session's next transaction.
+func TestEachTransactionHasItsOwnID(t *testing.T) {
+	is := is.New(t)
+	s, run, _ := newSession(ok(statement.TxOpen, 0), ok(statement.TxOpen, 0), ok(statement.TxOpen, 0))
+	do(s, statement.KindBeginRead)
+	do(s, statement.KindRead)
+	do(s, statement.KindRollback)
+	do(s, statement.KindBegin)
+	do(s, statement.KindWrite)
+	do(s, statement.KindWrite)
+	first, next := run.requests[0].Session, run.requests[1].Session
+	is.True(first != next)
+	is.Equal(run.requests[2].Session, next)
+	is.Equal(<-run.ended, first)
+}
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -14,7 +14,8 @@
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
-// SessionID identifies a session within the fleet.
+// SessionID identifies a session within the fleet. A session takes a new one with each transaction, so that a late request of an
+// earlier transaction does not affect a later one.
 type SessionID struct {
 	// Instance is the process that serves the session.
 	Instance instance.ID
