End reads when a loan that was given up lapses

Cause: giving a loan up discarded the time at which it lapses, so reads that still ran on its connections went on until 70% of their target, when the owner may count the connections as free. Change: the borrower keeps the loan and its time; the pause of 2 s, longer than a loan, makes it unusable.

--- a/internal/delegation/borrower.go
+++ b/internal/delegation/borrower.go
@@ -78,9 +78,9 @@
 // Refused records that a request got no loan. The current loan stays in use until it lapses.
 func (b *Borrower) Refused(now time.Time) { b.asking, b.askAt = false, now.Add(refusedPause) }
 
-// Drop gives the current loan up because its member does not answer.
+// Drop gives the current loan up because its member does not answer. The loan lapses during the pause.
 func (b *Borrower) Drop(now time.Time) {
-	b.grant, b.droppedUntil, b.failures = Grant{}, now.Add(failingPause), 0
+	b.droppedUntil, b.failures = now.Add(failingPause), 0
 }
 
 // Record records whether a read on the borrowed replica failed. It returns true when that gives the loan up.
@@ -96,5 +96,8 @@
 	return true
 }
 
-// Grant returns the loan in use, or false if there is none.
-func (b *Borrower) Grant(now time.Time) (Grant, bool) { return b.grant, now.Before(b.grant.Until) }
+// Grant returns the last loan and whether it may be used. One that was given up keeps the time at which it lapses, as running reads
+// must end by then.
+func (b *Borrower) Grant(now time.Time) (Grant, bool) {
+	return b.grant, now.Before(b.grant.Until) && !now.Before(b.droppedUntil)
+}
--- a/internal/owner/delegate_test.go
+++ b/internal/owner/delegate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -308,32 +309,42 @@
 // Guards against a connection on which a read runs after the loan has lapsed, when the owner may use it, and against a pause of
 // the next loan because of that.
 func TestALapsedLoanEndsItsReads(t *testing.T) {
-	is := is.New(t)
-	w := newDelegateWorld(t)
-	w.borrow(t)
-	w.changeRoute(func(r *catalog.Route) { r.Timeout, r.TargetLatency = time.Hour, time.Hour })
-	_, d := w.m.delegate("g")
-	var cause error
-	w.onSend = func(ctx context.Context) {
-		w.locked(func() { w.refusal, w.failure = delegation.RefusalHeld, member.ErrLost })
-		w.advance(delegation.TTL)
-		d.step()
-		select {
-		case <-ctx.Done():
-		case <-time.After(10 * time.Second):
-		}
-		cause = context.Cause(ctx)
+	for _, givenUp := range []bool{false, true} {
+		t.Run(fmt.Sprintf("given up before: %v", givenUp), func(t *testing.T) {
+			is := is.New(t)
+			w := newDelegateWorld(t)
+			w.borrow(t)
+			w.changeRoute(func(r *catalog.Route) { r.Timeout, r.TargetLatency = time.Hour, time.Hour })
+			_, d := w.m.delegate("g")
+			var cause error
+			w.onSend = func(ctx context.Context) {
+				w.locked(func() { w.refusal, w.failure = delegation.RefusalHeld, member.ErrLost })
+				if givenUp {
+					d.g.mu.Lock()
+					d.borrower.Drop(w.clock())
+					d.g.mu.Unlock()
+					d.step()
+				}
+				w.advance(delegation.TTL)
+				d.step()
+				select {
+				case <-ctx.Done():
+				case <-time.After(10 * time.Second):
+				}
+				cause = context.Cause(ctx)
+			}
+			result := w.read()
+			is.Equal(cause, errLoanLapsed)
+			is.Equal(result.Decline, delegation.DeclineFailed)
+			is.True(result.Charged)
+			d.g.mu.Lock()
+			defer d.g.mu.Unlock()
+			is.Equal(len(d.g.conns), 0)
+			// Three failures in succession give a loan up; the read that ended with its loan is not one of them.
+			is.True(!d.borrower.Record(true, w.clock()))
+			is.True(!d.borrower.Record(true, w.clock()))
+		})
 	}
-	result := w.read()
-	is.Equal(cause, errLoanLapsed)
-	is.Equal(result.Decline, delegation.DeclineFailed)
-	is.True(result.Charged)
-	d.g.mu.Lock()
-	defer d.g.mu.Unlock()
-	is.Equal(len(d.g.conns), 0)
-	// Three failures in succession give a loan up; the read that ended with its loan is not one of them.
-	is.True(!d.borrower.Record(true, w.clock()))
-	is.True(!d.borrower.Record(true, w.clock()))
 }
 
 // Guards against a position that counts as known for a later time than it is, when the owner's response takes long.
