Apply the backoff of the fallback to every call

Cause: a call that chose the fallback and was given up during its delay, or a call for another prefix, made the next one read the store at once. Change: while the fallback is in use, calls wait for the end of the backoff too.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -238,3 +238,21 @@
 	s.Succeeded(route.Readers[0])
 	is.Equal(s.Next(route, now).Reader, route.Readers[0]) // a reader that answers again ends it
 }
+
+// TestTheBackoffHoldsForEveryCall guards against a call to a store that is down before the backoff has passed, when the call that
+// chose the fallback was given up or reads another prefix.
+func TestTheBackoffHoldsForEveryCall(t *testing.T) {
+	is := is.New(t)
+	s := Selector{Random: func() float64 { return 0.5 }}
+	route := Route{Readers: []Reader{owner("a", "x", 1), owner("b", "x", 1)}}
+	s.Failed(route.Readers[0], epoch)
+	s.Failed(route.Readers[1], epoch)
+	is.True(s.Next(route, epoch).Store())
+	s.StoreFailed(true, epoch)
+	for _, after := range []time.Duration{0, minStoreBackoff / 2} {
+		next := s.Next(route, epoch.Add(after))
+		is.True(next.Store())
+		is.Equal(next.Delay, minStoreBackoff-after)
+	}
+	is.Equal(s.Next(route, epoch.Add(minStoreBackoff)).Delay, time.Duration(0))
+}
--- a/internal/fanout/selector.go
+++ b/internal/fanout/selector.go
@@ -70,7 +70,8 @@
 		return Target{}
 	}
 	if now.Before(s.directUntil) {
-		return Target{Fallback: true}
+		// The call that chose the fallback may have been given up during its delay.
+		return Target{Delay: max(0, s.storeRetryAt.Sub(now)), Fallback: true}
 	}
 	if s.failures < maxFailures || now.Before(s.storeRetryAt) {
 		if r, ok := s.available(ordered, now); ok {
