Roll back a transaction whose sender gave up its first statement

Cause: the sender's end may arrive before the transaction is open; the transaction then held its connection, and at a delegate kept the loan renewed, until its idle timeout. Change: an owner or a delegate ends the transaction when the request was given up by the time its first statement has been answered. Result: TestATransactionWhoseSenderHasGivenUpEnds fails without the change at the delegate (one open transaction) and passes with it, under -race. The owner calls the same function; no test of its own.

--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -58,7 +58,9 @@
 	if d == nil {
 		return operation.ReadResult{Decline: delegation.DeclineNoGrant}
 	}
-	return d.runRead(ctx, r, tokens)
+	result := d.runRead(ctx, r, tokens)
+	d.g.endUnclaimed(ctx, r)
+	return result
 }
 
 func (m *Manager) knownDelegate(id upstream.GroupID) *Delegate {
--- a/internal/owner/delegate_transaction_test.go
+++ b/internal/owner/delegate_transaction_test.go
@@ -219,6 +219,26 @@
 	w.eventually(t, "nothing was rolled back", func() bool { return w.sent[len(w.sent)-1].Kind == statement.KindRollback })
 }
 
+// Guards against a transaction that holds its connection until its idle limit, because its sender gave the first statement up and
+// sent the end before the transaction was open.
+func TestATransactionWhoseSenderHasGivenUpEnds(t *testing.T) {
+	is := is.New(t)
+	w := newDelegateWorld(t)
+	w.borrow(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	session := operation.SessionID{Instance: "i", Number: 1}
+	w.onSend = func(context.Context) {
+		cancel()
+		w.m.EndRead(context.Background(), "g", session)
+	}
+	w.m.RunRead(ctx, &operation.Request{
+		Group: "g", Database: "views", Key: "k1", CatalogRevision: 5, Customer: "mill", Session: session,
+		Statement: statement.Statement{ID: "1", Kind: statement.KindRead}, Begin: statement.KindBeginRead,
+	})
+	is.Equal(w.m.OpenTransactions(), 0)
+	w.eventually(t, "nothing was rolled back", func() bool { return w.sent[len(w.sent)-1].Kind == statement.KindRollback })
+}
+
 // Guards against transactions that are charged for each statement, or charged although they fall back to the owner before anything
 // ran, and against a connection that a declined transaction holds.
 func TestATransactionIsChargedOnce(t *testing.T) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -216,7 +216,9 @@
 	case owned == nil:
 		return operation.Response{Answer: statement.Answer{Code: statement.CodeBusy, Detail: "not the owner"}, NotOwner: true}
 	default:
-		return owned.runFirst(ctx, r)
+		resp := owned.runFirst(ctx, r)
+		owned.endUnclaimed(ctx, r)
+		return resp
 	}
 }
 
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -181,6 +181,14 @@
 	g.rollBack(s, t)
 }
 
+// endUnclaimed rolls back the transaction that the request has opened if its sender has given the request up. The sender's end may
+// have arrived before the transaction was open.
+func (g *Group) endUnclaimed(ctx context.Context, r *operation.Request) {
+	if ctx.Err() != nil && r.Begin != statement.KindInvalid {
+		g.endTransaction(r.Session)
+	}
+}
+
 // rollBack ends an idle transaction in the background.
 func (g *Group) rollBack(s operation.SessionID, t *transaction) {
 	g.forgetTransaction(s, t)
