Do not blame the replica for what a session or a key causes

Cause: a delegate counted every ABORTED answer in a transaction as a failure of the replica, also for changed session values, a key that was taken away and a smaller share; three in succession gave the loan up and aborted the transactions of all sessions. A connection that could not be set up for its session also counted as a failed connection to the member, at owners too. Change: the delegate records the outcome at the member, without set-up errors and ended loans; Group.recordLoss replaces two copies of the same code and ignores set-up errors.

--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -38,7 +38,7 @@
 func newDelegate(o Options, id upstream.GroupID) *Delegate {
 	o.Log = o.Log.With("delegated", true)
 	d := &Delegate{g: newGroup(o, ownership.Claim{Group: id}, false)}
-	d.g.delegated, d.g.covers = true, d.covers
+	d.g.delegated, d.g.covers, d.g.answered = true, d.covers, d.recordOutcome
 	return d
 }
 
--- a/internal/owner/delegate_read.go
+++ b/internal/owner/delegate_read.go
@@ -80,8 +80,8 @@
 	}
 	c.attempts++
 	answer, err := g.execute(run, c, l, false)
-	if caller.Err() == nil && !errors.Is(err, errLoanLapsed) && !errors.Is(err, errSetup) {
-		d.recordOutcome(err != nil || answer.Code == statement.CodeFailed)
+	if caller.Err() == nil {
+		d.recordOutcome(answer.Code, err)
 	}
 	c.begun.finish(answer.Code, err)
 	resp, again := g.completeAttempt(run, c, l, false, answer, err)
@@ -92,9 +92,13 @@
 	return operation.ReadResult{Response: resp}
 }
 
-// recordOutcome records whether the read on the replica failed, which may give the loan up. Without a loan, the cause is not the
-// replica.
-func (d *Delegate) recordOutcome(failed bool) {
+// recordOutcome records whether a statement on the replica failed, which may give the loan up. The replica is not the cause when the
+// loan has ended or the connection could not be set up for the session.
+func (d *Delegate) recordOutcome(code statement.Code, err error) {
+	if errors.Is(err, errLoanLapsed) || errors.Is(err, errLoanEnded) || errors.Is(err, errSetup) {
+		return
+	}
+	failed := err != nil || code == statement.CodeFailed
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
 	now := d.g.o.Clock()
--- a/internal/owner/delegate_transaction.go
+++ b/internal/owner/delegate_transaction.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/operation"
-	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -19,11 +18,7 @@
 	if d == nil || !d.g.hasTransaction(r.Session) {
 		return aborted("the transaction was rolled back: its delegate has lost the member or it was idle for too long")
 	}
-	resp := d.g.runInTransaction(ctx, r)
-	if ctx.Err() == nil {
-		d.recordOutcome(resp.Code == statement.CodeFailed || resp.Code == statement.CodeAborted)
-	}
-	return resp
+	return d.g.runInTransaction(ctx, r)
 }
 
 // EndRead implements operation.ReadRunner.
--- a/internal/owner/delegate_transaction_test.go
+++ b/internal/owner/delegate_transaction_test.go
@@ -239,6 +239,41 @@
 	w.eventually(t, "nothing was rolled back", func() bool { return w.sent[len(w.sent)-1].Kind == statement.KindRollback })
 }
 
+// Guards against a session that makes a delegate give its loan up, with the transactions of all others, because it changes its
+// session values in transactions or its key is taken away.
+func TestWhatTheReplicaDoesNotCauseKeepsTheLoan(t *testing.T) {
+	for _, cause := range []string{"session values", "key"} {
+		t.Run(cause, func(t *testing.T) {
+			is := is.New(t)
+			w := newDelegateWorld(t)
+			w.borrow(t)
+			const sessions = 8 // three failures in succession give a loan up
+			request := operation.Request{
+				Group: "g", Database: "views", Key: "k1", CatalogRevision: 5, Customer: "mill", Statement: statement.Statement{ID: "1", Kind: statement.KindRead},
+			}
+			for session := range uint64(sessions) {
+				first := request
+				first.Session, first.Begin = operation.SessionID{Instance: "i", Number: session}, statement.KindBeginRead
+				first.Values = map[string]string{"a": "1"}
+				is.Equal(w.m.RunRead(context.Background(), &first).Response.State, statement.TxOpen)
+			}
+			for session := range uint64(sessions) {
+				later := request
+				later.Session, later.InTransaction = operation.SessionID{Instance: "i", Number: session}, true
+				later.Values = map[string]string{"a": "1"}
+				if cause == "key" {
+					later.Key = "k2"
+				} else {
+					later.Values = map[string]string{"b": "1"}
+				}
+				is.Equal(w.m.RunRead(context.Background(), &later).Response.Code, statement.CodeAborted)
+			}
+			_, d := w.m.delegate("g")
+			is.True(d.borrowed())
+		})
+	}
+}
+
 // Guards against transactions that are charged for each statement, or charged although they fall back to the owner before anything
 // ran, and against a connection that a declined transaction holds.
 func TestATransactionIsChargedOnce(t *testing.T) {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -18,6 +18,7 @@
 	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/promotion"
 	"github.com/celerystep/celerystep/internal/quota"
+	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -78,7 +79,9 @@
 	// delegated is true for the group of a Delegate: this instance does not own it.
 	delegated bool
 	// covers reports whether a transaction on the connection may go on; nil if that needs no check. The group is locked.
-	covers           func(l *memberConn, now time.Time) bool
+	covers func(l *memberConn, now time.Time) bool
+	// answered is called with the outcome of each statement that ran in an open transaction; nil if nobody needs it.
+	answered         func(code statement.Code, err error)
 	lastHousekeeping time.Time
 	lastPrewarm      time.Time
 }
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/celerystep/celerystep/internal/catalog"
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/member"
@@ -377,12 +379,7 @@
 // completeLostAttempt handles a statement whose connection broke or whose answer did not arrive in time.
 func (g *Group) completeLostAttempt(ctx context.Context, c *call, l *memberConn, err error) (operation.Response, bool) {
 	g.mu.Lock()
-	f := member.FailureOf(err)
-	if f == promotion.FailureConnectionLost && !l.memberReplaced(g) {
-		g.machine.Failed(l.member.ID, f, g.o.Clock())
-		g.observeLoss(l, err)
-		g.signal()
-	}
+	g.recordLoss(l, err, g.o.Clock())
 	g.releaseConn(l, err, false)
 	g.mu.Unlock()
 	c.avoid = l.member.ID
@@ -405,3 +402,15 @@
 		return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the member's answer was lost"}}, false
 	}
 }
+
+// recordLoss records that a connection was lost while a statement ran on it. A connection that could not be set up for its session
+// is no sign of a failing member, which has answered. The group is locked.
+func (g *Group) recordLoss(l *memberConn, err error, now time.Time) {
+	f := member.FailureOf(err)
+	if f != promotion.FailureConnectionLost || errors.Is(err, errSetup) || l.memberReplaced(g) {
+		return
+	}
+	g.machine.Failed(l.member.ID, f, now)
+	g.observeLoss(l, err)
+	g.signal()
+}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -6,9 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/operation"
-	"github.com/celerystep/celerystep/internal/promotion"
 	"github.com/celerystep/celerystep/internal/statement"
 )
 
@@ -58,7 +56,7 @@
 const readOnlyDetail = "the transaction is read-only"
 
 // runInTransaction runs a statement on the connection of the session's transaction.
-func (g *Group) runInTransaction(ctx context.Context, r *operation.Request) operation.Response {
+func (g *Group) runInTransaction(caller context.Context, r *operation.Request) operation.Response {
 	c, refused := g.admit(r)
 	g.mu.Lock()
 	t := g.txs[r.Session]
@@ -92,9 +90,12 @@
 	g.scheduler.Resume(l.id, g.o.Clock())
 	g.mu.Unlock()
 
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(c.deadline.Sub(g.o.Clock())))
+	ctx, cancel := context.WithDeadline(caller, time.Now().Add(c.deadline.Sub(g.o.Clock())))
 	defer cancel()
 	answer, err := g.executeInTransaction(ctx, c, l, t.primary)
+	if g.answered != nil && caller.Err() == nil {
+		g.answered(answer.Code, err)
+	}
 	c.begun.finish(answer.Code, err)
 	g.countAnswer(t.primary, answer.Code)
 	if err == nil && answer.Code == statement.CodeOK {
@@ -115,11 +116,7 @@
 	t.busy, t.lastUsed = false, now
 	if err != nil {
 		g.forgetTransaction(c.r.Session, t)
-		if f := member.FailureOf(err); f == promotion.FailureConnectionLost && !l.memberReplaced(g) {
-			g.machine.Failed(l.member.ID, f, now)
-			g.observeLoss(l, err)
-			g.signal()
-		}
+		g.recordLoss(l, err, now)
 		g.releaseConn(l, err, false)
 		if ends && t.primary {
 			g.logFailure(c, l, "in_doubt", err.Error(), false)
