--- a/internal/owner/delegate.go
+++ b/internal/owner/delegate.go
@@ -38,7 +38,7 @@
 func newDelegate(o Options, id upstream.GroupID) *Delegate {
 	o.Log = o.Log.With("delegated", true)
 	d := &Delegate{g: newGroup(o, ownership.Claim{Group: id}, false)}
-	d.g.delegated, d.g.covers = true, d.covers
+	d.g.delegated, d.g.covers, d.g.answered = true, d.covers, d.recordOutcome
 	return d
 }
 
@@ -58,7 +58,9 @@
 	if d == nil {
 		return operation.ReadResult{Decline: delegation.DeclineNoGrant}
 	}
-	return d.runRead(ctx, r, tokens)
+	result := d.runRead(ctx, r, tokens)
+	d.g.endUnclaimed(ctx, r)
+	return result
 }
 
 func (m *Manager) knownDelegate(id upstream.GroupID) *Delegate {
