Review case 10: keep the tenant within the dose of the site file

Cause: its consumers sent 1,577 statements a second, more than 7.5 times the usual.

Change: a longer pause between the statements of a consumer; the record says how many were sent.

--- a/review/kit-2/case10.go
+++ b/review/kit-2/case10.go
@@ -28,7 +28,7 @@
 	hotTime  = 6500 * time.Millisecond
 	// hotConsumers is the number of its consumers at each instance, hotPause their pause after an answer.
 	hotConsumers = 14
-	hotPause     = 25 * time.Millisecond
+	hotPause     = 46 * time.Millisecond
 	// rejectTime is how long the store turns the owner away.
 	rejectTime = 9 * time.Second
 )
@@ -88,6 +88,7 @@
 		}
 	}
 	limit := int((tenantRate*quotaWindow.Seconds()+tenantBurst)*(1+quotaOverage) + quotaSlack)
+	e.record.printf("statements that the tenant sent: %d in %s, %.0f a second", len(sent), hotTime, float64(len(sent))/hotTime.Seconds())
 	e.record.printf("statements of the tenant that ran: %d; most in a window of %s: %d, from second %.3f; the rule allows %d",
 		len(ran), quotaWindow, most, from.Sub(e.record.started).Seconds(), limit)
 	if most == 0 {
