Never promote a log that lacks commits this owner acknowledged

Callers of a group with syncReplicas 1 lost 218 commits that they had been told of: after an outage of the store the service discovery listed one replica, which had received nothing for 6.5 s, and the owner promoted it.

Cause: holdsAcknowledged accepted the longest log as soon as "all but syncReplicas" of the listed replicas had answered. With one member listed, one answer was enough (1 > 1 - 1), although the owner itself had acknowledged 1/467 and the log ended at 1/249. The members that are not listed may hold the commits.

The new test ordered one promotion before the change.

Change: once an owner has acknowledged a position, only a log that reaches it is promoted, whoever else answers. The count decides only for an owner that has acknowledged nothing. While no log qualifies the old primary is probed too, and the reason is explained once. The position is limited when a new term begins, so that commits rolled back under syncReplicas 0 are not awaited after the setting changes.

TestALogWithoutAcknowledgedCommitsIsNotPromotedWhenItsMemberIsListedAlone fails before, passes after; go test -race of promotion and owner passes.

--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -186,8 +186,10 @@
 	rejections  int
 	primaryIdle bool
 	// syncReplicas is the number of replicas that hold a commit before it is acknowledged.
-	syncReplicas  int
-	acknowledged  position.Position
+	syncReplicas int
+	acknowledged position.Position
+	// withheld is true once it has been explained that no replica is promoted in the current phase.
+	withheld      bool
 	explanations  []string
 	tokenRejected bool
 	lastRenewal   time.Time
@@ -421,14 +423,25 @@
 	m.explanations = append(m.explanations, fmt.Sprintf("%s -> %s: %s (primary %s, term %d, %v in the phase before)",
 		m.phase, p, cause, m.primary, m.term, now.Sub(m.phaseStart).Round(time.Millisecond)))
 	m.phase, m.phaseStart, m.cause = p, now, cause
-	m.primaryIdle = false
+	m.primaryIdle, m.withheld = false, false
 }
 
 func (m *Machine) setPrimary(id upstream.MemberID, s Status, now time.Time) {
+	if s.Term > m.term {
+		m.dropRolledBack(s)
+	}
 	m.primary, m.term = id, s.Term
 	m.enter(PhaseLeading, now, fmt.Sprintf("%s leads in term %d at %s", id, s.Term, s.Position))
 }
 
+// dropRolledBack limits the acknowledged position to the log with which a new term begins. Commits of earlier terms beyond it are
+// rolled back, which only members without synchronous replicas may do; no replica will ever hold them.
+func (m *Machine) dropRolledBack(leader Status) {
+	if m.acknowledged.Term < leader.Term {
+		m.acknowledged.LSN = min(m.acknowledged.LSN, leader.Position.LSN)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return b
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -327,6 +327,45 @@
 	is.True(g.isPrimary("c"))
 }
 
+// Guards against losing acknowledged commits when the service discovery lists one replica only, and that one lacks them: the count
+// of the listed members says nothing about the commits that members which are not listed hold.
+func TestALogWithoutAcknowledgedCommitsIsNotPromotedWhenItsMemberIsListedAlone(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.m.SetSyncReplicas(1)
+	g.run(time.Second)
+	g.m.Acknowledged(at(1, 8))
+	all := g.infos
+	g.infos = all[1:2] // b, whose log ends at 1/7
+	g.run(3 * time.Second)
+	is.Equal(len(g.orders), 0)
+
+	// The primary, which has worked all the time, is listed again.
+	g.infos = all[:2]
+	g.run(time.Second)
+	is.True(g.isPrimary("a"))
+	is.Equal(len(g.orders), 0)
+}
+
+// Guards against a group that never gets a primary again because commits were rolled back while no synchronous replica was required.
+func TestCommitsThatWereRolledBackAreNotAwaited(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	g.run(time.Second)
+	g.m.Acknowledged(at(1, 9))
+	g.members["a"].fail = FailureRefused
+	g.m.Failed("a", FailureConnectionLost, g.now)
+	g.run(time.Second)
+	is.True(g.isPrimary("c")) // its log ends at 1/8
+
+	g.m.SetSyncReplicas(1)
+	g.members["c"].fail, g.members["a"].fail = FailureRefused, 0
+	g.members["a"].status.Position, g.members["b"].status.Position = at(1, 8), at(1, 8)
+	g.m.Failed("c", FailureConnectionLost, g.now)
+	g.run(time.Second)
+	is.Equal(g.orders, []upstream.MemberID{"c", "a"})
+}
+
 // Guards against unguarded reads on a primary that a late order of this owner replaces: the order was sent while the primary
 // seemed dead and its result is unknown.
 func TestAnOrderWithoutResultShutsOutConfirmationUntilTheTokenIsRenewed(t *testing.T) {
--- a/internal/promotion/tick.go
+++ b/internal/promotion/tick.go
@@ -189,36 +189,64 @@
 		a = m.probe(a, id, now)
 	}
 	if answered == 0 {
-		if p := m.members[m.primary]; p != nil && !p.OutOfService {
-			a = m.probe(a, m.primary, now)
-		}
-		return a
+		return m.probePrimary(a, now)
 	}
 	if open > 0 && now.Sub(m.phaseStart) < m.timing.PositionTimeout {
 		return a
 	}
 	best := m.best(now)
-	if best == nil || !m.holdsAcknowledged(best, answered) {
+	if best == nil {
 		return a
 	}
+	if !m.holdsAcknowledged(best, answered) {
+		m.explainWithheld(best, answered)
+		return m.probePrimary(a, now)
+	}
 	m.target = best.ID
 	m.enter(PhasePromoting, now, fmt.Sprintf("promoting %s, whose log ends at %s; acknowledged %s; %d of %d replicas answered",
 		best.ID, best.status.Position, m.acknowledged, answered, answered+open))
 	return a
 }
 
+// probePrimary probes the primary that is being replaced: it may answer after all.
+func (m *Machine) probePrimary(a []Action, now time.Time) []Action {
+	if p := m.members[m.primary]; p == nil || p.OutOfService {
+		return a
+	}
+	return m.probe(a, m.primary, now)
+}
+
 // holdsAcknowledged reports whether the longest log found is certain to hold every acknowledged commit, which is
-// required with synchronous replicas only: either enough replicas have answered that each commit is held by one of
-// them, or the log reaches the newest acknowledged position that this owner knows of.
+// required with synchronous replicas only. A log that ends before the newest position that this owner has acknowledged
+// never does, however many members have answered: those that hold the commits may be missing from the service
+// discovery. An owner that has acknowledged nothing needs so many answers that each commit is held by one of them.
 func (m *Machine) holdsAcknowledged(best *member, answered int) bool {
 	if m.syncReplicas == 0 {
 		return true
 	}
-	replicas := len(m.members)
+	if !m.acknowledged.IsZero() {
+		return !best.status.Position.Less(m.acknowledged)
+	}
+	return answered > m.replicaCount()-m.syncReplicas
+}
+
+// replicaCount returns the number of known members without the primary.
+func (m *Machine) replicaCount() int {
 	if m.members[m.primary] != nil {
-		replicas--
+		return len(m.members) - 1
 	}
-	return answered > replicas-m.syncReplicas || !m.acknowledged.IsZero() && !best.status.Position.Less(m.acknowledged)
+	return len(m.members)
+}
+
+// explainWithheld explains, once in a phase, why the member with the longest log is not promoted.
+func (m *Machine) explainWithheld(best *member, answered int) {
+	if m.withheld {
+		return
+	}
+	m.withheld = true
+	m.explanations = append(m.explanations, fmt.Sprintf(
+		"not promoting %s, whose log ends at %s: it may lack acknowledged commits (acknowledged %s, %d of %d replicas answered, %d synchronous)",
+		best.ID, best.status.Position, m.acknowledged, answered, m.replicaCount(), m.syncReplicas))
 }
 
 // best returns the candidate with the longest log, preferring the owner's failure domain among equals.
