Keep members whose entries expire while the store is away

Callers saw their group's primary replaced 0.7 to 1.5 s after an outage of the store, although primary and replicas had worked all the time; writes were refused meanwhile and acknowledged commits rolled back.

Cause: entries of members expire while the store is unavailable, and live members write them again within about two seconds of its return. The node dropped each expired member as soon as its watch was back, and promotion began at once: "the primary has left the service discovery".

Change: package discovery holds the members and decides when a missing entry means that a member has left. An entry that expires during an outage of the store, or within 2.5 s of its return, keeps its member until then; without an outage, or once a member has announced its shutdown, it is gone at once as before. A monitor around the store records when calls fail and succeed again. Related path: an owner that lists the members right after an outage, or as a new process, has no earlier list to fall back on; it promotes nobody until the list can be complete.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -166,20 +166,6 @@
 	return lease, err
 }
 
-// loadMembers reads the members unless this process watches them already.
-func (n *Node) loadMembers(ctx context.Context) error {
-	if n.watchesMembers.Load() {
-		return nil
-	}
-	prefix := n.opts.Decoder.Prefixes().Members
-	entries, _, err := n.opts.Store.List(ctx, prefix)
-	if err != nil {
-		return errors.Wrap(err, "members")
-	}
-	n.replacePrefix(prefix, entries)
-	return nil
-}
-
 // livenessRecord is the revision of this process's liveness key and the lease that the key is attached to.
 type livenessRecord struct {
 	lease    platform.LeaseID
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -8,9 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/catalog"
-	"github.com/celerystep/celerystep/internal/ctxtime"
 	"github.com/celerystep/celerystep/internal/instance"
-	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/mirror"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
@@ -51,15 +49,15 @@
 	if c := n.copyOf(at.Prefix); c != nil {
 		c.Reset(entries, at)
 	}
-	n.replacePrefix(at.Prefix, entries)
+	n.mu.Lock()
+	n.replacePrefix(at.Prefix, entries, make(map[upstream.GroupID]bool))
+	n.mu.Unlock()
 	n.recordVerification(at)
 }
 
-// replacePrefix applies the complete list of entries below a prefix and drops known entries that are not listed.
-func (n *Node) replacePrefix(prefix string, entries []mirror.Entry) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	touched := make(map[upstream.GroupID]bool)
+// replacePrefix applies the complete list of entries below a prefix and drops known entries that are not listed. touched holds the
+// groups whose members have changed already. The caller holds n.mu.
+func (n *Node) replacePrefix(prefix string, entries []mirror.Entry, touched map[upstream.GroupID]bool) {
 	listed := make(map[upstream.MemberID]bool)
 	claimed := make(map[upstream.GroupID]bool)
 	alive := make(map[ownership.Process]bool)
@@ -93,17 +91,6 @@
 	n.triggerPlanner()
 }
 
-// dropMembers removes the members that are not listed. The caller holds n.mu.
-func (n *Node) dropMembers(listed map[upstream.MemberID]bool, touched map[upstream.GroupID]bool) {
-	for id, m := range n.members {
-		if !listed[id] {
-			touched[m.Group] = true
-			delete(n.members, id)
-			n.opts.Log.Info("member gone", "member", id, "group", m.Group)
-		}
-	}
-}
-
 // dropClaims removes the claims that are not listed. The caller holds n.mu.
 func (n *Node) dropClaims(listed map[upstream.GroupID]bool) {
 	for id := range n.planner.LastClaims() {
@@ -113,36 +100,6 @@
 	}
 }
 
-// watchMembers watches the members while this instance owns a group and up to memberWatchLinger longer.
-func (n *Node) watchMembers(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.ownershipGained:
-		}
-		n.watchesMembers.Store(true)
-		follow, stop := context.WithCancel(ctx)
-		m := &mirror.Mirror{Source: n.opts.Store, Prefix: n.opts.Decoder.Prefixes().Members, Sink: n, Clock: n.opts.Clock, Log: n.opts.Log}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = m.Run(follow)
-		}()
-		for n.ownsAny() && ctxtime.Sleep(ctx, memberWatchLinger) {
-		}
-		n.watchesMembers.Store(false)
-		stop()
-		<-done
-	}
-}
-
-func (n *Node) ownsAny() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.planner.OwnsAny()
-}
-
 // applyEvent decodes and applies one event. It adds the groups whose members changed to touched. The caller holds n.mu.
 func (n *Node) applyEvent(e mirror.Event, touched map[upstream.GroupID]bool) (Change, bool) {
 	c, ok := n.opts.Decoder.Decode(e)
@@ -153,7 +110,7 @@
 	case c.Catalog != nil:
 		n.applyCatalog(c.Catalog)
 	case c.Member != nil:
-		n.applyMember(*c.Member, touched)
+		n.applyMember(*c.Member, e.Deleted, touched)
 	case c.Domain != nil:
 		n.applyDomain(*c.Domain)
 	case c.Claim != nil:
@@ -177,33 +134,6 @@
 	n.claimsDirty = true
 }
 
-// applyMember adds, updates or removes a member. The caller holds n.mu.
-func (n *Node) applyMember(c MemberChange, touched map[upstream.GroupID]bool) {
-	old, known := n.members[c.ID]
-	if known {
-		touched[old.Group] = true
-	}
-	if c.Member == nil {
-		delete(n.members, c.ID)
-		if known {
-			n.opts.Log.Info("member gone", "member", c.ID, "group", old.Group)
-		}
-		return
-	}
-	n.members[c.ID] = *c.Member
-	touched[c.Member.Group] = true
-	changed := !known || old.Role != c.Member.Role || old.Leaving != c.Member.Leaving || old.Born != c.Member.Born
-	if changed && n.ownsClaim(n.planner.Claim(c.Member.Group)) {
-		n.logMember(*c.Member)
-	}
-}
-
-// logMember logs the state of a member of an owned group. Members of other groups do not matter to this instance.
-func (n *Node) logMember(m member.Member) {
-	n.opts.Log.Info("member", "member", m.ID, "group", m.Group, "domain", m.Domain, "role", m.Role,
-		"leaving", m.Leaving, "born", m.Born, "slots", m.Slots)
-}
-
 // applyDomain records that operators took a failure domain out or brought it back. The caller holds n.mu.
 func (n *Node) applyDomain(c DomainChange) {
 	domainsOut := maps.Clone(*n.domainsOut.Load())
@@ -257,28 +187,6 @@
 	return c.Owner == n.opts.Settings.Instance && c.Process == n.opts.Settings.Process
 }
 
-// updateOwnerMembers passes the members of the touched groups to the owner manager and the planner. The caller holds n.mu.
-func (n *Node) updateOwnerMembers(touched map[upstream.GroupID]bool) {
-	if len(touched) == 0 {
-		return
-	}
-	lists := make(map[upstream.GroupID][]member.Member, len(touched))
-	localPrimary := make(map[upstream.GroupID]bool)
-	for _, m := range n.members {
-		if !touched[m.Group] {
-			continue
-		}
-		lists[m.Group] = append(lists[m.Group], m)
-		if m.Role == upstream.RolePrimary && m.Domain == n.opts.Settings.Domain {
-			localPrimary[m.Group] = true
-		}
-	}
-	for id := range touched {
-		n.planner.SetLocalPrimary(id, localPrimary[id])
-		n.Owner.SetMembers(id, lists[id])
-	}
-}
-
 // onConnectionChange records when the watch of the configuration lost or regained its connection to the store.
 func (n *Node) onConnectionChange(ok bool) {
 	if ok {
@@ -341,8 +249,6 @@
 var errUnchanged = errors.New("the claim has not changed")
 
 const (
-	// memberWatchLinger is the interval between checks whether the members must still be watched.
-	memberWatchLinger = 10 * time.Second
 	// configBatchDelay is how long changes of the configuration are batched.
 	configBatchDelay = 500 * time.Millisecond
 	// configRelistInterval is the pause between two reads while the configuration keeps changing. A new configuration must be in
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/celerystep/celerystep/internal/boottime"
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/discovery"
 	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/fleetlink"
 	"github.com/celerystep/celerystep/internal/instance"
@@ -191,6 +192,10 @@
 	ownershipGained chan struct{}
 	// watchesMembers is true while watchMembers keeps the members current.
 	watchesMembers atomic.Bool
+	// membersCompleteAt is the time in Unix nanoseconds from which the known members are all that live.
+	membersCompleteAt atomic.Int64
+	// memberExpiry wakes runMemberExpiry.
+	memberExpiry chan struct{}
 	// storeLostAt is the time in Unix nanoseconds at which the connection to the store was lost; 0 while connected.
 	storeLostAt atomic.Int64
 	draining    atomic.Bool
@@ -219,7 +224,7 @@
 	claimsDirty bool
 	// verifiedRevision is the revision of the store up to which changes of the configuration are known.
 	verifiedRevision uint64
-	members          map[upstream.MemberID]member.Member
+	directory        *discovery.Directory
 	lease            platform.LeaseID
 	ttl              time.Duration
 	livenessWritten  livenessRecord
@@ -238,12 +243,15 @@
 		planner: ownership.NewPlanner(ownership.Self{
 			Instance: opts.Settings.Instance, Process: opts.Settings.Process, Cores: opts.Settings.Cores, FirstStart: opts.Settings.FirstStart,
 		}),
-		members:   make(map[upstream.MemberID]member.Member),
+		memberExpiry: make(chan struct{}, 1),
+		directory:    discovery.New(),
+
 		operators: fanout.NewCopy(),
 		ownership: fanout.NewCopy(),
 
 		coordinatorLost: make(map[upstream.GroupID]bool),
 	}
+	n.opts.Store = newStoreMonitor(opts.Store, n.storeStateChanged)
 	if opts.Metrics != nil {
 		n.Peers.Traffic = &fleetlink.Traffic{Bytes: opts.Metrics.PeerBytes, DomainLabel: n.domainLabel}
 	}
@@ -251,7 +259,7 @@
 	n.catalog.Store(catalog.New(0, 0))
 	n.domainsOut.Store(&map[instance.FailureDomain]bool{})
 	n.readers.Store(&fanout.Route{})
-	n.shared = fanout.NewSource(opts.Store, n.Peers, func() fanout.Route { return *n.readers.Load() }, opts.Clock, opts.Log.Named("fanout"), rand.Float64)
+	n.shared = fanout.NewSource(n.opts.Store, n.Peers, func() fanout.Route { return *n.readers.Load() }, opts.Clock, opts.Log.Named("fanout"), rand.Float64)
 	opts.Owner.Authority = n
 	opts.Owner.Tokens = n
 	opts.Owner.Lender = n
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -65,6 +65,7 @@
 		group.Go(func() error { n.loadPrimaryPlacement(background); return nil })
 	}
 	group.Go(func() error { return n.watchMembers(background) })
+	group.Go(func() error { return n.runMemberExpiry(background) })
 	group.Go(func() error { return n.watchSpeed(background) })
 	group.Go(func() error { return n.runPlanner(background) })
 	group.Go(func() error { return n.runLeaseRenewal(background) })
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -214,6 +214,7 @@
 	g.configure(c)
 	g.detectSilentMembers(now)
 	g.machine.SetMembers(g.memberInfos(now), now)
+	g.machine.SetMembersCompleteAt(g.o.Authority.MembersCompleteAt())
 	if !g.released {
 		if g.primaryIdle() {
 			g.machine.PrimaryIdle()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -32,6 +32,9 @@
 	KeysFresh() bool
 	// DomainOut reports whether the failure domain is out of service and must get no requests.
 	DomainOut(d instance.FailureDomain) bool
+	// MembersCompleteAt returns the time from which the known members of all groups are all that live. Until then some may
+	// be missing because their entries expired while the store was unavailable.
+	MembersCompleteAt() time.Time
 }
 
 // TokenSource requests rate-limit tokens from a customer's coordinator.
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -188,6 +188,8 @@
 	// syncReplicas is the number of replicas that hold a commit before it is acknowledged.
 	syncReplicas int
 	acknowledged position.Position
+	// completeAt is when the known members are all that live.
+	completeAt time.Time
 	// withheld is true once it has been explained that no replica is promoted in the current phase.
 	withheld      bool
 	explanations  []string
@@ -252,7 +254,7 @@
 	case PhaseLearning:
 		at = m.phaseStart.Add(m.timing.ProbeInterval)
 	default:
-		at = now.Add(m.timing.ExpectedPromotion)
+		at = later(now, m.completeAt).Add(m.timing.ExpectedPromotion)
 	}
 	if now.Sub(m.phaseStart) > m.timing.EstimateTimeout {
 		return time.Time{}
@@ -286,6 +288,10 @@
 	}
 }
 
+// SetMembersCompleteAt sets the time from which the known members are all that live. Nobody is promoted before: the primary, or a
+// replica with a longer log, may be missing from the service discovery.
+func (m *Machine) SetMembersCompleteAt(t time.Time) { m.completeAt = t }
+
 // SetSyncReplicas sets how many replicas hold a commit before it is acknowledged.
 func (m *Machine) SetSyncReplicas(n int) { m.syncReplicas = n }
 
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -347,6 +347,28 @@
 	is.Equal(len(g.orders), 0)
 }
 
+// Guards against a new owner that promotes the member whose entry is back first after an outage of the store.
+func TestNobodyIsPromotedBeforeTheMembersAreComplete(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	all := g.infos
+	g.infos = all[1:2]
+	g.m.SetMembersCompleteAt(g.now.Add(2 * time.Second))
+	g.run(1900 * time.Millisecond)
+	is.Equal(len(g.orders), 0)
+	g.infos = all
+	g.run(time.Second)
+	is.True(g.isPrimary("a"))
+	is.Equal(len(g.orders), 0)
+
+	// The primary is lost for good in the next outage.
+	g = newGroup(t)
+	g.infos = all[1:]
+	g.m.SetMembersCompleteAt(g.now.Add(2 * time.Second))
+	g.run(3 * time.Second)
+	is.Equal(g.orders, []upstream.MemberID{"c"})
+}
+
 // Guards against a group that never gets a primary again because commits were rolled back while no synchronous replica was required.
 func TestCommitsThatWereRolledBackAreNotAwaited(t *testing.T) {
 	is := is.New(t)
--- a/internal/promotion/tick.go
+++ b/internal/promotion/tick.go
@@ -59,7 +59,7 @@
 		}
 		a = m.probe(a, id, now)
 	}
-	if now.Sub(m.phaseStart) > m.timing.DiscoveryTimeout && m.replicaAnswered(now) {
+	if now.Sub(m.phaseStart) > m.timing.DiscoveryTimeout && !now.Before(m.completeAt) && m.replicaAnswered(now) {
 		m.enter(PhaseChoosing, now, "no member that answers leads")
 	}
 	return a
@@ -198,8 +198,13 @@
 	if best == nil {
 		return a
 	}
+	if now.Before(m.completeAt) {
+		m.withhold("members may be missing from the service discovery after an outage of the store")
+		return m.probePrimary(a, now)
+	}
 	if !m.holdsAcknowledged(best, answered) {
-		m.explainWithheld(best, answered)
+		m.withhold(fmt.Sprintf("%s, whose log ends at %s, may lack acknowledged commits (acknowledged %s, %d of %d replicas answered, %d synchronous)",
+			best.ID, best.status.Position, m.acknowledged, answered, m.replicaCount(), m.syncReplicas))
 		return m.probePrimary(a, now)
 	}
 	m.target = best.ID
@@ -238,15 +243,13 @@
 	return len(m.members)
 }
 
-// explainWithheld explains, once in a phase, why the member with the longest log is not promoted.
-func (m *Machine) explainWithheld(best *member, answered int) {
+// withhold explains, once in a phase, why no replica is promoted.
+func (m *Machine) withhold(cause string) {
 	if m.withheld {
 		return
 	}
 	m.withheld = true
-	m.explanations = append(m.explanations, fmt.Sprintf(
-		"not promoting %s, whose log ends at %s: it may lack acknowledged commits (acknowledged %s, %d of %d replicas answered, %d synchronous)",
-		best.ID, best.status.Position, m.acknowledged, answered, m.replicaCount(), m.syncReplicas))
+	m.explanations = append(m.explanations, "nobody is promoted: "+cause)
 }
 
 // best returns the candidate with the longest log, preferring the owner's failure domain among equals.
