Keep the rates whole while an owner and its successor both act

A tenant above its rate got 1,396 to 1,408 requests in 5 s, 14 percent above its contract, while the store turned the owner of its coordinating group away and served the others.

Cause: the shares of a contract add up to it only while each group has one owner. After its lease had lapsed the old owner went on to grant tokens at a third of the rate and to spend its local part in full, for up to 4.7 s; its successor granted and spent the whole from its claim on. Nothing told the old owner: it learns of claims from the store.

Without unleasedShare in Succession.Share the new property test finds 129 tokens in 5.34 s where 126.8 are allowed.

Change, in three parts: - a successor announces its claim to each earlier owner that may still act (new call AnnounceClaim) until that one, or a later process at its address, says that it does not own the group; - until then, for at most the period in which the old owner's keys can be fresh after its lease, the successor leaves half of its share to it. Each further predecessor halves again. One that was taken for dead because it refused connections may hold its lease for 1.6 s and spend everything; for that time its successor spends a third.

The test of the old price (three tokens for one) is replaced by one of the share under the same name: the price limited what the coordinator granted, not the local part nor the successor, so that the sum was 1.47 contracts. TestSuccessorsStayWithinTheContract checks the sum itself, for chains of two to five owners that never learn of each other.

Callers in a total outage of the store get 50 percent of their rate after 1.35 s, where they got 47.

--- a/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/gen/celerystep/fleet/v1/fleetv1connect/fleet.connect.go
@@ -46,6 +46,9 @@
 	// FleetServiceBorrowReplicaProcedure is the fully-qualified name of the FleetService's
 	// BorrowReplica RPC.
 	FleetServiceBorrowReplicaProcedure = "/celerystep.fleet.v1.FleetService/BorrowReplica"
+	// FleetServiceAnnounceClaimProcedure is the fully-qualified name of the FleetService's
+	// AnnounceClaim RPC.
+	FleetServiceAnnounceClaimProcedure = "/celerystep.fleet.v1.FleetService/AnnounceClaim"
 	// FleetServiceIdentifyProcedure is the fully-qualified name of the FleetService's Identify RPC.
 	FleetServiceIdentifyProcedure = "/celerystep.fleet.v1.FleetService/Identify"
 	// FleetServiceFollowProcedure is the fully-qualified name of the FleetService's Follow RPC.
@@ -68,6 +71,8 @@
 	RunRead(context.Context, *connect.Request[v1.RunReadRequest]) (*connect.Response[v1.RunReadResponse], error)
 	// BorrowReplica lends a share of a replica of a group that the receiver owns.
 	BorrowReplica(context.Context, *connect.Request[v1.BorrowReplicaRequest]) (*connect.Response[v1.BorrowReplicaResponse], error)
+	// AnnounceClaim tells an earlier owner of a group who owns it now, in case it cannot learn it from the store.
+	AnnounceClaim(context.Context, *connect.Request[v1.AnnounceClaimRequest]) (*connect.Response[v1.AnnounceClaimResponse], error)
 	// Identify tells which process answers.
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
 	// Follow returns changes of the shared entries of the store, if the receiver reads the store itself.
@@ -117,6 +122,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("BorrowReplica")),
 			connect.WithClientOptions(opts...),
 		),
+		announceClaim: connect.NewClient[v1.AnnounceClaimRequest, v1.AnnounceClaimResponse](
+			httpClient,
+			baseURL+FleetServiceAnnounceClaimProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("AnnounceClaim")),
+			connect.WithClientOptions(opts...),
+		),
 		identify: connect.NewClient[v1.IdentifyRequest, v1.IdentifyResponse](
 			httpClient,
 			baseURL+FleetServiceIdentifyProcedure,
@@ -145,6 +156,7 @@
 	takeTokens    *connect.Client[v1.TakeTokensRequest, v1.TakeTokensResponse]
 	runRead       *connect.Client[v1.RunReadRequest, v1.RunReadResponse]
 	borrowReplica *connect.Client[v1.BorrowReplicaRequest, v1.BorrowReplicaResponse]
+	announceClaim *connect.Client[v1.AnnounceClaimRequest, v1.AnnounceClaimResponse]
 	identify      *connect.Client[v1.IdentifyRequest, v1.IdentifyResponse]
 	follow        *connect.Client[v1.FollowRequest, v1.FollowResponse]
 	reportUsage   *connect.Client[v1.ReportUsageRequest, v1.ReportUsageResponse]
@@ -175,6 +187,11 @@
 	return c.borrowReplica.CallUnary(ctx, req)
 }
 
+// AnnounceClaim calls celerystep.fleet.v1.FleetService.AnnounceClaim.
+func (c *fleetServiceClient) AnnounceClaim(ctx context.Context, req *connect.Request[v1.AnnounceClaimRequest]) (*connect.Response[v1.AnnounceClaimResponse], error) {
+	return c.announceClaim.CallUnary(ctx, req)
+}
+
 // Identify calls celerystep.fleet.v1.FleetService.Identify.
 func (c *fleetServiceClient) Identify(ctx context.Context, req *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
 	return c.identify.CallUnary(ctx, req)
@@ -203,6 +220,8 @@
 	RunRead(context.Context, *connect.Request[v1.RunReadRequest]) (*connect.Response[v1.RunReadResponse], error)
 	// BorrowReplica lends a share of a replica of a group that the receiver owns.
 	BorrowReplica(context.Context, *connect.Request[v1.BorrowReplicaRequest]) (*connect.Response[v1.BorrowReplicaResponse], error)
+	// AnnounceClaim tells an earlier owner of a group who owns it now, in case it cannot learn it from the store.
+	AnnounceClaim(context.Context, *connect.Request[v1.AnnounceClaimRequest]) (*connect.Response[v1.AnnounceClaimResponse], error)
 	// Identify tells which process answers.
 	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
 	// Follow returns changes of the shared entries of the store, if the receiver reads the store itself.
@@ -248,6 +267,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("BorrowReplica")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceAnnounceClaimHandler := connect.NewUnaryHandler(
+		FleetServiceAnnounceClaimProcedure,
+		svc.AnnounceClaim,
+		connect.WithSchema(fleetServiceMethods.ByName("AnnounceClaim")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceIdentifyHandler := connect.NewUnaryHandler(
 		FleetServiceIdentifyProcedure,
 		svc.Identify,
@@ -278,6 +303,8 @@
 			fleetServiceRunReadHandler.ServeHTTP(w, r)
 		case FleetServiceBorrowReplicaProcedure:
 			fleetServiceBorrowReplicaHandler.ServeHTTP(w, r)
+		case FleetServiceAnnounceClaimProcedure:
+			fleetServiceAnnounceClaimHandler.ServeHTTP(w, r)
 		case FleetServiceIdentifyProcedure:
 			fleetServiceIdentifyHandler.ServeHTTP(w, r)
 		case FleetServiceFollowProcedure:
@@ -313,6 +340,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.BorrowReplica is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) AnnounceClaim(context.Context, *connect.Request[v1.AnnounceClaimRequest]) (*connect.Response[v1.AnnounceClaimResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.AnnounceClaim is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("celerystep.fleet.v1.FleetService.Identify is not implemented"))
 }
--- a/internal/caller/router_test.go
+++ b/internal/caller/router_test.go
@@ -130,6 +130,8 @@
 
 func (l *leavingOwner) EndRead(context.Context, upstream.GroupID, operation.SessionID) {}
 
+func (*leavingOwner) ClaimAnnounced(ownership.Claim) bool { return true }
+
 func (l *leavingOwner) Lend(upstream.GroupID, owner.BorrowRequest) (delegation.Offer, delegation.Refusal) {
 	return delegation.Offer{}, delegation.RefusalNotOwner
 }
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -17,6 +17,7 @@
 	"github.com/celerystep/celerystep/internal/netopt"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -170,6 +171,16 @@
 	return fromTokens(resp.Msg.GetGrants()), nil
 }
 
+// AnnounceClaim tells the peer, an earlier owner of the group, who owns it now. It reports whether the peer does not own the group.
+func (p *Peer) AnnounceClaim(ctx context.Context, c ownership.Claim) (released bool, err error) {
+	started := time.Now()
+	resp, err := p.client.AnnounceClaim(ctx, connect.NewRequest(&fleetv1.AnnounceClaimRequest{Group: string(c.Group), Claim: toClaim(c)}))
+	if err != nil {
+		return false, p.classifyError(err, started)
+	}
+	return resp.Msg.GetReleased(), nil
+}
+
 // RunRead runs a read or a statement of a read-only transaction at the peer, which is the delegate of the group in the caller's failure domain.
 func (p *Peer) RunRead(ctx context.Context, r *operation.Request) (operation.ReadResult, error) {
 	ctx, done, err := p.health.startCall(ctx)
--- a/internal/fleetlink/convert_test.go
+++ b/internal/fleetlink/convert_test.go
@@ -13,6 +13,7 @@
 	"github.com/celerystep/celerystep/internal/fanout"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/statement"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -65,6 +66,8 @@
 
 func (*noOwner) EndRead(context.Context, upstream.GroupID, operation.SessionID) {}
 
+func (*noOwner) ClaimAnnounced(ownership.Claim) bool { return true }
+
 func (*noOwner) Lend(upstream.GroupID, owner.BorrowRequest) (delegation.Offer, delegation.Refusal) {
 	return delegation.Offer{}, delegation.RefusalNotOwner
 }
--- a/internal/fleetlink/server.go
+++ b/internal/fleetlink/server.go
@@ -17,6 +17,7 @@
 	"github.com/celerystep/celerystep/internal/instance"
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/owner"
+	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
 
@@ -49,6 +50,8 @@
 	operation.ReadRunner
 	// Lend lends a share of a replica of a group that this instance owns.
 	Lend(g upstream.GroupID, r owner.BorrowRequest) (delegation.Offer, delegation.Refusal)
+	// ClaimAnnounced learns the claim of another process, and reports whether this process does not own its group.
+	ClaimAnnounced(c ownership.Claim) (released bool)
 }
 
 // Reader passes on the shared entries of the store.
@@ -60,6 +63,9 @@
 // errInvalidRequest reports a request that no instance sends; nothing ran.
 var errInvalidRequest = errors.New("the statement cannot be run on a member")
 
+// errInvalidClaim reports a claim without an owner or a group.
+var errInvalidClaim = errors.New("the claim has no owner or no group")
+
 // handler implements fleetv1connect.FleetServiceHandler.
 type handler struct {
 	local   Local
@@ -130,6 +136,16 @@
 	return connect.NewResponse(toOffer(offer, refusal)), nil
 }
 
+// AnnounceClaim implements fleetv1connect.FleetServiceHandler.
+func (h *handler) AnnounceClaim(_ context.Context, r *connect.Request[fleetv1.AnnounceClaimRequest]) (*connect.Response[fleetv1.AnnounceClaimResponse], error) {
+	c := fromClaim(r.Msg.GetClaim())
+	c.Group = upstream.GroupID(r.Msg.GetGroup())
+	if c.Owner == "" || c.Group == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errInvalidClaim)
+	}
+	return connect.NewResponse(&fleetv1.AnnounceClaimResponse{Released: h.local.ClaimAnnounced(c)}), nil
+}
+
 // Identify implements fleetv1connect.FleetServiceHandler.
 func (h *handler) Identify(context.Context, *connect.Request[fleetv1.IdentifyRequest]) (*connect.Response[fleetv1.IdentifyResponse], error) {
 	return connect.NewResponse(&fleetv1.IdentifyResponse{Instance: string(h.self), Process: h.process}), nil
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -224,7 +224,9 @@
 
 // extendLease extends the validity of the lease, counted from the time at which its renewal was sent.
 func (n *Node) extendLease(sent time.Time) {
-	atomicMax(&n.leaseValidUntil, sent.Add(n.ttl-leaseSafetyMargin).UnixNano())
+	until := sent.Add(n.ttl - leaseSafetyMargin).UnixNano()
+	atomicMax(&n.leaseValidUntil, until)
+	atomicMax(&n.leaseEnd, until)
 }
 
 // dropLease discards an expired lease if it is still the current one.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -162,7 +162,7 @@
 		for _, m := range n.Owner.Members(id) {
 			n.logMember(m)
 		}
-		n.Owner.Acquire(context.Background(), c.Claim, n.planner.Reclaimed(id))
+		n.acquire(c.Claim)
 		select {
 		case n.ownershipGained <- struct{}{}:
 		default:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,6 +188,8 @@
 	keysVerifiedAt atomic.Int64
 	// leaseValidUntil is the time in Unix nanoseconds until which decisions may rely on the lease.
 	leaseValidUntil atomic.Int64
+	// leaseEnd is the latest value that leaseValidUntil had.
+	leaseEnd atomic.Int64
 	// ownershipGained wakes watchMembers when this process becomes the owner of a group.
 	ownershipGained chan struct{}
 	// watchesMembers is true while watchMembers keeps the members current.
@@ -196,6 +198,8 @@
 	membersCompleteAt atomic.Int64
 	// memberExpiry wakes runMemberExpiry.
 	memberExpiry chan struct{}
+	// announce wakes runAnnouncements.
+	announce chan struct{}
 	// storeLostAt is the time in Unix nanoseconds at which the connection to the store was lost; 0 while connected.
 	storeLostAt atomic.Int64
 	draining    atomic.Bool
@@ -228,6 +232,8 @@
 	lease            platform.LeaseID
 	ttl              time.Duration
 	livenessWritten  livenessRecord
+	// announcements are the claims to announce to earlier owners.
+	announcements []announcement
 	// coordinatorLost is true for groups whose last request for rate-limit tokens to the owner failed.
 	coordinatorLost map[upstream.GroupID]bool
 }
@@ -244,6 +250,7 @@
 			Instance: opts.Settings.Instance, Process: opts.Settings.Process, Cores: opts.Settings.Cores, FirstStart: opts.Settings.FirstStart,
 		}),
 		memberExpiry: make(chan struct{}, 1),
+		announce:     make(chan struct{}, 1),
 		directory:    discovery.New(),
 
 		operators: fanout.NewCopy(),
@@ -266,6 +273,7 @@
 	opts.Owner.Catalog = n.Catalog
 	opts.Owner.CatchUp = n.CatchUp
 	opts.Owner.RenewClaim = n.renewClaim
+	opts.Owner.SuccessionPeriod = opts.Settings.successionPeriod()
 	opts.Owner.Clock = opts.Clock
 	opts.Owner.Domain = opts.Settings.Domain
 	n.Owner = owner.NewManager(opts.Owner)
--- a/internal/owner/admit_test.go
+++ b/internal/owner/admit_test.go
@@ -21,6 +21,7 @@
 
 func (a *fakeAuthority) Leased(ownership.Claim) bool           { return !a.unleased }
 func (a *fakeAuthority) KeysFresh() bool                       { return !a.keysStale }
+func (a *fakeAuthority) LeaseEnd() time.Time                   { return epoch }
 func (a *fakeAuthority) MembersCompleteAt() time.Time          { return time.Time{} }
 func (a *fakeAuthority) DomainOut(instance.FailureDomain) bool { return a.domainOut }
 
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -58,13 +58,16 @@
 	machine     *promotion.Machine
 	limiter     *quota.LocalLimiter
 	coordinator *quota.Coordinator
-	members     map[upstream.MemberID]member.Member
-	conns       map[dispatch.ConnID]*memberConn
-	waiters     map[dispatch.Ticket]chan queueResult
-	txs         map[operation.SessionID]*transaction
-	costs       costs
-	released    bool
-	stopped     bool
+	// succession decides which part of the contracts this owner may spend; share is the part that is in force.
+	succession *quota.Succession
+	share      float64
+	members    map[upstream.MemberID]member.Member
+	conns      map[dispatch.ConnID]*memberConn
+	waiters    map[dispatch.Ticket]chan queueResult
+	txs        map[operation.SessionID]*transaction
+	costs      costs
+	released   bool
+	stopped    bool
 	// servingPrimary is the member that the scheduler uses as primary.
 	servingPrimary upstream.MemberID
 	limits         dispatch.Limits
@@ -86,7 +89,7 @@
 	lastPrewarm      time.Time
 }
 
-func newGroup(o Options, claim ownership.Claim, reclaimed bool) *Group {
+func newGroup(o Options, claim ownership.Claim, reclaimed bool, predecessors ...quota.Predecessor) *Group {
 	now := o.Clock()
 	scheduler := dispatch.New(dispatch.DefaultLimits(1))
 	scheduler.SetBalancer(balance.New(claim.Revision))
@@ -100,6 +103,8 @@
 		machine:       promotion.New(promotion.DefaultTiming(), now),
 		limiter:       quota.NewLocalLimiter(now),
 		coordinator:   quota.NewCoordinator(now, reclaimed),
+		succession:    quota.NewSuccession(o.SuccessionPeriod, predecessors),
+		share:         1,
 		members:       make(map[upstream.MemberID]member.Member),
 		conns:         make(map[dispatch.ConnID]*memberConn),
 		waiters:       make(map[dispatch.Ticket]chan queueResult),
@@ -232,6 +237,7 @@
 		g.lastHousekeeping = now
 		g.housekeep(c, now)
 	}
+	g.applyShare(now)
 	g.requestTokensAhead(ctx, c, now)
 	g.applyPlan(now)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -28,6 +28,8 @@
 type Authority interface {
 	// Leased reports whether the lease still rules out that another instance has taken over the claim.
 	Leased(claim ownership.Claim) bool
+	// LeaseEnd returns when the lease of this process has ended or will end unless it is renewed.
+	LeaseEnd() time.Time
 	// KeysFresh reports whether the keys in the catalog are known to be in force.
 	KeysFresh() bool
 	// DomainOut reports whether the failure domain is out of service and must get no requests.
@@ -76,9 +78,11 @@
 	CatchUp func(ctx context.Context, revision uint64)
 	// RenewClaim requests a claim with a higher revision.
 	RenewClaim func(g upstream.GroupID)
-	Clock      boottime.Clock
-	Log        hclog.Logger
-	Metrics    *Metrics
+	// SuccessionPeriod is how long after the end of its lease an owner may spend tokens of customers, beside its successor.
+	SuccessionPeriod time.Duration
+	Clock            boottime.Clock
+	Log              hclog.Logger
+	Metrics          *Metrics
 	// CrossDomainRTT is the expected network round-trip time to a member in another failure domain.
 	CrossDomainRTT time.Duration
 	// DelegateReads enables reads at delegates; Lender is used only then.
@@ -110,16 +114,16 @@
 	}
 }
 
-// Acquire starts serving a group under the claim, or applies a renewed claim. reclaimed is true when the previous owner
-// was an earlier process of this instance.
-func (m *Manager) Acquire(ctx context.Context, claim ownership.Claim, reclaimed bool) {
+// Acquire starts serving a group under the claim, or applies a renewed claim; it returns whether the group is new. reclaimed
+// is true when the previous owner was an earlier process of this instance. predecessors may not have noticed their replacement.
+func (m *Manager) Acquire(ctx context.Context, claim ownership.Claim, reclaimed bool, predecessors ...quota.Predecessor) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if g := m.groups[claim.Group]; g != nil {
 		g.renew(claim)
-		return
+		return false
 	}
-	g := newGroup(m.o, claim, reclaimed)
+	g := newGroup(m.o, claim, reclaimed, predecessors...)
 	if old := m.draining[claim.Group]; old != nil {
 		delete(m.draining, claim.Group)
 		old.stop()
@@ -127,6 +131,14 @@
 	m.groups[claim.Group] = g
 	g.setMembers(m.members[claim.Group])
 	go g.run(ctx)
+	return true
+}
+
+// PredecessorEnded records that an earlier owner of the group serves it no longer.
+func (m *Manager) PredecessorEnded(id upstream.GroupID, p ownership.Process) {
+	if owned, _ := m.group(id); owned != nil {
+		owned.predecessorEnded(p)
+	}
 }
 
 // Release stops serving the group: new statements are refused, while open transactions may finish.
--- a/internal/owner/tokens.go
+++ b/internal/owner/tokens.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/ownership"
 	"github.com/celerystep/celerystep/internal/quota"
 	"github.com/celerystep/celerystep/internal/upstream"
 )
@@ -14,9 +15,6 @@
 	tokenWait = 30 * time.Millisecond
 	// tokenTimeout is the timeout of a request for tokens.
 	tokenTimeout = 250 * time.Millisecond
-	// unleasedTokenPrice is the price of a token at a coordinator whose lease has expired: another instance may grant
-	// tokens as well, and both together must stay within the tolerance of the contracts.
-	unleasedTokenPrice = 3
 )
 
 // takeToken takes a token of the customer, requesting more from the coordinator when there is none. When it gets no
@@ -52,6 +50,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock()
+	g.applyShare(now)
 	if g.limiter.Take(c.customer, len(c.catalog.Groups), now) {
 		return nil, 0, true
 	}
@@ -133,20 +132,45 @@
 	if g.released || !g.o.Authority.KeysFresh() {
 		return nil, false
 	}
-	price := 1
-	if !g.o.Authority.Leased(g.claim) {
-		price = unleasedTokenPrice
-	}
 	now := g.o.Clock()
+	g.applyShare(now)
 	var grants []TokenRequest
 	for _, w := range wants {
 		customer := c.Customer(w.Customer)
 		if customer == nil || coordinatorOf(c, w.Customer) != g.id {
 			continue
 		}
-		if n := g.coordinator.Grant(customer, len(c.Groups), w.Tokens, price, now); n > 0 {
+		if n := g.coordinator.Grant(customer, len(c.Groups), w.Tokens, now); n > 0 {
 			grants = append(grants, TokenRequest{Customer: w.Customer, Tokens: n})
 		}
 	}
 	return grants, true
 }
+
+// applyShare applies the part of the contracts that this owner may spend now, beside other processes that may act as owner of the
+// group. The group is locked.
+func (g *Group) applyShare(now time.Time) {
+	share, from := g.succession.Share(now), now
+	if !g.o.Authority.Leased(g.claim) {
+		end := g.o.Authority.LeaseEnd()
+		share = g.succession.UnleasedShare(end, now)
+		if share < g.share && end.Before(now) {
+			from = end
+		}
+	}
+	if share == g.share {
+		return
+	}
+	g.log.Info("share of the customers' rates", "share", share, "before", g.share, "claim", g.claim.Revision, "since", now.Sub(from))
+	g.share = share
+	g.limiter.SetShare(share, from)
+	g.coordinator.SetShare(share, from)
+}
+
+// predecessorEnded records that an earlier owner spends nothing any more.
+func (g *Group) predecessorEnded(p ownership.Process) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.succession.Ended(p)
+	g.signal()
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -88,6 +88,8 @@
 	claiming  bool
 	// lastClaim is the newest known claim; it is kept after the claim has ended.
 	lastClaim Claim
+	// replaced holds the claims that another process has replaced.
+	replaced []Predecessor
 	// claimRank is the rank of the last owner for this group.
 	claimRank int
 }
@@ -172,6 +174,7 @@
 	g.reclaimed = p.isOwn(c) && (g.reclaimed || g.claim.Owner == p.self.Instance && !p.isOwn(g.claim))
 	if c.Revision > g.claim.Revision {
 		g.claimSince = now
+		g.recordReplacement(c, now)
 	}
 	g.claim, g.lastClaim, g.ownerDead, g.expired, g.ownerlessSince = c, c, false, false, time.Time{}
 	g.claimRank = claimRank(hash(c.Owner, c.Group))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -3,8 +3,9 @@
 //
 // A customer's contract is split: the owner of each group has a fixed share that it spends without coordination, and
 // one owner, the customer's coordinator, grants the rest in small amounts that expire soon. The shares add up to the
-// contract, so no fault can admit more than it. The buckets of a new process start empty, except those of a restarted
-// coordinator. Package admission has the token buckets themselves.
+// contract, also while a predecessor of an owner may still act (Succession), so no fault can admit more than it. The
+// buckets of a new process start empty, except those of a restarted coordinator. Package admission has the token buckets
+// themselves.
 package quota
 
 import (
@@ -69,8 +70,8 @@
 
 // Coordinator grants tokens of the customers that this owner coordinates.
 type Coordinator struct {
+	portion
 	buckets   map[string]*grantBucket
-	start     time.Time
 	restarted bool
 }
 
@@ -78,13 +79,14 @@
 type grantBucket struct {
 	bucket   *admission.Bucket
 	contract config.Contract
+	share    float64
 }
 
-// NewCoordinator returns a coordinator whose buckets are empty at start, the time from which no other process grants.
+// NewCoordinator returns a coordinator of the whole contracts whose buckets are empty at start.
 // restarted is true when the previous coordinator was an earlier process of this instance; the buckets then start with
 // a few tokens.
 func NewCoordinator(start time.Time, restarted bool) *Coordinator {
-	return &Coordinator{buckets: make(map[string]*grantBucket), start: start, restarted: restarted}
+	return &Coordinator{portion: newPortion(start), buckets: make(map[string]*grantBucket), restarted: restarted}
 }
 
 // initialTokens returns the level of a customer's bucket at the start.
@@ -96,20 +98,23 @@
 }
 
 // Grant takes up to n tokens of the customer, whose contract is split over the given number of groups, and returns how
-// many were granted. Each costs the given price in tokens of the bucket.
-func (p *Coordinator) Grant(c *catalog.Customer, groups, n, price int, now time.Time) int {
-	want := contract(c, coordinatorPart(c, groups))
+// many were granted.
+func (p *Coordinator) Grant(c *catalog.Customer, groups, n int, now time.Time) int {
+	want := contract(c, coordinatorPart(c, groups)*p.share)
 	b := p.buckets[c.Name]
 	if b == nil {
-		b = &grantBucket{bucket: admission.NewBucket(want, admission.MicroTokens(p.initialTokens(c))*admission.Token, p.start), contract: want}
+		b = &grantBucket{
+			bucket:   admission.NewBucket(want, admission.MicroTokens(p.initialTokens(c))*admission.Token, p.start),
+			contract: want, share: p.share,
+		}
 		p.buckets[c.Name] = b
 	}
 	if b.contract != want {
-		b.bucket.SetContract(want, now)
-		b.contract = want
+		b.bucket.SetContract(want, p.changeTime(b.share, now))
+		b.contract, b.share = want, p.share
 	}
-	n = min(n, maxGrant, int(b.bucket.Level(now)/admission.Token)/price)
-	if n <= 0 || !b.bucket.Take(n*price, now) {
+	n = min(n, maxGrant, int(b.bucket.Level(now)/admission.Token))
+	if n <= 0 || !b.bucket.Take(n, now) {
 		return 0
 	}
 	return n
@@ -119,6 +124,7 @@
 type account struct {
 	customer   catalog.Customer
 	groupCount int
+	share      float64
 	local      *admission.Bucket
 	granted    int
 	expires    time.Time
@@ -131,13 +137,13 @@
 // LocalLimiter holds the tokens that the owner of one group may spend: its local part of each contract and the tokens
 // granted by coordinators.
 type LocalLimiter struct {
+	portion
 	accounts map[string]*account
-	start    time.Time
 }
 
 // NewLocalLimiter returns a limiter whose local buckets are empty at start.
 func NewLocalLimiter(start time.Time) *LocalLimiter {
-	return &LocalLimiter{accounts: make(map[string]*account), start: start}
+	return &LocalLimiter{portion: newPortion(start), accounts: make(map[string]*account)}
 }
 
 // RecordDemand records that an operation of the customer needs a token. The contract is split over the given number of
@@ -211,14 +217,14 @@
 
 func (s *LocalLimiter) account(c *catalog.Customer, groups int, now time.Time) *account {
 	a := s.accounts[c.Name]
-	share := localPart(c, groups)
+	local := contract(c, localPart(c, groups)*s.share)
 	switch {
 	case a == nil:
-		a = &account{customer: *c, groupCount: groups, local: admission.NewBucket(contract(c, share), 0, s.start), at: now}
+		a = &account{customer: *c, groupCount: groups, share: s.share, local: admission.NewBucket(local, 0, s.start), at: now}
 		s.accounts[c.Name] = a
-	case a.customer != *c || a.groupCount != groups:
-		a.local.SetContract(contract(c, share), now)
-		a.customer, a.groupCount = *c, groups
+	case a.customer != *c || a.groupCount != groups || a.share != s.share:
+		a.local.SetContract(local, s.changeTime(a.share, now))
+		a.customer, a.groupCount, a.share = *c, groups, s.share
 	}
 	return a
 }
