Let no late list replace later changes after a return of the store

Cause: the list that is read once the store's content has settled was checked against changes of the mirror's watch, not against its lists. Found by reading; no run showed it.

Change: Reset records its sync point too. Tests of the node for late lists, for an older configuration and for proofs of keys after a return. go test -race ./internal/node passes.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -57,6 +57,7 @@
 // Reset implements mirror.Sink. Known entries that are not listed have been deleted.
 func (n *Node) Reset(entries []mirror.Entry, at mirror.SyncPoint) {
 	n.learnEra(at.Revision)
+	n.recordSync(at)
 	if c := n.copyOf(at.Prefix); c != nil {
 		c.Reset(entries, at)
 	}
