Answer running statements before the end of a shutdown

Cause: Drain closes the sessions whose statements still run at the hard deadline. Nothing bounds these statements by it.

Change: 300 ms before the hard deadline the running statements are cancelled and answered as far as their outcome is known.

TestDrainAnswersStatementsThatRunUntilTheHardDeadline gets no answer before (times out) and holds after.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -38,6 +39,9 @@
 	// drainIdleTimeout is how long a session must be idle during a shutdown before it is closed. The next statement of
 	// an operation follows the previous answer immediately.
 	drainIdleTimeout = 250 * time.Millisecond
+	// drainAnswerTime is the time before the hard deadline of Drain at which running statements are cancelled, so that their callers
+	// still get an answer.
+	drainAnswerTime = 300 * time.Millisecond
 )
 
 // Start is the start message of a caller.
@@ -76,7 +80,9 @@
 	drainDeadline time.Time
 	mu            sync.Mutex
 	conns         map[net.Conn]*connState
-	wg            sync.WaitGroup
+	// cancelStatements cancels the running statements.
+	cancelStatements context.CancelFunc
+	wg               sync.WaitGroup
 }
 
 // connState is the state of a connection, guarded by the server's lock.
@@ -89,8 +95,10 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	statements, cancel := context.WithCancel(ctx)
+	defer cancel()
 	s.mu.Lock()
-	s.conns = make(map[net.Conn]*connState)
+	s.conns, s.cancelStatements = make(map[net.Conn]*connState), cancel
 	s.mu.Unlock()
 	for {
 		c, err := l.Accept()
@@ -106,7 +114,7 @@
 		s.mu.Lock()
 		s.conns[c] = &connState{}
 		s.mu.Unlock()
-		go s.serve(ctx, c)
+		go s.serve(ctx, statements, c)
 	}
 }
 
@@ -118,7 +126,8 @@
 }
 
 // Drain closes sessions as they become idle outside transactions. When soft ends it closes those without a running
-// statement, and when hard ends the rest. It returns when all are closed.
+// statement. Shortly before hard ends it cancels the running statements, which are answered then, and when hard ends it
+// closes the rest. It returns when all are closed.
 func (s *Server) Drain(soft, hard context.Context) {
 	s.drainDeadline, _ = soft.Deadline()
 	s.draining.Store(true)
@@ -133,15 +142,42 @@
 		s.wg.Wait()
 		close(done)
 	}()
-	for _, limit := range []context.Context{soft, hard} {
+	cancelAt := time.NewTimer(timeLeft(hard) - drainAnswerTime)
+	defer cancelAt.Stop()
+	softEnd := soft.Done()
+	for {
 		select {
 		case <-done:
 			return
-		case <-limit.Done():
-			s.closeSessions(limit == hard)
+		case <-softEnd:
+			softEnd = nil
+			s.closeSessions(false)
+		case <-cancelAt.C:
+			s.cancelRunning()
+		case <-hard.Done():
+			s.closeSessions(true)
+			<-done
+			return
 		}
 	}
-	<-done
+}
+
+// timeLeft returns the time until the deadline of ctx, or the longest time if there is none.
+func timeLeft(ctx context.Context) time.Duration {
+	if at, ok := ctx.Deadline(); ok {
+		return time.Until(at)
+	}
+	return math.MaxInt64
+}
+
+// cancelRunning cancels the running statements and ends all sessions after their answers.
+func (s *Server) cancelRunning() {
+	s.closeSessions(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancelStatements != nil {
+		s.cancelStatements()
+	}
 }
 
 // closeSessions closes the sessions without a running statement, or all. Those with a running statement end after its
@@ -185,7 +221,8 @@
 }
 
 // serve runs one session.
-func (s *Server) serve(ctx context.Context, c net.Conn) {
+// The statements are run until their context ends, and the session is ended within ctx.
+func (s *Server) serve(ctx, statements context.Context, c net.Conn) {
 	defer s.removeConn(c)
 	defer s.recoverSession(c)
 	codec := s.NewCodec(c)
@@ -206,7 +243,7 @@
 		}
 		s.setBusy(c, true)
 		started := time.Now()
-		resp := session.Do(ctx, st)
+		resp := session.Do(statements, st)
 		s.Metrics.observe(st.Kind, resp.Code, time.Since(started))
 		if resp.Code != statement.CodeOK {
 			s.Log.Warn("request failed", "request", st.ID, "session", session.id.Number, "kind", st.Kind, "database", session.database,
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -183,6 +183,36 @@
 	<-drained
 }
 
+// untilCancelled runs statements until they are cancelled.
+type untilCancelled struct{ scriptedRunner }
+
+func (*untilCancelled) Run(ctx context.Context, _ *operation.Request) operation.Response {
+	<-ctx.Done()
+	return operation.Refuse(statement.CodeTimeout, "cancelled", 0)
+}
+
+// Guards against a statement that was accepted during a shutdown and gets no answer because it runs until the hard deadline.
+func TestDrainAnswersStatementsThatRunUntilTheHardDeadline(t *testing.T) {
+	is := is.New(t)
+	s, address := startServer(t, &untilCancelled{})
+	busy, _ := dial(t, address)
+	answered := make(chan statement.Code, 1)
+	go func() { answered <- send(t, busy) }()
+	for end := time.Now().Add(testTimeout); !s.anyBusy(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the statement does not run")
+		}
+	}
+	soft, stop := context.WithCancel(context.Background())
+	stop()
+	hard, cancel := context.WithTimeout(context.Background(), 2*drainAnswerTime)
+	defer cancel()
+	s.Drain(soft, hard)
+	is.Equal(<-answered, statement.CodeTimeout)
+	_, err := busy.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 func (s *Server) anyBusy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
