--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -158,14 +158,7 @@
 	is := is.New(t)
 	run := &blockingRunner{release: make(chan struct{})}
 	s, address := startServer(t, run)
-	busy, _ := dial(t, address)
-	answered := make(chan statement.Code, 1)
-	go func() { answered <- send(t, busy) }()
-	for end := time.Now().Add(testTimeout); !s.anyBusy(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the statement does not run")
-		}
-	}
+	busy, answered := startStatement(t, s, address)
 	soft, stop := context.WithCancel(context.Background())
 	stop()
 	hard, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -195,14 +188,7 @@
 func TestDrainAnswersStatementsThatRunUntilTheHardDeadline(t *testing.T) {
 	is := is.New(t)
 	s, address := startServer(t, &untilCancelled{})
-	busy, _ := dial(t, address)
-	answered := make(chan statement.Code, 1)
-	go func() { answered <- send(t, busy) }()
-	for end := time.Now().Add(testTimeout); !s.anyBusy(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the statement does not run")
-		}
-	}
+	busy, answered := startStatement(t, s, address)
 	soft, stop := context.WithCancel(context.Background())
 	stop()
 	hard, cancel := context.WithTimeout(context.Background(), 2*drainAnswerTime)
@@ -213,6 +199,20 @@
 	is.Equal(err, io.EOF)
 }
 
+// startStatement opens a session and sends a statement. It returns once the statement runs; the channel receives its result.
+func startStatement(t *testing.T, s *Server, address string) (net.Conn, <-chan statement.Code) {
+	t.Helper()
+	c, _ := dial(t, address)
+	answered := make(chan statement.Code, 1)
+	go func() { answered <- send(t, c) }()
+	for end := time.Now().Add(testTimeout); !s.anyBusy(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the statement does not run")
+		}
+	}
+	return c, answered
+}
+
 func (s *Server) anyBusy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
