--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -1,4 +1,4 @@
-// Command kit-3 plays the scripts of the cases 11 to 15: it starts the project's instances as processes, with stand-ins of the platform, of a
+// Command kit-3 plays the scripts of the cases 11 to 14: it starts the project's instances as processes, with stand-ins of the platform, of a
 // database group and of consumers, and compares what consumers were told with what the members ran.
 //
 //	kit-3 SCENARIO FOLDER
