--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 14 into target/.
+# Builds the stand-ins of the cases 11 to 15 into target/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
--- a/review/kit-3/group.go
+++ b/review/kit-3/group.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -294,7 +295,7 @@
 		if len(parts) != 3 || parts[0] != "QUERY" {
 			return
 		}
-		if _, err := c.Write([]byte(s.answer(parts[1], parts[2]))); err != nil {
+		if _, err := io.WriteString(c, s.answer(parts[1], parts[2])); err != nil {
 			return
 		}
 	}
@@ -316,12 +317,14 @@
 		body = "ERROR " + code + " " + s.m.id + "\r\n"
 	}
 	if s.m.refuse != nil || code != "" || id != "-" || before != s.state {
-		text = text[:min(len(text), 80)]
-		g.b.record("%s %p %s %q -> %s state %s at %s", s.m.id, s, id, text, strings.TrimSpace(strings.ReplaceAll(body, "\r\n", "; ")), s.state, position)
+		g.b.record("%s %p %s %q -> %s state %s at %s", s.m.id, s, id, shorten(text), strings.TrimSpace(strings.ReplaceAll(shorten(body), "\r\n", "; ")), s.state, position)
 	}
 	return body + "READY " + s.state + " " + position + "\r\n"
 }
 
+// shorten cuts a long text for the record.
+func shorten(text string) string { return text[:min(len(text), 100)] }
+
 // fail ends a statement that failed: a transaction is in the state E afterwards.
 func (s *session) fail(code string) (string, string) {
 	if s.state == "T" {
@@ -436,7 +439,7 @@
 		if v, ok := s.items[item]; ok {
 			value = v
 		}
-		return fmt.Sprintf("ROW %s\r\nCOMPLETE mac.%s\r\n", value, id), ""
+		return "ROW " + value + "\r\nCOMPLETE mac." + id + "\r\n", ""
 	}
 	if !s.m.primary || s.state == "T" && s.readOnly {
 		return s.fail("READONLY")
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -1,4 +1,4 @@
-// Command kit-3 plays the scripts of the cases 11 to 14: it starts the project's instances as processes, with stand-ins of the platform, of a
+// Command kit-3 plays the scripts of the cases 11 to 15: it starts the project's instances as processes, with stand-ins of the platform, of a
 // database group and of consumers, and compares what consumers were told with what the members ran.
 //
 //	kit-3 SCENARIO FOLDER
@@ -265,7 +265,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &consumer{b: b, name: name, conn: conn, r: bufio.NewReader(conn), values: make(map[string]string)}
+	c := &consumer{b: b, name: name, conn: conn, r: bufio.NewReaderSize(conn, 32<<10), values: make(map[string]string)}
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
 	_, _ = fmt.Fprintf(conn, "START %s %s\r\n", database, key)
 	line, err := c.r.ReadString('\n')
