Give no connection to another consumer before its transaction has ended

Cause: the owner sent ROLLBACK for a session that had ended its transaction, left or idled, and returned the connection to the pool whatever the answer was. The next single statement ran inside the open transaction, and its state "open" was taken for a transaction of its own.

Change: connstate.State holds the transaction state of a connection and changes only by the states in the member's answers. releaseConn is the one way back to the pool: it rolls back an open transaction (up to three times when refused) and closes a connection whose state is not proven. A statement that succeeded outside its session's transaction is not acknowledged.

Why it works: a connection reaches another consumer only after an answer that says that no transaction is open on it.

Tests of the group gave answers in states that no member gives (a write outside transactions in the state open); they now give those of the protocol and check the same.

--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -44,7 +44,7 @@
 // observeLoss records that the member lost a statement, unless the session's values prevented it from running. The group
 // is locked.
 func (g *Group) observeLoss(l *memberConn, err error) {
-	if !errors.Is(err, errSetup) {
+	if !errors.Is(err, errSessionState) {
 		g.scheduler.ObserveFailure(l.id, g.o.Clock())
 	}
 }
--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/celerystep/celerystep/internal/connstate"
 	"github.com/celerystep/celerystep/internal/contain"
 	"github.com/celerystep/celerystep/internal/dispatch"
 	"github.com/celerystep/celerystep/internal/member"
@@ -23,7 +24,9 @@
 	errGroupStopped      = errors.New("the group was stopped")
 	errIdleClosed        = errors.New("the idle connection was closed")
 	errUnanswered        = errors.New("a member that is judged failing left the read unanswered")
-	errSetup             = errors.Wrap(member.ErrLost, "the session cannot be set up on the connection")
+	errSessionState      = errors.Wrap(member.ErrLost, "the connection is not in the state that the session needs")
+	errWrongTransaction  = errors.Wrap(errSessionState, "the statement ran outside the transaction of its session")
+	errNotRolledBack     = errors.New("the member did not roll the transaction back")
 	errMemberUnavailable = errors.New("the member does not answer or was replaced")
 	errLoanEnded         = errors.New("the delegate may not use the member any more")
 )
@@ -31,6 +34,8 @@
 const (
 	dialTimeout     = 400 * time.Millisecond
 	rollBackTimeout = 500 * time.Millisecond
+	// maxRollBacks limits how often a member is asked to roll back a transaction before its connection is closed.
+	maxRollBacks = 3
 	// maxPrepared limits the statements prepared on one connection; the connection is reset when it is reached.
 	maxPrepared = 100
 )
@@ -41,6 +46,8 @@
 	member   member.Member
 	customer string
 	conn     member.Conn
+	// state is used by the goroutine that runs a statement on the connection, and under the group's lock while none does.
+	state    connstate.State
 	values   map[string]string
 	prepared map[string]statement.Prepared
 
@@ -52,6 +59,13 @@
 	cancelRunning context.CancelCauseFunc
 }
 
+// do sends the commands and records what their answers prove about the connection.
+func (l *memberConn) do(ctx context.Context, commands ...member.Command) ([]statement.Answer, error) {
+	answers, err := l.conn.Do(ctx, commands...)
+	l.state.Record(commands, answers)
+	return answers, err
+}
+
 // markSent records that a statement is being sent.
 func (l *memberConn) markSent(now time.Time) {
 	l.mu.Lock()
@@ -278,23 +292,64 @@
 	return !ok || m.Born != l.member.Born
 }
 
-// releaseConn returns the connection to the scheduler after a statement, or removes it after a failure. The group is
-// locked.
-func (g *Group) releaseConn(l *memberConn, err error, open bool) {
+// releaseConn ends the use of a connection by a statement or transaction. Only a connection that is proven to be outside any
+// transaction returns to the scheduler: an open one is rolled back first, and after a failure or in an unproven state the
+// connection is closed, which ends its transaction at the member. The group is locked.
+func (g *Group) releaseConn(l *memberConn, err error) {
 	now := g.o.Clock()
-	l.markAnswered()
-	if err != nil || l.isClosed() {
+	if err == nil {
+		err = l.state.Unproven()
+	}
+	switch {
+	case err != nil || l.isClosed():
+		l.markAnswered()
 		if g.conns[l.id] == l {
 			delete(g.conns, l.id)
 		}
 		g.scheduler.Closed(l.id)
 		l.close(member.ErrLost)
-	} else {
-		g.scheduler.Done(l.id, open, now)
+	case l.state.Transaction() != statement.TxIdle:
+		g.rollBackConn(l)
+		return
+	default:
+		l.markAnswered()
+		g.scheduler.Done(l.id, false, now)
 	}
 	g.applyPlan(now)
 }
 
+// rollBackConn rolls back the transaction on a connection in the background and then releases the connection.
+func (g *Group) rollBackConn(l *memberConn) {
+	l.markSent(g.o.Clock())
+	go func() {
+		err := l.rollBack()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if err != nil {
+			g.log.Warn("closing a connection whose transaction was not rolled back", "member", l.member.ID, "customer", l.customer, "error", err)
+		}
+		g.releaseConn(l, err)
+	}()
+}
+
+// rollBack asks the member to roll back the transaction until it reports that none is open.
+func (l *memberConn) rollBack() error {
+	ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
+	defer cancel()
+	var last statement.Answer
+	for range maxRollBacks {
+		answers, err := l.do(ctx, internalCommand(statement.KindRollback))
+		if err != nil {
+			return err
+		}
+		if l.state.Transaction() == statement.TxIdle {
+			return nil
+		}
+		last = answers[0]
+	}
+	return errors.Wrapf(errNotRolledBack, "answered %s %s", last.Code, last.Detail)
+}
+
 func sortedMembers(set map[upstream.MemberID]member.Member) []member.Member {
 	list := make([]member.Member, 0, len(set))
 	for _, m := range set {
--- a/internal/owner/delegate_read.go
+++ b/internal/owner/delegate_read.go
@@ -95,7 +95,7 @@
 // recordOutcome records whether a statement on the replica failed, which may give the loan up. The replica is not the cause when the
 // loan has ended or the connection could not be set up for the session.
 func (d *Delegate) recordOutcome(code statement.Code, err error) {
-	if errors.Is(err, errLoanLapsed) || errors.Is(err, errLoanEnded) || errors.Is(err, errSetup) {
+	if errors.Is(err, errLoanLapsed) || errors.Is(err, errLoanEnded) || errors.Is(err, errSessionState) {
 		return
 	}
 	failed := err != nil || code == statement.CodeFailed
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -78,23 +78,23 @@
 	}
 	started := g.o.Clock()
 	c.begun.markSent(started)
-	answers, err := l.conn.Do(ctx, member.Command{Statement: withPreparedName(c.r.Statement)}, internalCommand(statement.KindRollback))
+	answers, err := l.do(ctx, member.Command{Statement: withPreparedName(c.r.Statement)}, internalCommand(statement.KindRollback))
 	if len(answers) == 0 {
 		return statement.Answer{}, closeCauseOr(ctx, err)
 	}
-	g.observe(c, l, answers[0], started, answers[0].Code == statement.CodeOK)
-	if err != nil || answers[1].State != statement.TxIdle {
-		// The read has been answered; only the connection is unusable.
-		l.close(member.ErrLost)
+	// The read has been answered; without an answer to the ROLLBACK only the connection is unusable, and its release closes it.
+	if err := checkInTransaction(statement.KindRead, answers[0]); err != nil {
+		return statement.Answer{}, err
 	}
+	g.observe(c, l, answers[0], started, answers[0].Code == statement.CodeOK)
 	answers[0].State = statement.TxIdle
 	return answers[0], nil
 }
 
-// runSetup sends commands that celerystep issues itself and returns the answer to the last one. When an earlier one
-// fails, the connection counts as lost.
+// runSetup sends commands that celerystep issues itself, of which the last one opens a transaction, and returns the answer to that.
+// When an earlier one fails, the connection counts as lost.
 func (g *Group) runSetup(ctx context.Context, l *memberConn, commands []member.Command) (statement.Answer, error) {
-	answers, err := l.conn.Do(ctx, commands...)
+	answers, err := l.do(ctx, commands...)
 	if err != nil {
 		return statement.Answer{}, closeCauseOr(ctx, err)
 	}
@@ -102,6 +102,9 @@
 		return statement.Answer{}, err
 	}
 	last := answers[len(answers)-1]
+	if last.Code == statement.CodeOK && last.State != statement.TxOpen {
+		return statement.Answer{}, errors.Wrapf(errSessionState, "BEGIN left the state %s", last.State)
+	}
 	g.mu.Lock()
 	g.machine.AnswerReceived(l.member.ID, g.o.Clock())
 	g.scheduler.Observe(l.member.ID, last.Position, g.o.Clock())
@@ -112,7 +115,7 @@
 func setupError(answers []statement.Answer) error {
 	for _, a := range answers {
 		if a.Code != statement.CodeOK {
-			return errors.Wrapf(errSetup, "the member refused a session setting: %s %s", a.Code, a.Detail)
+			return errors.Wrapf(errSessionState, "the member refused a session setting: %s %s", a.Code, a.Detail)
 		}
 	}
 	return nil
@@ -122,7 +125,7 @@
 func (g *Group) send(ctx context.Context, c *call, l *memberConn, setup []member.Command, command member.Command, primary bool) (statement.Answer, error) {
 	started := g.o.Clock()
 	c.begun.markSent(started)
-	answers, err := l.conn.Do(ctx, append(setup, command)...)
+	answers, err := l.do(ctx, append(setup, command)...)
 	if len(answers) <= len(setup) {
 		return statement.Answer{}, closeCauseOr(ctx, err)
 	}
@@ -131,11 +134,34 @@
 		return statement.Answer{}, failed
 	}
 	answer := answers[len(setup)]
+	if err := c.checkState(answer); err != nil {
+		return statement.Answer{}, err
+	}
 	authoritative := primary && answer.Code == statement.CodeOK && answeredAsPrimary(command.Statement, c.tx)
 	g.observe(c, l, answer, started, authoritative)
 	return answer, nil
 }
 
+// checkState returns an error if the statement has succeeded outside the transaction of its session, or inside one that the session
+// has not opened.
+func (c *call) checkState(answer statement.Answer) error {
+	if c.tx.begin != statement.KindInvalid {
+		return checkInTransaction(c.r.Statement.Kind, answer)
+	}
+	if answer.Code == statement.CodeOK && answer.State != statement.TxIdle {
+		return errors.Wrapf(errWrongTransaction, "%s left the state %s", c.r.Statement.Kind, answer.State)
+	}
+	return nil
+}
+
+// checkInTransaction returns an error if a statement that needs an open transaction has succeeded without one.
+func checkInTransaction(k statement.Kind, answer statement.Answer) error {
+	if answer.Code == statement.CodeOK && answer.State != statement.TxOpen && k != statement.KindCommit {
+		return errors.Wrapf(errWrongTransaction, "%s left the state %s", k, answer.State)
+	}
+	return nil
+}
+
 // executeInTransaction runs a statement of an open transaction.
 func (g *Group) executeInTransaction(ctx context.Context, c *call, l *memberConn, primary bool) (statement.Answer, error) {
 	ctx, cancel := l.context(ctx)
@@ -144,7 +170,7 @@
 	for _, s := range setup {
 		if s.Kind == statement.KindReset {
 			// A reset inside a transaction would discard values that it depends on; values may only be added.
-			return statement.Answer{}, errors.Wrap(errSetup, "the session values changed in a way that needs a reset")
+			return statement.Answer{}, errors.Wrap(errSessionState, "the session values changed in a way that needs a reset")
 		}
 	}
 	return g.send(ctx, c, l, setup, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
--- a/internal/owner/execute_test.go
+++ b/internal/owner/execute_test.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	answers []statement.Answer
 	sent    []member.Command
+	// closed is closed by Close, unless it is nil.
+	closed chan struct{}
 }
 
 func (c *scriptedConn) Do(_ context.Context, commands ...member.Command) ([]statement.Answer, error) {
@@ -59,7 +61,11 @@
 	return promotion.Status{}, member.ErrBusy
 }
 
-func (c *scriptedConn) Close() {}
+func (c *scriptedConn) Close() {
+	if c.closed != nil {
+		close(c.closed)
+	}
+}
 
 // newServingGroup returns a group that can run statements.
 func newServingGroup(a Authority) *Group {
@@ -107,6 +113,9 @@
 				is := is.New(t)
 				g := newServingGroup(&fakeAuthority{unleased: unleased})
 				l, conn := newTestConn(statement.Answer{State: statement.TxOpen}, statement.Answer{State: statement.TxOpen}, statement.Answer{})
+				if c.opened == write {
+					l, conn = newTestConn(statement.Answer{})
+				}
 				k := testCall(c.first)
 				k.r.Begin = c.begin
 				_, err := g.execute(context.Background(), k, l, true)
@@ -195,7 +204,7 @@
 			is := is.New(t)
 			g := newServingGroup(&fakeAuthority{unleased: true})
 			l, _ := newTestConn(statement.Answer{State: statement.TxOpen},
-				statement.Answer{Code: code, Position: position.Position{Term: 2, LSN: 7}}, statement.Answer{})
+				statement.Answer{Code: code, State: statement.TxOpen, Position: position.Position{Term: 2, LSN: 7}}, statement.Answer{})
 			_, err := g.execute(context.Background(), testCall(statement.KindRead), l, true)
 			is.NoErr(err)
 			is.Equal(g.history.Latest().IsZero(), code != statement.CodeOK)
@@ -212,6 +221,7 @@
 			g := newServingGroup(&fakeAuthority{})
 			session := operation.SessionID{Instance: "i", Number: 1}
 			older, olderConn := newTestConn(statement.Answer{State: statement.TxIdle})
+			older.state.Record([]member.Command{internalCommand(statement.KindBegin)}, []statement.Answer{{State: statement.TxOpen}})
 			newer, _ := newTestConn()
 			first := &transaction{memberConn: older, mode: txMode{begin: statement.KindBegin}, primary: true, busy: busy}
 			g.txs[session] = first
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -246,7 +246,7 @@
 func (g *Group) releaseUnused(l *memberConn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.releaseConn(l, nil, false)
+	g.releaseConn(l, nil)
 }
 
 // queueItem returns the call as a queue item for the scheduler. The group is locked.
@@ -322,21 +322,14 @@
 	if err != nil {
 		return g.completeLostAttempt(ctx, c, l, err)
 	}
-	open := answer.State != statement.TxIdle && answer.Code == statement.CodeOK
 	g.mu.Lock()
 	g.observeOutcome(c, l, answer.Code)
-	if answer.State != statement.TxIdle && !open {
-		// A transaction whose first statement failed is rolled back, not kept.
-		g.mu.Unlock()
-		g.rollBackConn(l)
+	if opensTransaction(c, answer) {
+		g.keepTransaction(c, l, primary)
 	} else {
-		if open {
-			g.keepTransaction(c, l, primary)
-		} else {
-			g.releaseConn(l, nil, false)
-		}
-		g.mu.Unlock()
+		g.releaseConn(l, nil)
 	}
+	g.mu.Unlock()
 	g.countAnswer(primary, answer.Code)
 	if answer.Code == statement.CodeOK {
 		g.logAnswer(c, l, primary, answer)
@@ -351,6 +344,12 @@
 	return operation.Response{Answer: answer, RetryAfter: after}, again
 }
 
+// opensTransaction reports whether the answer leaves the transaction open that the call began. One whose first statement failed is
+// not kept.
+func opensTransaction(c *call, answer statement.Answer) bool {
+	return c.r.Begin != statement.KindInvalid && answer.Code == statement.CodeOK && answer.State != statement.TxIdle
+}
+
 // recordFailure records what the member's refusal implies for routing, and returns whether another attempt may succeed.
 func (g *Group) recordFailure(c *call, l *memberConn, primary bool, answer statement.Answer) bool {
 	g.mu.Lock()
@@ -385,12 +384,12 @@
 func (g *Group) completeLostAttempt(ctx context.Context, c *call, l *memberConn, err error) (operation.Response, bool) {
 	g.mu.Lock()
 	g.recordLoss(l, err, g.o.Clock())
-	g.releaseConn(l, err, false)
+	g.releaseConn(l, err)
 	g.mu.Unlock()
 	c.avoid = l.member.ID
 	timedOut := ctx.Err() != nil
 	switch {
-	case c.r.Begin != statement.KindInvalid && c.r.Statement.Kind != statement.KindCommit:
+	case c.r.Begin != statement.KindInvalid && c.r.Statement.Kind != statement.KindCommit && !c.ranElsewhere(err):
 		// The transaction ends with its connection, and no commit was requested.
 		again := !timedOut && c.reads()
 		g.logFailure(c, l, "aborted", err.Error(), again)
@@ -408,11 +407,16 @@
 	}
 }
 
-// recordLoss records that a connection was lost while a statement ran on it. A connection that could not be set up for its session
-// is no sign of a failing member, which has answered. The group is locked.
+// ranElsewhere reports whether a write ran outside the transaction of its session, so that rolling that back does not undo it.
+func (c *call) ranElsewhere(err error) bool {
+	return errors.Is(err, errWrongTransaction) && c.r.Statement.Writes()
+}
+
+// recordLoss records that a connection was lost while a statement ran on it. A connection that was not in the state that its
+// session needs is no sign of a failing member, which has answered. The group is locked.
 func (g *Group) recordLoss(l *memberConn, err error, now time.Time) {
 	f := member.FailureOf(err)
-	if f != promotion.FailureConnectionLost || errors.Is(err, errSetup) || l.memberReplaced(g) {
+	if f != promotion.FailureConnectionLost || errors.Is(err, errSessionState) || l.memberReplaced(g) {
 		return
 	}
 	g.machine.Failed(l.member.ID, f, now)
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/celerystep/celerystep/internal/operation"
 	"github.com/celerystep/celerystep/internal/statement"
 )
@@ -117,15 +115,15 @@
 	if err != nil {
 		g.forgetTransaction(c.r.Session, t)
 		g.recordLoss(l, err, now)
-		g.releaseConn(l, err, false)
-		if ends && t.primary {
+		g.releaseConn(l, err)
+		if ends && t.primary || c.ranElsewhere(err) {
 			g.logFailure(c, l, "in_doubt", err.Error(), false)
 			return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the answer to the commit was lost", State: statement.TxIdle}}
 		}
 		g.logFailure(c, l, "aborted", err.Error(), false)
 		return aborted("the connection to the member broke in the transaction")
 	}
-	if answer.Code == statement.CodeOK && answer.State == statement.TxOpen && !t.abandoned {
+	if answer.Code == statement.CodeOK && answer.State == statement.TxOpen && !ends && !t.abandoned {
 		t.mode.wrote = t.mode.wrote || c.r.Statement.Writes()
 		l.markAnswered()
 		g.scheduler.Done(l.id, true, now)
@@ -140,12 +138,8 @@
 			g.signal()
 		}
 	}
-	if answer.State == statement.TxIdle {
-		g.releaseConn(l, nil, false)
-		return operation.Response{Answer: answer}
-	}
-	g.rollBackConn(l)
-	if answer.Code != statement.CodeOK {
+	g.releaseConn(l, nil)
+	if answer.Code != statement.CodeOK && answer.State != statement.TxIdle {
 		answer.State = statement.TxFailed
 	}
 	return operation.Response{Answer: answer}
@@ -186,19 +180,10 @@
 	}
 }
 
-// rollBack ends an idle transaction in the background.
+// rollBack ends an idle transaction in the background. The group is locked.
 func (g *Group) rollBack(s operation.SessionID, t *transaction) {
 	g.forgetTransaction(s, t)
-	l := t.memberConn
-	l.markSent(g.o.Clock())
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
-		defer cancel()
-		_, err := l.conn.Do(ctx, internalCommand(statement.KindRollback))
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.releaseConn(l, err, false)
-	}()
+	g.rollBackConn(t.memberConn)
 }
 
 // forgetTransaction removes the transaction unless its session has another one by now.
@@ -231,18 +216,3 @@
 		}
 	}
 }
-
-// rollBackConn rolls back the transaction on a connection whose statement failed.
-func (g *Group) rollBackConn(l *memberConn) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), rollBackTimeout)
-		defer cancel()
-		answers, err := l.conn.Do(ctx, internalCommand(statement.KindRollback))
-		if err == nil && answers[0].State != statement.TxIdle {
-			err = errors.New("the transaction did not end")
-		}
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.releaseConn(l, err, false)
-	}()
-}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -89,6 +89,15 @@
 	TxFailed
 )
 
+// String returns the name of the state in logs.
+func (s TxState) String() string {
+	names := [...]string{"idle", "open", "failed"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "unknown"
+}
+
 // Code is the result code of a statement.
 type Code uint8
 
