Acknowledge no commit that the selected next primary lacks

Cause: the next primary is selected by positions read before the order; the old one leads until the promotion takes effect, and the owner went on to commit open transactions on it. A replica that was not selected held these commits.

Change: with synchronous replicas, promotion.Machine says before a commit is sent whether it may be (MayCommit), and when its answer is there whether it may be passed on (Commit): after the selection only what the selected log holds. Transactions are aborted at once, a commit under way is in doubt. The same for single writes, for orders with unknown results, for orders of an earlier owner (until the platform has accepted the new token), and for transactions that a released owner lets finish.

Why it works: answers and the selection are handled under one lock, so that an acknowledged commit is known to the selection or is checked against the selected log. Groups without synchronous replicas are served as before.

--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -26,6 +26,7 @@
 	errUnanswered        = errors.New("a member that is judged failing left the read unanswered")
 	errSessionState      = errors.Wrap(member.ErrLost, "the connection is not in the state that the session needs")
 	errWrongTransaction  = errors.Wrap(errSessionState, "the statement ran outside the transaction of its session")
+	errPrimaryReplaced   = errors.New("the primary was being replaced while it committed")
 	errNotRolledBack     = errors.New("the member did not roll the transaction back")
 	errMemberUnavailable = errors.New("the member does not answer or was replaced")
 	errLoanEnded         = errors.New("the delegate may not use the member any more")
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -138,7 +138,9 @@
 		return statement.Answer{}, err
 	}
 	authoritative := primary && answer.Code == statement.CodeOK && answeredAsPrimary(command.Statement, c.tx)
-	g.observe(c, l, answer, started, authoritative)
+	if !g.observe(c, l, answer, started, authoritative) {
+		return statement.Answer{}, errPrimaryReplaced
+	}
 	return answer, nil
 }
 
@@ -176,13 +178,17 @@
 	return g.send(ctx, c, l, setup, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
 }
 
-// observe records an answer. authoritative is true when the member was the primary while it answered.
-func (g *Group) observe(c *call, l *memberConn, answer statement.Answer, started time.Time, authoritative bool) {
+// observe records an answer. authoritative is true when the member was the primary while it answered. It returns false for a commit
+// that a change of the primary may undo, and which must not be acknowledged.
+func (g *Group) observe(c *call, l *memberConn, answer statement.Answer, started time.Time, authoritative bool) bool {
 	now := g.o.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.machine.AnswerReceived(l.member.ID, now)
 	g.scheduler.Observe(l.member.ID, answer.Position, now)
+	if authoritative && c.commits() && !g.machine.Commit(l.member.ID, answer.Position) {
+		return false
+	}
 	if authoritative {
 		g.history.Observe(answer.Position, started)
 		g.machine.Acknowledged(answer.Position)
@@ -195,6 +201,7 @@
 		kind = "primary"
 	}
 	g.o.Metrics.MemberLatency.WithLabelValues(kind).Observe(now.Sub(started).Seconds())
+	return true
 }
 
 // withPreparedName replaces the caller's name of a prepared statement by its name on members.
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -130,6 +130,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.released = true
+	g.machine.HandOver()
 	g.log.Info("group released", "cause", cause, "open_transactions", len(g.txs), "waiting", len(g.waiters))
 	for t, w := range g.waiters {
 		if g.scheduler.Cancel(t) {
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -22,6 +22,10 @@
 	// staleCatalogRetryAfter is the retry delay sent when the owner's configuration is older than that of the caller's
 	// instance.
 	staleCatalogRetryAfter = 250 * time.Millisecond
+	// commitRetryAfter is the retry delay sent when commits cannot be accepted because the primary may be replaced.
+	commitRetryAfter = 100 * time.Millisecond
+	// primaryChangeDetail explains the refusal of a commit.
+	primaryChangeDetail = "the primary is being replaced or not confirmed yet"
 	// defaultTimeout is the statement timeout of routes that have none.
 	defaultTimeout = 2 * time.Second
 )
@@ -63,6 +67,21 @@
 	return c.r.Begin == statement.KindInvalid && !s.Writes()
 }
 
+// commits reports whether success of the statement acknowledges changes of data.
+func (c *call) commits() bool {
+	if c.r.Statement.Kind == statement.KindCommit {
+		return c.tx.wrote
+	}
+	return c.r.Statement.Writes() && c.r.Begin == statement.KindInvalid && !c.r.InTransaction
+}
+
+// mayCommit reports whether a commit may be sent on the connection.
+func (g *Group) mayCommit(l *memberConn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.MayCommit(l.member.ID)
+}
+
 // admit checks the route and the key, and determines the deadline.
 func (g *Group) admit(r *operation.Request) (*call, *operation.Response) {
 	now := g.o.Clock()
@@ -158,7 +177,11 @@
 	if refused != nil {
 		return *refused, false
 	}
-	if stale := g.revalidate(c); stale != nil {
+	stale := g.revalidate(c)
+	if stale == nil && c.commits() && !g.mayCommit(l) {
+		stale = refusal(statement.CodeBusy, primaryChangeDetail, commitRetryAfter)
+	}
+	if stale != nil {
 		g.releaseUnused(l)
 		g.logRefusal(c.r, stale.Code.String(), stale.Detail, "waited", c.waited)
 		return *stale, false
@@ -403,8 +426,18 @@
 		return operation.Response{Answer: statement.Answer{Code: code, Detail: "no answer from the member"}}, !timedOut
 	default:
 		g.logFailure(c, l, "in_doubt", err.Error(), false)
-		return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the member's answer was lost"}}, false
+		return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: inDoubtDetail(err)}}, false
+	}
+}
+
+// inDoubtDetail explains to the caller why it is not known whether its changes last.
+func inDoubtDetail(err error) string {
+	for _, cause := range []error{errPrimaryReplaced, errWrongTransaction} {
+		if errors.Is(err, cause) {
+			return cause.Error()
+		}
 	}
+	return "the member's answer was lost"
 }
 
 // ranElsewhere reports whether a write ran outside the transaction of its session, so that rolling that back does not undo it.
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -83,6 +83,12 @@
 	}
 	c.tx, c.claim = t.mode, g.claim.Revision
 	l := t.memberConn
+	if c.commits() && t.primary && !g.machine.MayCommit(l.member.ID) {
+		g.rollBack(r.Session, t)
+		g.mu.Unlock()
+		g.logRefusal(r, "aborted", primaryChangeDetail, "member", l.member.ID)
+		return aborted(primaryChangeDetail)
+	}
 	t.busy = true
 	l.markSent(g.o.Clock())
 	g.scheduler.Resume(l.id, g.o.Clock())
@@ -118,7 +124,7 @@
 		g.releaseConn(l, err)
 		if ends && t.primary || c.ranElsewhere(err) {
 			g.logFailure(c, l, "in_doubt", err.Error(), false)
-			return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: "the answer to the commit was lost", State: statement.TxIdle}}
+			return operation.Response{Answer: statement.Answer{Code: statement.CodeInDoubt, Detail: inDoubtDetail(err), State: statement.TxIdle}}
 		}
 		g.logFailure(c, l, "aborted", err.Error(), false)
 		return aborted("the connection to the member broke in the transaction")
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -173,6 +173,8 @@
 	primary    upstream.MemberID
 	term       position.Term
 	target     upstream.MemberID
+	// selectedLog is where the log of the target ended when it was selected.
+	selectedLog position.Position
 	// orderPending is true while the result of an order is outstanding, orderOutdated if that order has an earlier token.
 	orderPending  bool
 	orderOutdated bool
@@ -188,6 +190,8 @@
 	// syncReplicas is the number of replicas that hold a commit before it is acknowledged.
 	syncReplicas int
 	acknowledged position.Position
+	// handedOver is true once another owner decides about promotions.
+	handedOver bool
 	// completeAt is when the known members are all that live.
 	completeAt time.Time
 	// withheld is true once it has been explained that no replica is promoted in the current phase.
@@ -212,16 +216,6 @@
 	return m.primary, m.term, m.phase == PhaseLeading
 }
 
-// lateOrderPossible reports whether an order under the current token may still replace the primary.
-func (m *Machine) lateOrderPossible() bool {
-	for id := range m.unresolved {
-		if id != m.primary {
-			return true
-		}
-	}
-	return false
-}
-
 // orderPromotion returns the action that orders the promotion of the member.
 func (m *Machine) orderPromotion(kind ActionKind, id upstream.MemberID) Action {
 	m.orderPending = true
@@ -302,9 +296,6 @@
 	}
 }
 
-// Acknowledged records the newest position that was acknowledged to a caller.
-func (m *Machine) Acknowledged(p position.Position) { m.acknowledged = position.Max(m.acknowledged, p) }
-
 // Failed records a failed operation on the member.
 func (m *Machine) Failed(id upstream.MemberID, f Failure, now time.Time) {
 	if k := m.members[id]; k != nil {
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -98,10 +98,6 @@
 	return isPrimary && primary == id
 }
 
-// settled reports whether no order can replace the primary any more: neither one of an earlier owner nor an own one for another
-// member.
-func (m *Machine) settled() bool { return m.confirmed && !m.lateOrderPossible() }
-
 func (g *group) probes() int {
 	n := 0
 	for _, p := range g.members {
--- a/internal/promotion/tick.go
+++ b/internal/promotion/tick.go
@@ -47,7 +47,7 @@
 // needsNewToken reports whether the platform has rejected the token, or a higher one must shut out an own order that may still
 // replace the primary.
 func (m *Machine) needsNewToken() bool {
-	return m.tokenRejected || m.phase == PhaseLeading && !m.orderPending && m.lateOrderPossible()
+	return m.tokenRejected || m.phase == PhaseLeading && !m.orderPending && m.otherOrderPossible(m.primary)
 }
 
 // discover probes the members for the primary, starting with the one that the service discovery reports.
@@ -207,7 +207,7 @@
 			best.ID, best.status.Position, m.acknowledged, answered, m.replicaCount(), m.syncReplicas))
 		return m.probePrimary(a, now)
 	}
-	m.target = best.ID
+	m.target, m.selectedLog = best.ID, best.status.Position
 	m.enter(PhasePromoting, now, fmt.Sprintf("promoting %s, whose log ends at %s; acknowledged %s; %d of %d replicas answered",
 		best.ID, best.status.Position, m.acknowledged, answered, answered+open))
 	return a
