Send a statement only after its session is set up on the connection

Cause: SET, RESET and PREPARE were sent in one batch with the statement, which a member runs whether or not they succeed, and what the connection holds was recorded when they were sent.

Change: connstate.State holds values and prepared statements too and changes only by the codes of answers. The statement waits for the answers to its setup; a failed setup is repeated, after a failed SET or RESET from a RESET on, and then tried on another connection or refused with BUSY, which is true as nothing was sent.

Why it works: a statement is sent only when the record, which the member has confirmed, holds what its session needs.

New metric celerystep_owner_setups_total.

--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"sort"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/connstate"
@@ -37,20 +35,18 @@
 	rollBackTimeout = 500 * time.Millisecond
 	// maxRollBacks limits how often a member is asked to roll back a transaction before its connection is closed.
 	maxRollBacks = 3
-	// maxPrepared limits the statements prepared on one connection; the connection is reset when it is reached.
-	maxPrepared = 100
+	// maxSetupRounds limits how often the setup of a session on a connection is tried before the connection is closed.
+	maxSetupRounds = 3
 )
 
-// memberConn is a pooled connection to a member, with the session values and prepared statements in effect on it.
+// memberConn is a pooled connection to a member.
 type memberConn struct {
 	id       dispatch.ConnID
 	member   member.Member
 	customer string
 	conn     member.Conn
 	// state is used by the goroutine that runs a statement on the connection, and under the group's lock while none does.
-	state    connstate.State
-	values   map[string]string
-	prepared map[string]statement.Prepared
+	state connstate.State
 
 	mu            sync.Mutex
 	started       time.Time
@@ -146,72 +142,6 @@
 	return member.Command{Statement: statement.Statement{Kind: k}, Own: true}
 }
 
-// preparedName returns the name under which a statement is prepared on members, which is independent of the callers'
-// names for it.
-func preparedName(p statement.Prepared) string {
-	kind := "r"
-	if p.Writes {
-		kind = "w"
-	}
-	return fmt.Sprintf("%s%016x", kind, xxhash.Sum64String(p.Definition))
-}
-
-// setupCommands returns the commands that establish the session values and the prepared statement on the connection. It
-// records them as established: after any failure the connection is closed.
-func (l *memberConn) setupCommands(values map[string]string, s statement.Statement) []member.Command {
-	var out []member.Command
-	if l.hasExtraValues(values) || len(l.prepared) >= maxPrepared {
-		out = append(out, internalCommand(statement.KindReset))
-		l.values, l.prepared = nil, nil
-	}
-	out = append(out, l.changedValues(values)...)
-	if s.Kind != statement.KindExecute {
-		return out
-	}
-	name := preparedName(s.Prepared)
-	if known, ok := l.prepared[name]; ok && known == s.Prepared {
-		return out
-	}
-	if l.prepared == nil {
-		l.prepared = make(map[string]statement.Prepared)
-	}
-	l.prepared[name] = s.Prepared
-	c := internalCommand(statement.KindPrepare)
-	c.Name, c.Prepared = name, s.Prepared
-	return append(out, c)
-}
-
-// hasExtraValues reports whether the connection has a value set that the session does not have.
-func (l *memberConn) hasExtraValues(values map[string]string) bool {
-	for name := range l.values {
-		if _, ok := values[name]; !ok {
-			return true
-		}
-	}
-	return false
-}
-
-func (l *memberConn) changedValues(values map[string]string) []member.Command {
-	var out []member.Command
-	names := make([]string, 0, len(values))
-	for name, v := range values {
-		if l.values[name] != v {
-			names = append(names, name)
-		}
-	}
-	sort.Strings(names)
-	for _, name := range names {
-		c := internalCommand(statement.KindSet)
-		c.Name, c.Value = name, values[name]
-		out = append(out, c)
-		if l.values == nil {
-			l.values = make(map[string]string)
-		}
-		l.values[name] = values[name]
-	}
-	return out
-}
-
 // openConn dials a connection that the scheduler requested.
 func (g *Group) openConn(o dispatch.Open) {
 	m, ok := g.members[o.Member]
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/celerystep/celerystep/internal/catalog"
+	"github.com/celerystep/celerystep/internal/connstate"
 	"github.com/celerystep/celerystep/internal/member"
 	"github.com/celerystep/celerystep/internal/position"
 	"github.com/celerystep/celerystep/internal/statement"
@@ -16,11 +17,12 @@
 func (g *Group) execute(ctx context.Context, c *call, l *memberConn, primary bool) (statement.Answer, error) {
 	ctx, cancel := l.context(ctx)
 	defer cancel(nil)
-	setup := l.setupCommands(c.r.Values, c.r.Statement)
 	// Another owner may have replaced the primary at any time. As a replica it still answers reads and opens read-only
 	// transactions, but refuses plain ones, so reads that rely on the primary run in those.
 	guarded := primary && c.reads() && !c.r.Statement.Writes()
 	c.tx = txMode{begin: c.r.Begin, guarded: guarded}
+	// What opens a transaction may be sent together with the setup: the caller's statement waits for the answers to both.
+	setup := l.state.Setup(c.r.Values, c.r.Statement)
 	if c.r.Begin != statement.KindInvalid {
 		return g.executeAfterBegin(ctx, c, l, append(setup, g.beginCommand(c, primary)), primary)
 	}
@@ -31,7 +33,10 @@
 	if !c.r.Statement.Writes() {
 		command.After = c.after(primary)
 	}
-	return g.send(ctx, c, l, setup, command, primary)
+	if err := g.setUp(ctx, c, l); err != nil {
+		return statement.Answer{}, err
+	}
+	return g.send(ctx, c, l, command, primary)
 }
 
 // beginCommand returns the command that opens the call's transaction on the member: a plain one for a guarded read-only
@@ -67,7 +72,7 @@
 	if answer, err := g.runSetup(ctx, l, begin); err != nil || answer.Code != statement.CodeOK {
 		return answer, err
 	}
-	return g.send(ctx, c, l, nil, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
+	return g.send(ctx, c, l, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
 }
 
 // readInTransaction reads inside a plain transaction. The BEGIN is not pipelined with the read: after a refused BEGIN a
@@ -96,14 +101,14 @@
 func (g *Group) runSetup(ctx context.Context, l *memberConn, commands []member.Command) (statement.Answer, error) {
 	answers, err := l.do(ctx, commands...)
 	if err != nil {
-		return statement.Answer{}, closeCauseOr(ctx, err)
+		return statement.Answer{}, &notSentError{closeCauseOr(ctx, err)}
 	}
 	if err := setupError(answers[:len(answers)-1]); err != nil {
-		return statement.Answer{}, err
+		return statement.Answer{}, &notSentError{err}
 	}
 	last := answers[len(answers)-1]
 	if last.Code == statement.CodeOK && last.State != statement.TxOpen {
-		return statement.Answer{}, errors.Wrapf(errSessionState, "BEGIN left the state %s", last.State)
+		return statement.Answer{}, &notSentError{errors.Wrapf(errSessionState, "BEGIN left the state %s", last.State)}
 	}
 	g.mu.Lock()
 	g.machine.AnswerReceived(l.member.ID, g.o.Clock())
@@ -121,19 +126,50 @@
 	return nil
 }
 
-// send runs the setup commands and the statement. primary is true when the member is used as the primary.
-func (g *Group) send(ctx context.Context, c *call, l *memberConn, setup []member.Command, command member.Command, primary bool) (statement.Answer, error) {
+// setUp establishes the session's values and its prepared statement on the connection. The member must have confirmed them before the
+// statement is sent: it would run a statement whose setup has failed with the values of another session.
+func (g *Group) setUp(ctx context.Context, c *call, l *memberConn) error {
+	var refused error
+	for range maxSetupRounds {
+		commands := l.state.Setup(c.r.Values, c.r.Statement)
+		if len(commands) == 0 {
+			return nil
+		}
+		if l.state.Transaction() != statement.TxIdle && commands[0].Kind == statement.KindReset {
+			// A reset inside a transaction would discard values that it depends on; values may only be added.
+			return &notSentError{errors.Wrap(errSessionState, "the session values changed in a way that needs a reset")}
+		}
+		answers, err := l.do(ctx, commands...)
+		if err != nil {
+			return &notSentError{closeCauseOr(ctx, err)}
+		}
+		if refused = setupError(answers); refused == nil {
+			g.o.Metrics.Setups.WithLabelValues("done").Inc()
+			return nil
+		}
+		g.o.Metrics.Setups.WithLabelValues("refused").Inc()
+	}
+	return &notSentError{refused}
+}
+
+// notSentError is the failure of what precedes the caller's statement, which was not sent.
+type notSentError struct{ cause error }
+
+// Error implements error.
+func (e *notSentError) Error() string { return "not sent: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *notSentError) Unwrap() error { return e.cause }
+
+// send runs the caller's statement. primary is true when the member is used as the primary.
+func (g *Group) send(ctx context.Context, c *call, l *memberConn, command member.Command, primary bool) (statement.Answer, error) {
 	started := g.o.Clock()
 	c.begun.markSent(started)
-	answers, err := l.do(ctx, append(setup, command)...)
-	if len(answers) <= len(setup) {
+	answers, err := l.do(ctx, command)
+	if err != nil {
 		return statement.Answer{}, closeCauseOr(ctx, err)
 	}
-	if failed := setupError(answers[:len(setup)]); failed != nil {
-		// The statement ran without its session values.
-		return statement.Answer{}, failed
-	}
-	answer := answers[len(setup)]
+	answer := answers[0]
 	if err := c.checkState(answer); err != nil {
 		return statement.Answer{}, err
 	}
@@ -168,14 +204,10 @@
 func (g *Group) executeInTransaction(ctx context.Context, c *call, l *memberConn, primary bool) (statement.Answer, error) {
 	ctx, cancel := l.context(ctx)
 	defer cancel(nil)
-	setup := l.setupCommands(c.r.Values, c.r.Statement)
-	for _, s := range setup {
-		if s.Kind == statement.KindReset {
-			// A reset inside a transaction would discard values that it depends on; values may only be added.
-			return statement.Answer{}, errors.Wrap(errSessionState, "the session values changed in a way that needs a reset")
-		}
+	if err := g.setUp(ctx, c, l); err != nil {
+		return statement.Answer{}, err
 	}
-	return g.send(ctx, c, l, setup, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
+	return g.send(ctx, c, l, member.Command{Statement: withPreparedName(c.r.Statement)}, primary)
 }
 
 // observe records an answer. authoritative is true when the member was the primary while it answered. It returns false for a commit
@@ -207,7 +239,7 @@
 // withPreparedName replaces the caller's name of a prepared statement by its name on members.
 func withPreparedName(s statement.Statement) statement.Statement {
 	if s.Kind == statement.KindExecute {
-		s.Name = preparedName(s.Prepared)
+		s.Name = connstate.PreparedName(s.Prepared)
 	}
 	return s
 }
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -20,6 +20,8 @@
 	MemberSlowdown *prometheus.HistogramVec
 	MemberFailures *prometheus.HistogramVec
 	Statements     *prometheus.CounterVec
+	// Setups counts the round trips for which a statement waited until its session was set up.
+	Setups *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -62,9 +64,12 @@
 		Statements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "celerystep_owner_statements_total", Help: "Statements that members answered by the kind of member and its place: the failure domain of the owner or another.",
 		}, []string{"member", "place"}),
+		Setups: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "celerystep_owner_setups_total", Help: "Round trips that set up a session on a connection before its statement, by result.",
+		}, []string{"result"}),
 	}
 	r.MustRegister(m.Answers, m.QueueWait, m.PriorityWait, m.Refusals, m.MemberLatency, m.Promotions, m.Dials, m.Probes, m.MemberSlowdown,
-		m.MemberFailures, m.Statements)
+		m.MemberFailures, m.Statements, m.Setups)
 	return m
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -22,6 +22,10 @@
 	// staleCatalogRetryAfter is the retry delay sent when the owner's configuration is older than that of the caller's
 	// instance.
 	staleCatalogRetryAfter = 250 * time.Millisecond
+	// failedAttemptRetryAfter is the retry delay sent when a member refused the statement or could not be reached for it.
+	failedAttemptRetryAfter = 20 * time.Millisecond
+	// notSentDetail explains the refusal of a statement that was not sent.
+	notSentDetail = "the session could not be set up at the member"
 	// commitRetryAfter is the retry delay sent when commits cannot be accepted because the primary may be replaced.
 	commitRetryAfter = 100 * time.Millisecond
 	// primaryChangeDetail explains the refusal of a commit.
@@ -258,7 +262,7 @@
 	now := g.o.Clock()
 	if l == nil || l.isClosed() {
 		g.scheduler.Closed(a.Conn)
-		return nil, false, refusal(statement.CodeBusy, "the connection to the member broke", 20*time.Millisecond)
+		return nil, false, refusal(statement.CodeBusy, "the connection to the member broke", failedAttemptRetryAfter)
 	}
 	l.markSent(now)
 	c.claim = g.claim.Revision
@@ -359,12 +363,11 @@
 		return operation.Response{Answer: answer}, false
 	}
 	again := g.recordFailure(c, l, primary, answer)
-	after := 20 * time.Millisecond
 	g.logFailure(c, l, answer.Code.String(), answer.Detail, again)
 	if c.r.Begin != statement.KindInvalid {
 		answer.State = statement.TxFailed
 	}
-	return operation.Response{Answer: answer, RetryAfter: after}, again
+	return operation.Response{Answer: answer, RetryAfter: failedAttemptRetryAfter}, again
 }
 
 // opensTransaction reports whether the answer leaves the transaction open that the call began. One whose first statement failed is
@@ -396,7 +399,6 @@
 	case statement.CodeBusy, statement.CodeWrongMember, statement.CodeConnectionLimit:
 		c.avoid = l.member.ID
 	case statement.CodeUnknownStatement:
-		l.prepared = nil
 	default:
 		return false
 	}
@@ -411,7 +413,14 @@
 	g.mu.Unlock()
 	c.avoid = l.member.ID
 	timedOut := ctx.Err() != nil
+	var notSent *notSentError
 	switch {
+	case errors.As(err, &notSent):
+		g.logFailure(c, l, "not_sent", err.Error(), !timedOut)
+		if c.r.Begin != statement.KindInvalid {
+			return aborted(notSentDetail), !timedOut
+		}
+		return *refusal(statement.CodeBusy, notSentDetail, failedAttemptRetryAfter), !timedOut
 	case c.r.Begin != statement.KindInvalid && c.r.Statement.Kind != statement.KindCommit && !c.ranElsewhere(err):
 		// The transaction ends with its connection, and no commit was requested.
 		again := !timedOut && c.reads()
