Wait for a session's settings before its statement in celerystepd too

Callers would see: a statement that runs, and a write that commits, without the settings of its session, answered as of unknown outcome.

Change: the home waits for the answers to all settings but the customer's name, which only the upstream's logs use. The set of accepted settings is gone.

Why it works: nothing of the caller is sent before the member has accepted its settings; a refusal is answered as "not run".

The cost in round trips on this path was not measured.

--- a/internal/home/execute.go
+++ b/internal/home/execute.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -69,15 +70,14 @@
 	return nil
 }
 
-// send sends the settings and the statement. Settings that a member of the group has accepted before are sent together
-// with the statement. For others, send waits for the response first, so that the statement does not run after a setting
-// was refused.
+// send sends the settings and the statement. It waits until the member has accepted the session's settings, so that the statement
+// does not run after one was refused. Only the customer's name for the upstream's logs is sent together with the statement.
 func (e *execution) send() *failure {
 	if err := e.cn.port.SetDeadline(e.attemptDeadline()); err != nil {
 		return e.failUnsent("deadline", err)
 	}
 	sendBuffer := e.cn.sendBuffer[:0]
-	if len(e.ex.Settings) > 0 && !e.g.settingsAccepted(e.ex.Changes) {
+	if changesSession(e.ex.Changes) {
 		if f := e.applySettings(); f != nil {
 			return f
 		}
@@ -122,7 +122,6 @@
 	}
 	refused := e.answer.SettingErr()
 	if refused == nil {
-		e.g.acceptSettings(e.ex.Changes)
 		return nil
 	}
 	e.g.recordRefusedSetting(e.c, e.cn, refused)
@@ -318,36 +317,14 @@
 	}
 }
 
-// settingsAccepted reports whether a member of the group has accepted each of the settings before.
-func (g *Group) settingsAccepted(changes []exchange.Setting) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range changes {
-		if !s.Reset && !g.acceptedSettings[s] {
-			return false
-		}
-	}
-	return true
-}
-
-// maxAcceptedSettings bounds the set of accepted settings, whose values callers choose.
-const maxAcceptedSettings = 4096
-
-func (g *Group) acceptSettings(changes []exchange.Setting) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.acceptedSettings) > maxAcceptedSettings {
-		clear(g.acceptedSettings)
-	}
-	for _, s := range changes {
-		g.acceptedSettings[s] = true
-	}
+// changesSession reports whether one of the changes concerns the session, and not only the customer's name for the upstream's logs.
+func changesSession(changes []exchange.Setting) bool {
+	return slices.ContainsFunc(changes, func(s exchange.Setting) bool { return s.Name != exchange.CustomerSetting })
 }
 
 func (g *Group) recordRefusedSetting(c *call, cn *conn, err *exchange.SettingError) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.acceptedSettings, err.Setting)
 	g.record(Event{Kind: EventSetting, Cause: err.Code, Step: "settings", Member: cn.member, Customer: c.r.Customer,
 		Trace: c.r.Trace, Text: err.Error()})
 }
--- a/internal/home/fake_test.go
+++ b/internal/home/fake_test.go
@@ -64,6 +64,8 @@
 	faultMidway
 	// faultSilent runs the statement but never responds.
 	faultSilent
+	// faultRefused answers with an error; the statement does not run.
+	faultRefused
 )
 
 // after runs f after d. It does not use time.AfterFunc, because many of its timers in synctest bubbles crash the race
--- a/internal/home/fakeconn_test.go
+++ b/internal/home/fakeconn_test.go
@@ -89,6 +89,10 @@
 		c.breakLocked()
 		return
 	}
+	if fault == faultRefused {
+		c.push(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "22023"}, &pgproto3.ReadyForQuery{TxStatus: c.tx})
+		return
+	}
 	before := len(c.answers)
 	c.run(text)
 	switch fault {
--- a/internal/home/group.go
+++ b/internal/home/group.go
@@ -12,7 +12,6 @@
 
 	"github.com/celerystep/celerystep/internal/admission"
 	"github.com/celerystep/celerystep/internal/config"
-	"github.com/celerystep/celerystep/internal/exchange"
 	"github.com/celerystep/celerystep/internal/failover"
 	"github.com/celerystep/celerystep/internal/mutation"
 	"github.com/celerystep/celerystep/internal/pool"
@@ -101,17 +100,16 @@
 	// activeWrites counts running writes and open write transactions.
 	activeWrites int
 
-	rounds           rounds
-	sessions         map[request.SessionID]*sessionState
-	conns            map[pool.ConnID]*conn
-	customers        map[string]*customer
-	remoteCustomers  []*customer
-	handover         *Handover
-	refillFrom       time.Time
-	acceptedSettings map[exchange.Setting]bool
-	commits          []*commitWaiter
-	parked           []*call
-	candidates       []router.Candidate
+	rounds          rounds
+	sessions        map[request.SessionID]*sessionState
+	conns           map[pool.ConnID]*conn
+	customers       map[string]*customer
+	remoteCustomers []*customer
+	handover        *Handover
+	refillFrom      time.Time
+	commits         []*commitWaiter
+	parked          []*call
+	candidates      []router.Candidate
 	// readNext is true when the primary's next free slot goes to a read. Reads and writes alternate.
 	readNext bool
 	// activeRequests counts the requests inside Run.
@@ -128,26 +126,25 @@
 	now := m.o.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Group{
-		id:               spec.ID,
-		o:                &m.o,
-		port:             m.o.Port(spec),
-		log:              m.o.Logger.With("group", spec.ID),
-		metrics:          m.metrics.group(spec.ID),
-		manager:          m,
-		timeBase:         now,
-		ctx:              ctx,
-		cancel:           cancel,
-		wake:             make(chan struct{}, 1),
-		claimedOrLost:    make(chan struct{}),
-		drained:          make(chan struct{}),
-		snapshot:         snapshot,
-		spec:             spec,
-		handover:         h,
-		sessions:         make(map[request.SessionID]*sessionState),
-		conns:            make(map[pool.ConnID]*conn),
-		customers:        make(map[string]*customer),
-		acceptedSettings: make(map[exchange.Setting]bool),
-		writeGapSince:    now,
+		id:            spec.ID,
+		o:             &m.o,
+		port:          m.o.Port(spec),
+		log:           m.o.Logger.With("group", spec.ID),
+		metrics:       m.metrics.group(spec.ID),
+		manager:       m,
+		timeBase:      now,
+		ctx:           ctx,
+		cancel:        cancel,
+		wake:          make(chan struct{}, 1),
+		claimedOrLost: make(chan struct{}),
+		drained:       make(chan struct{}),
+		snapshot:      snapshot,
+		spec:          spec,
+		handover:      h,
+		sessions:      make(map[request.SessionID]*sessionState),
+		conns:         make(map[pool.ConnID]*conn),
+		customers:     make(map[string]*customer),
+		writeGapSince: now,
 	}
 	g.initComponents(m.nextSeed())
 	g.mu.Lock()
