Do not abort a transaction for the number of prepared statements

Cause: the connection is reset at 100 prepared statements, and inside a transaction a reset is refused, which counts as a lost connection.

Change: inside a transaction the limit is twice as high, so that the reset comes after it; memory stays bounded.

Measured: TestTheLimitOfPreparedStatementsResetsNoTransaction, red before (a RESET beside the PREPARE), holds now.

--- a/internal/connstate/connstate_test.go
+++ b/internal/connstate/connstate_test.go
@@ -1,6 +1,7 @@
 package connstate
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -118,3 +119,26 @@
 	s.Record([]member.Command{{Statement: st}}, []statement.Answer{{Code: statement.CodeUnknownStatement}})
 	is.Equal(s.Unproven(), ErrContradicted)
 }
+
+// Guards against a transaction that is aborted, and its COMMIT left in doubt, because one of its statements is the hundredth that is
+// prepared on the connection: a reset is not possible before the transaction ends.
+func TestTheLimitOfPreparedStatementsResetsNoTransaction(t *testing.T) {
+	is := is.New(t)
+	var s State
+	run := func(i int, answer statement.Answer) []member.Command {
+		st := statement.Statement{Kind: statement.KindExecute, Prepared: statement.Prepared{Definition: fmt.Sprint(i)}}
+		commands := s.Setup(nil, st)
+		s.Record(commands, []statement.Answer{answer, answer}[:len(commands)])
+		return commands
+	}
+	open, idle := statement.Answer{State: statement.TxOpen}, statement.Answer{}
+	for i := range maxPrepared + 12 {
+		is.Equal(len(run(i, open)), 1)
+	}
+	s.Record([]member.Command{ownCommand(statement.KindCommit)}, []statement.Answer{idle})
+	is.Equal(run(0, idle)[0].Kind, statement.KindReset)
+	for i := 1; i < maxPrepared; i++ {
+		is.Equal(len(run(i, idle)), 1)
+	}
+	is.Equal(run(maxPrepared, idle)[0].Kind, statement.KindReset)
+}
--- a/internal/connstate/setup.go
+++ b/internal/connstate/setup.go
@@ -10,15 +10,19 @@
 	"github.com/celerystep/celerystep/internal/statement"
 )
 
-// maxPrepared limits the statements prepared on one connection; the connection is reset when it is reached.
-const maxPrepared = 100
+const (
+	// maxPrepared limits the statements prepared on one connection; the connection is reset when it is reached.
+	maxPrepared = 100
+	// maxPreparedInTransaction is the limit while a transaction is open, in which the connection cannot be reset.
+	maxPreparedInTransaction = 2 * maxPrepared
+)
 
 // Setup returns the commands that are still needed before the statement of a session with the given values may be sent; none if
 // the connection is ready for it. They have no effect on the record before their answers are recorded.
 func (s *State) Setup(values map[string]string, st statement.Statement) []member.Command {
 	var out []member.Command
 	held, prepared := s.values, s.prepared
-	if s.valuesUnknown || s.hasExtraValues(values) || len(s.prepared) >= maxPrepared {
+	if s.valuesUnknown || s.hasExtraValues(values) || len(s.prepared) >= s.preparedLimit() {
 		out = append(out, ownCommand(statement.KindReset))
 		held, prepared = nil, nil
 	}
@@ -35,6 +39,13 @@
 	return append(out, c)
 }
 
+func (s *State) preparedLimit() int {
+	if s.tx == statement.TxIdle {
+		return maxPrepared
+	}
+	return maxPreparedInTransaction
+}
+
 // hasExtraValues reports whether the connection has a value set that the session does not have.
 func (s *State) hasExtraValues(values map[string]string) bool {
 	for name := range s.values {
