--- a/internal/connstate/connstate_test.go
+++ b/internal/connstate/connstate_test.go
@@ -94,7 +94,7 @@
 // succeeded since.
 func TestUnprovenStates(t *testing.T) {
 	is := is.New(t)
-	set, reset := ownCommand(statement.KindSet), ownCommand(statement.KindReset)
+	set, reset := member.OwnCommand(statement.KindSet), member.OwnCommand(statement.KindReset)
 	failed := statement.Answer{Code: statement.CodeFailed}
 	var s State
 	s.Record([]member.Command{set}, []statement.Answer{failed})
@@ -135,7 +135,7 @@
 	for i := range maxPrepared + 12 {
 		is.Equal(len(run(i, open)), 1)
 	}
-	s.Record([]member.Command{ownCommand(statement.KindCommit)}, []statement.Answer{idle})
+	s.Record([]member.Command{member.OwnCommand(statement.KindCommit)}, []statement.Answer{idle})
 	is.Equal(run(0, idle)[0].Kind, statement.KindReset)
 	for i := 1; i < maxPrepared; i++ {
 		is.Equal(len(run(i, idle)), 1)
--- a/internal/connstate/setup.go
+++ b/internal/connstate/setup.go
@@ -23,7 +23,7 @@
 	var out []member.Command
 	held, prepared := s.values, s.prepared
 	if s.valuesUnknown || s.hasExtraValues(values) || len(s.prepared) >= s.preparedLimit() {
-		out = append(out, ownCommand(statement.KindReset))
+		out = append(out, member.OwnCommand(statement.KindReset))
 		held, prepared = nil, nil
 	}
 	out = append(out, changedValues(held, values)...)
@@ -34,7 +34,7 @@
 	if known, ok := prepared[name]; ok && known == st.Prepared {
 		return out
 	}
-	c := ownCommand(statement.KindPrepare)
+	c := member.OwnCommand(statement.KindPrepare)
 	c.Name, c.Prepared = name, st.Prepared
 	return append(out, c)
 }
@@ -67,7 +67,7 @@
 	sort.Strings(names)
 	var out []member.Command
 	for _, name := range names {
-		c := ownCommand(statement.KindSet)
+		c := member.OwnCommand(statement.KindSet)
 		c.Name, c.Value = name, values[name]
 		out = append(out, c)
 	}
@@ -82,7 +82,3 @@
 	}
 	return fmt.Sprintf("%s%016x", kind, xxhash.Sum64String(p.Definition))
 }
-
-func ownCommand(k statement.Kind) member.Command {
-	return member.Command{Statement: statement.Statement{Kind: k}, Own: true}
-}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -42,6 +42,11 @@
 	Own bool
 }
 
+// OwnCommand returns a command that celerystep issues on its own behalf.
+func OwnCommand(k statement.Kind) Command {
+	return Command{Statement: statement.Statement{Kind: k}, Own: true}
+}
+
 // Conn is a connection to a member for the statements of one customer. It is used by one goroutine at a time.
 type Conn interface {
 	// Do sends the commands and waits for their answers. With an error the connection is lost; the answers that came
--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -137,11 +137,6 @@
 	l.silenceNoted = now
 }
 
-// internalCommand returns a command that celerystep issues on its own behalf.
-func internalCommand(k statement.Kind) member.Command {
-	return member.Command{Statement: statement.Statement{Kind: k}, Own: true}
-}
-
 // openConn dials a connection that the scheduler requested.
 func (g *Group) openConn(o dispatch.Open) {
 	m, ok := g.members[o.Member]
@@ -269,7 +264,7 @@
 	defer cancel()
 	var last statement.Answer
 	for range maxRollBacks {
-		answers, err := l.do(ctx, internalCommand(statement.KindRollback))
+		answers, err := l.do(ctx, member.OwnCommand(statement.KindRollback))
 		if err != nil {
 			return err
 		}
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -27,7 +27,7 @@
 		return g.executeAfterBegin(ctx, c, l, append(setup, g.beginCommand(c, primary)), primary)
 	}
 	if guarded {
-		return g.readInTransaction(ctx, c, l, append(setup, internalCommand(statement.KindBegin)))
+		return g.readInTransaction(ctx, c, l, append(setup, member.OwnCommand(statement.KindBegin)))
 	}
 	command := member.Command{Statement: withPreparedName(c.r.Statement)}
 	if !c.r.Statement.Writes() {
@@ -44,9 +44,9 @@
 func (g *Group) beginCommand(c *call, primary bool) member.Command {
 	if c.tx.guarded {
 		c.tx.begin = statement.KindBegin
-		return internalCommand(statement.KindBegin)
+		return member.OwnCommand(statement.KindBegin)
 	}
-	begin := internalCommand(c.r.Begin)
+	begin := member.OwnCommand(c.r.Begin)
 	begin.After = c.after(primary)
 	return begin
 }
@@ -83,7 +83,7 @@
 	}
 	started := g.o.Clock()
 	c.begun.markSent(started)
-	answers, err := l.do(ctx, member.Command{Statement: withPreparedName(c.r.Statement)}, internalCommand(statement.KindRollback))
+	answers, err := l.do(ctx, member.Command{Statement: withPreparedName(c.r.Statement)}, member.OwnCommand(statement.KindRollback))
 	if len(answers) == 0 {
 		return statement.Answer{}, closeCauseOr(ctx, err)
 	}
--- a/internal/owner/execute_test.go
+++ b/internal/owner/execute_test.go
@@ -221,7 +221,7 @@
 			g := newServingGroup(&fakeAuthority{})
 			session := operation.SessionID{Instance: "i", Number: 1}
 			older, olderConn := newTestConn(statement.Answer{State: statement.TxIdle})
-			older.state.Record([]member.Command{internalCommand(statement.KindBegin)}, []statement.Answer{{State: statement.TxOpen}})
+			older.state.Record([]member.Command{member.OwnCommand(statement.KindBegin)}, []statement.Answer{{State: statement.TxOpen}})
 			newer, _ := newTestConn()
 			first := &transaction{memberConn: older, mode: txMode{begin: statement.KindBegin}, primary: true, busy: busy}
 			g.txs[session] = first
