--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -218,7 +218,7 @@
 	defer g.mu.Unlock()
 	g.machine.AnswerReceived(l.member.ID, now)
 	g.scheduler.Observe(l.member.ID, answer.Position, now)
-	if authoritative && c.commits() && !g.machine.Commit(l.member.ID, answer.Position) {
+	if authoritative && c.commits() && !g.machine.AcknowledgeCommit(l.member.ID, answer.Position) {
 		return false
 	}
 	if authoritative {
--- a/internal/promotion/acknowledge.go
+++ b/internal/promotion/acknowledge.go
@@ -21,12 +21,12 @@
 	if m.syncReplicas == 0 {
 		return true
 	}
-	return id == m.primary && (m.phase == PhaseLeading || m.phase == PhaseDraining) && m.staysForNow()
+	return id == m.primary && (m.phase == PhaseLeading || m.phase == PhaseDraining) && m.replacementExcluded()
 }
 
-// Commit reports whether the member's answer to a commit may be passed to the caller, and records its position if so. Otherwise a
+// AcknowledgeCommit reports whether the member's answer to a commit may be passed to the caller, and records its position if so. Otherwise a
 // member may lead next whose log lacks the commit.
-func (m *Machine) Commit(id upstream.MemberID, p position.Position) bool {
+func (m *Machine) AcknowledgeCommit(id upstream.MemberID, p position.Position) bool {
 	if m.syncReplicas > 0 && !m.outlivesPromotion(id, p) {
 		return false
 	}
@@ -41,7 +41,7 @@
 		return false
 	case m.phase == PhaseLeading, m.phase == PhaseDraining, m.phase == PhaseChoosing:
 		// A member that is selected from now on must hold what is acknowledged now.
-		return m.staysForNow()
+		return m.replacementExcluded()
 	case m.phase == PhasePromoting, m.phase == PhaseAwaiting:
 		return !m.otherOrderPossible(m.target) && p.Term == m.selectedLog.Term && p.LSN <= m.selectedLog.LSN
 	default:
@@ -49,8 +49,8 @@
 	}
 }
 
-// staysForNow reports whether no earlier order can replace the primary, and no other owner is expected to order one.
-func (m *Machine) staysForNow() bool {
+// replacementExcluded reports whether no earlier order can replace the primary, and no other owner is expected to order one.
+func (m *Machine) replacementExcluded() bool {
 	return m.settled() && !(m.handedOver && m.replacementDue())
 }
 
--- a/internal/promotion/acknowledge_test.go
+++ b/internal/promotion/acknowledge_test.go
@@ -19,7 +19,7 @@
 	g.m.SetSyncReplicas(1)
 	g.run(time.Second)
 	is.True(g.m.MayCommit("a"))
-	is.True(g.m.Commit("a", at(1, 9)))
+	is.True(g.m.AcknowledgeCommit("a", at(1, 9)))
 
 	accepted := false
 	g.accept = func(id upstream.MemberID) Result {
@@ -32,15 +32,15 @@
 	g.run(time.Second)
 	is.True(len(g.orders) > 0)
 	is.True(!g.m.MayCommit("a"))
-	is.True(!g.m.Commit("a", at(1, 10))) // c alone may hold it
-	is.True(g.m.Commit("a", at(1, 9)))   // the selected log holds it
+	is.True(!g.m.AcknowledgeCommit("a", at(1, 10))) // c alone may hold it
+	is.True(g.m.AcknowledgeCommit("a", at(1, 9)))   // the selected log holds it
 	is.Equal(g.m.acknowledged, at(1, 9))
 
 	accepted = true
 	g.run(time.Second)
 	is.True(g.isPrimary("b"))
-	is.True(!g.m.Commit("a", at(1, 10))) // an answer that arrives late
-	is.True(g.m.Commit("b", at(2, 10)))
+	is.True(!g.m.AcknowledgeCommit("a", at(1, 10))) // an answer that arrives late
+	is.True(g.m.AcknowledgeCommit("b", at(2, 10)))
 }
 
 // Guards against the same while the primary drains, and against refusals when nothing depends on synchronous replicas.
@@ -55,7 +55,7 @@
 		phase, _, _ := g.m.Phase()
 		is.Equal(phase, PhaseDraining)
 		is.True(g.m.MayCommit("a"))
-		is.True(g.m.Commit("a", at(1, 10)))
+		is.True(g.m.AcknowledgeCommit("a", at(1, 10)))
 		g.run(DefaultTiming().DrainTimeout + DefaultTiming().CatchUpTimeout)
 		is.Equal(len(g.orders) > 0, replicas == 0) // nobody holds 1/10
 	}
@@ -71,7 +71,7 @@
 	g.run(time.Second)
 	is.True(g.isPrimary("a"))
 	is.True(!g.m.MayCommit("a"))
-	is.True(!g.m.Commit("a", at(1, 10)))
+	is.True(!g.m.AcknowledgeCommit("a", at(1, 10)))
 	g.accept = g.promote
 	g.run(time.Second)
 	is.True(g.m.MayCommit("a"))
@@ -88,5 +88,5 @@
 	g.infos[0].Leaving = true
 	g.m.SetMembers(g.infos, g.now)
 	is.True(!g.m.MayCommit("a"))
-	is.True(!g.m.Commit("a", at(1, 10)))
+	is.True(!g.m.AcknowledgeCommit("a", at(1, 10)))
 }
